--- /dev/null
+++ b/cmd/geraniumseam/doc.go
@@ -0,0 +1,2 @@
+// Command geraniumseam is a database proxy with session consistency.
+package main
--- /dev/null
+++ b/examples/doc.go
@@ -0,0 +1,2 @@
+// Package examples holds the deployments that demo and bench can run.
+package examples
--- /dev/null
+++ b/internal/bench/doc.go
@@ -0,0 +1,4 @@
+// Package bench offers a deployment bounded open-loop load, strikes it with
+// faults by name, checks every answer against the promises and reports the
+// measures.
+package bench
--- /dev/null
+++ b/internal/bench/report.go
@@ -0,0 +1,264 @@
+package bench
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	dto "github.com/prometheus/client_model/go"
+
+	"geraniumseam.dev/internal/fleet"
+	"geraniumseam.dev/internal/jrnl"
+	"geraniumseam.dev/pkg/ident"
+)
+
+// Report is what a run showed.
+type Report struct {
+	Seconds   float64 `json:"seconds"`
+	Instances int     `json:"instances"`
+	Offered   int64   `json:"offered"`
+	Done      int64   `json:"done"`
+	NotRun    int64   `json:"not-run"`
+	Unknown   int64   `json:"unknown"`
+	Failed    int64   `json:"failed"`
+	// ReplicaShare is the part of reads that replicas served.
+	ReplicaShare float64 `json:"replica-share"`
+	ReplicaReads float64 `json:"replica-reads"`
+	// GapMillis is the longest time without an acknowledged write in the group that was struck.
+	GapMillis float64 `json:"gap-millis"`
+	Failovers int     `json:"failovers"`
+	// WorstServed is the least of served ÷ the lesser of demand and entitlement, among customers that are not greedy.
+	WorstServed   float64 `json:"worst-served"`
+	WorstCustomer string  `json:"worst-customer"`
+	// RefusedInside is the part of requests refused for rate although their customer was inside it.
+	RefusedInside float64          `json:"refused-inside-rate"`
+	Reasons       map[string]int64 `json:"reasons"`
+	Violations    map[string]int64 `json:"violations"`
+	Examples      []string         `json:"examples,omitempty"`
+	LatencyMillis Percentiles      `json:"latency-millis"`
+	CPUPercent    float64          `json:"cpu-percent-of-a-core-per-instance"`
+	ReadsPerSec   float64          `json:"platform-reads-per-second"`
+	WritesPerSec  float64          `json:"platform-writes-per-second"`
+	PeerBytes     float64          `json:"peer-bytes-per-second-per-instance"`
+	Strikes       []strike         `json:"strikes,omitempty"`
+	// Unexplained lists the faults for which the journal has no explanation.
+	Unexplained []string     `json:"unexplained,omitempty"`
+	Journal     []jrnl.Event `json:"-"`
+	Worst       []float64    `json:"worst-millis-per-100ms,omitempty"`
+}
+
+// Percentiles of a latency, in milliseconds.
+type Percentiles struct {
+	P50  float64 `json:"p50"`
+	P90  float64 `json:"p90"`
+	P99  float64 `json:"p99"`
+	P999 float64 `json:"p999"`
+	Max  float64 `json:"max"`
+}
+
+// Broken returns how many promises were broken.
+func (r *Report) Broken() int64 {
+	sum := int64(0)
+	for _, n := range r.Violations {
+		sum += n
+	}
+	return sum
+}
+
+type served struct{ replica, primary float64 }
+
+// servedBy sums where the instances ran reads.
+func servedBy(f *fleet.Fleet) served {
+	var s served
+	each(f, "geraniumseam_statements_total", func(m *dto.Metric) {
+		labels := map[string]string{}
+		for _, l := range m.GetLabel() {
+			labels[l.GetName()] = l.GetValue()
+		}
+		if labels["kind"] != "read" {
+			return
+		}
+		if labels["by"] == "replica" {
+			s.replica += m.GetCounter().GetValue()
+		} else {
+			s.primary += m.GetCounter().GetValue()
+		}
+	})
+	return s
+}
+
+func peerBytes(f *fleet.Fleet) float64 {
+	sum := 0.0
+	each(f, "geraniumseam_peer_bytes_out_total", func(m *dto.Metric) { sum += m.GetCounter().GetValue() })
+	return sum
+}
+
+func each(f *fleet.Fleet, name string, visit func(*dto.Metric)) {
+	for _, m := range f.Members() {
+		families, err := m.Registry.Gather()
+		if err != nil {
+			continue
+		}
+		for _, family := range families {
+			if family.GetName() != name {
+				continue
+			}
+			for _, metric := range family.GetMetric() {
+				visit(metric)
+			}
+		}
+	}
+}
+
+func (r *run) report(before, after usage, strikes []strike) *Report {
+	seconds := r.conf.Duration.Seconds()
+	instances := max(len(r.fleet.Members()), 1)
+	report := &Report{
+		Seconds: seconds, Instances: instances, Reasons: map[string]int64{}, WorstServed: 1,
+		CPUPercent:   (after.cpu - before.cpu).Seconds() / seconds * 100 / float64(instances),
+		ReadsPerSec:  float64(after.reads-before.reads+after.waits-before.waits) / seconds,
+		WritesPerSec: float64(after.writes-before.writes) / seconds,
+		PeerBytes:    max(0, after.peers-before.peers) / seconds / float64(instances),
+		Strikes:      strikes, Journal: r.journal(),
+	}
+	report.ReplicaReads = max(0, after.served.replica-before.served.replica)
+	if all := report.ReplicaReads + max(0, after.served.primary-before.served.primary); all > 0 {
+		report.ReplicaShare = report.ReplicaReads / all
+	}
+	r.sum(report, seconds)
+	r.gaps(report)
+	r.explain(report)
+	report.Violations, report.Examples = r.checker.Violations(), r.checker.Examples()
+	return report
+}
+
+// sum adds up the customers.
+func (r *run) sum(report *Report, seconds float64) {
+	all := hdrhistogram.New(1, longestLatency, latencyDigits)
+	inside, refused := int64(0), int64(0)
+	worst := map[int64]time.Duration{}
+	for id, t := range r.tallies {
+		t.mu.Lock()
+		report.Offered += t.offered
+		report.Done += t.outcomes[Acked]
+		report.NotRun += t.outcomes[NotRun]
+		report.Unknown += t.outcomes[Unknown]
+		report.Failed += t.outcomes[Failed]
+		for reason, n := range t.reasons {
+			report.Reasons[reason] += n
+		}
+		if id != r.conf.Greedy {
+			inside += t.offered
+			refused += t.reasons["rate-exceeded"] + t.reasons["rate-unavailable"]
+			r.worstServed(report, id, t, seconds)
+		}
+		all.Merge(t.latency)
+		for at, took := range t.worst {
+			worst[at] = max(worst[at], took)
+		}
+		t.mu.Unlock()
+	}
+	if inside > 0 {
+		report.RefusedInside = float64(refused) / float64(inside)
+	}
+	report.LatencyMillis = percentiles(all)
+	for at := range int64(r.conf.Duration / sampleBucket) {
+		report.Worst = append(report.Worst, float64(worst[at].Microseconds())/microsPerMillis)
+	}
+}
+
+func (r *run) worstServed(report *Report, id ident.CustomerID, t *tally, seconds float64) {
+	c := r.conf.Config.Customers[id]
+	entitled := (c.Rate*seconds + c.Burst) / r.tokensPerRequest()
+	wanted := min(float64(t.offered), entitled)
+	if wanted == 0 {
+		return
+	}
+	if ratio := min(1, float64(t.outcomes[Acked])/wanted); ratio < report.WorstServed {
+		report.WorstServed, report.WorstCustomer = ratio, string(id)
+	}
+}
+
+func percentiles(h *hdrhistogram.Histogram) Percentiles {
+	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / microsPerMillis }
+	return Percentiles{P50: at(50), P90: at(90), P99: at(99), P999: at(99.9), Max: float64(h.Max()) / microsPerMillis}
+}
+
+// gaps finds the longest gap of the struck group, and counts the changes of primary.
+func (r *run) gaps(report *Report) {
+	from := r.began.Add(time.Second)
+	to := r.began.Add(r.conf.Duration)
+	for _, p := range r.probes {
+		hit := len(report.Strikes) == 0 || p.group == report.Strikes[0].Group
+		if hit {
+			report.GapMillis = max(report.GapMillis, float64(p.gap(from, to).Microseconds())/microsPerMillis)
+		}
+	}
+	for _, e := range report.Journal {
+		if e.Kind == jrnl.ServerPromoted {
+			report.Failovers++
+		}
+	}
+}
+
+// explain checks that the journal explains each fault.
+func (r *run) explain(report *Report) {
+	seen := map[string]bool{}
+	for _, e := range report.Journal {
+		seen[e.Kind.String()] = true
+	}
+	for _, s := range report.Strikes {
+		for _, kind := range s.Expect {
+			if !seen[kind] {
+				report.Unexplained = append(report.Unexplained, s.Name+": no event "+kind)
+			}
+		}
+	}
+}
+
+// Text prints the report for people.
+func (r *Report) Text(w io.Writer) {
+	fmt.Fprintf(w, "requests      %d offered, %d done, %d not run, %d unknown, %d failed in %.0f s on %d instances\n",
+		r.Offered, r.Done, r.NotRun, r.Unknown, r.Failed, r.Seconds, r.Instances)
+	fmt.Fprintf(w, "replica reads %.1f%% of reads\n", r.ReplicaShare*100)
+	fmt.Fprintf(w, "failover gap  %.0f ms, %d changes of primary\n", r.GapMillis, r.Failovers)
+	fmt.Fprintf(w, "worst served  %.3f (%s)\n", r.WorstServed, r.WorstCustomer)
+	fmt.Fprintf(w, "refused inside rate %.4f%%\n", r.RefusedInside*100)
+	l := r.LatencyMillis
+	fmt.Fprintf(w, "latency ms    p50 %.1f  p90 %.1f  p99 %.1f  p99.9 %.1f  max %.1f\n", l.P50, l.P90, l.P99, l.P999, l.Max)
+	fmt.Fprintf(w, "per instance  %.1f%% of a core (with stand-ins and load), %.0f peer bytes/s\n", r.CPUPercent, r.PeerBytes)
+	fmt.Fprintf(w, "platform      %.1f reads/s, %.1f writes/s\n", r.ReadsPerSec, r.WritesPerSec)
+	for _, s := range r.Strikes {
+		fmt.Fprintf(w, "fault         %s on %s %s\n", s.Name, s.What, tookText(s.Took))
+	}
+	for _, reason := range slices.Sorted(maps.Keys(r.Reasons)) {
+		fmt.Fprintf(w, "reason        %s: %d\n", reason, r.Reasons[reason])
+	}
+	for _, name := range slices.Sorted(maps.Keys(r.Violations)) {
+		if r.Violations[name] > 0 {
+			fmt.Fprintf(w, "VIOLATION     %s: %d\n", name, r.Violations[name])
+		}
+	}
+	fmt.Fprintf(w, "violations    %d\n", r.Broken())
+	if len(r.Examples) > 0 {
+		fmt.Fprintf(w, "  %s\n", strings.Join(r.Examples, "\n  "))
+	}
+	if len(r.Unexplained) > 0 {
+		fmt.Fprintf(w, "UNEXPLAINED   %s\n", strings.Join(r.Unexplained, "; "))
+	}
+}
+
+func tookText(d time.Duration) string {
+	if d == 0 {
+		return ""
+	}
+	return "took " + d.Round(time.Millisecond).String()
+}
+
+// Write prints the report as JSON.
+func (r *Report) Write(w io.Writer) error { return json.NewEncoder(w).Encode(r) }
--- /dev/null
+++ b/internal/certs/doc.go
@@ -0,0 +1,3 @@
+// Package certs loads certificates, reloads them when their files change, and
+// makes throw-away ones for demonstrations and tests.
+package certs
--- /dev/null
+++ b/internal/cmds/check.go
@@ -0,0 +1,53 @@
+package cmds
+
+import (
+	"context"
+	"errors"
+
+	"github.com/urfave/cli/v3"
+
+	"geraniumseam.dev/internal/fleet"
+	"geraniumseam.dev/internal/inifl"
+	"geraniumseam.dev/internal/sets"
+)
+
+// check reads every file that is named and prints all mistakes.
+func (p *program) check(_ context.Context, c *cli.Command) error {
+	if c.Args().Len() == 0 {
+		return &UsageError{Want: "check: want at least one FILE"}
+	}
+	var all inifl.Mistakes
+	for _, name := range c.Args().Slice() {
+		err := checkFile(name)
+		var found inifl.Mistakes
+		switch {
+		case errors.As(err, &found):
+			all = append(all, found...)
+		case err != nil:
+			return err
+		default:
+			p.print("%s: no mistakes\n", name)
+		}
+	}
+	if len(all) > 0 {
+		return all
+	}
+	return nil
+}
+
+// checkFile tells from the sections what a file is.
+func checkFile(name string) error {
+	f, err := inifl.Open(name)
+	if err != nil {
+		return err
+	}
+	switch {
+	case f.Has("instance"):
+		_, err = sets.Read(name)
+	case f.Has("deployment"):
+		_, err = fleet.Read(f)
+	default:
+		_, err = inifl.ReadConfig(f)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/cmds/config.go
@@ -0,0 +1,195 @@
+package cmds
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"hash/maphash"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/pmezard/go-difflib/difflib"
+	"github.com/urfave/cli/v3"
+
+	"geraniumseam.dev/internal/confs"
+	"geraniumseam.dev/internal/inifl"
+	"geraniumseam.dev/internal/oper"
+	"geraniumseam.dev/internal/plat"
+	"geraniumseam.dev/internal/rule/conf"
+	"geraniumseam.dev/pkg/ident"
+)
+
+// statusTime bounds a question to one instance.
+const statusTime = 3 * time.Second
+
+func store(c *cli.Command) *plat.Client {
+	return newStore(strings.TrimSuffix(c.String("platform"), "/"), nil, maphash.String(maphash.MakeSeed(), "operator"))
+}
+
+func load(ctx context.Context, c *cli.Command) (conf.Config, confs.Bundle, error) {
+	b, err := confs.Load(ctx, store(c))
+	if err != nil {
+		return conf.Config{}, b, err
+	}
+	if b.Version == 0 {
+		return conf.New(), b, nil
+	}
+	loaded, err := b.Config()
+	return loaded, b, err
+}
+
+// change reads the configuration, changes it and puts it in force, whole or not at all.
+func (p *program) change(ctx context.Context, c *cli.Command, f func(*conf.Config) error) error {
+	current, b, err := load(ctx, c)
+	if err != nil {
+		return err
+	}
+	if err := f(&current); err != nil {
+		return err
+	}
+	version, err := confs.Apply(ctx, store(c), current, b.Version, c.String("author"), c.String("reason"))
+	if err != nil {
+		return err
+	}
+	p.print("configuration %d accepted\n", version)
+	return nil
+}
+
+func (p *program) configGet(ctx context.Context, c *cli.Command) error {
+	current, b, err := load(ctx, c)
+	if err != nil {
+		return err
+	}
+	p.print("; configuration %d, written by %s: %s\n", b.Version, b.Head.Author, b.Head.Reason)
+	_, err = p.out.Write(inifl.WriteConfig(current))
+	return err
+}
+
+func readConfigFile(name string) (conf.Config, error) {
+	f, err := inifl.Open(name)
+	if err != nil {
+		return conf.Config{}, err
+	}
+	return inifl.ReadConfig(f)
+}
+
+func (p *program) configDiff(ctx context.Context, c *cli.Command) error {
+	name, err := oneName(c, "FILE")
+	if err != nil {
+		return err
+	}
+	wanted, err := readConfigFile(name)
+	if err != nil {
+		return err
+	}
+	current, b, err := load(ctx, c)
+	if err != nil {
+		return err
+	}
+	text, err := difflib.GetUnifiedDiffString(difflib.UnifiedDiff{
+		A: difflib.SplitLines(string(inifl.WriteConfig(current))), B: difflib.SplitLines(string(inifl.WriteConfig(wanted))),
+		FromFile: fmt.Sprintf("configuration %d", b.Version), ToFile: name, Context: 2,
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	p.print("%s", text)
+	return nil
+}
+
+func (p *program) configApply(ctx context.Context, c *cli.Command) error {
+	name, err := oneName(c, "FILE")
+	if err != nil {
+		return err
+	}
+	wanted, err := readConfigFile(name)
+	if err != nil {
+		return err
+	}
+	based := ident.Version(c.Uint64("based-on"))
+	if !c.IsSet("based-on") {
+		_, b, err := load(ctx, c)
+		if err != nil {
+			return err
+		}
+		based = b.Version
+	}
+	version, err := confs.Apply(ctx, store(c), wanted, based, c.String("author"), c.String("reason"))
+	if err != nil {
+		return err
+	}
+	p.print("configuration %d accepted\n", version)
+	return nil
+}
+
+// configStatus shows the platform's version, what each data centre has in force, and instances on request.
+func (p *program) configStatus(ctx context.Context, c *cli.Command) error {
+	_, b, err := load(ctx, c)
+	if err != nil {
+		return err
+	}
+	report := statusReport{Version: b.Version, Author: b.Head.Author, Reason: b.Head.Reason}
+	report.Centers, err = confs.Statuses(ctx, store(c))
+	if err != nil {
+		return err
+	}
+	for _, address := range c.StringSlice("instance") {
+		report.Instances = append(report.Instances, askStatus(ctx, address))
+	}
+	if c.Bool("json") {
+		return json.NewEncoder(p.out).Encode(report)
+	}
+	p.print("accepted: %d, written by %s: %s\n", report.Version, report.Author, report.Reason)
+	for _, s := range report.Centers {
+		p.print("data centre %s: in force %d at %s (%d instances, seen by %s)\n", s.Center, s.Least, s.At.Format(time.RFC3339), s.Instances, s.By)
+	}
+	for _, s := range report.Instances {
+		p.print("instance %s in %s: in force %d, confirmed %d ms ago %s\n", s.Instance, s.Center, s.Version, s.CheckedMillis, s.Why)
+	}
+	return nil
+}
+
+type statusReport struct {
+	Version   ident.Version        `json:"version"`
+	Author    string               `json:"author"`
+	Reason    string               `json:"reason"`
+	Centers   []confs.CenterStatus `json:"centers"`
+	Instances []oper.Status        `json:"instances,omitempty"`
+}
+
+func askStatus(ctx context.Context, address string) oper.Status {
+	var s oper.Status
+	if err := getJSON(ctx, "http://"+address+"/status", &s); err != nil {
+		return oper.Status{Instance: ident.InstanceID(address), Why: err.Error()}
+	}
+	return s
+}
+
+// HTTPError says that an instance answered with another status than 200.
+type HTTPError struct {
+	URL    string
+	Status int
+}
+
+// Error implements error.
+func (e *HTTPError) Error() string { return fmt.Sprintf("%s answered with status %d", e.URL, e.Status) }
+
+func getJSON(ctx context.Context, url string, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, statusTime)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return &HTTPError{URL: url, Status: response.StatusCode}
+	}
+	return json.NewDecoder(response.Body).Decode(into)
+}
--- /dev/null
+++ b/internal/cmds/serve.go
@@ -0,0 +1,103 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"hash/maphash"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/urfave/cli/v3"
+
+	"geraniumseam.dev/internal/entry"
+	"geraniumseam.dev/internal/logs"
+	"geraniumseam.dev/internal/oper"
+	"geraniumseam.dev/internal/plat"
+	"geraniumseam.dev/internal/rule/retry"
+	"geraniumseam.dev/internal/sets"
+)
+
+const (
+	callTime     = 2 * time.Second
+	watchTime    = 30 * time.Second
+	callAttempts = 3
+	firstPause   = 50 * time.Millisecond
+	mostPause    = 2 * time.Second
+	dialTime     = 5 * time.Second
+	keepAlive    = 15 * time.Second
+	// shutdownTime bounds a graceful shutdown beyond its drain time.
+	shutdownTime = 10 * time.Minute
+)
+
+// serve runs an instance until it is told to stop; then it ends without cutting a request.
+func (p *program) serve(ctx context.Context, c *cli.Command) error {
+	s, err := sets.Read(c.String("settings"))
+	if err != nil {
+		return err
+	}
+	doors, err := openDoors(s)
+	if err != nil {
+		return err
+	}
+	logs.Start(p.errs, s.Level)
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	dialer := &net.Dialer{Timeout: dialTime, KeepAlive: keepAlive}
+	seed := maphash.String(maphash.MakeSeed(), string(s.Instance))
+	i, err := entry.Start(entry.Config{
+		Instance: s.Instance, Center: s.Center, Callers: doors.callers, Peers: doors.peers,
+		CallerTLS: s.CallerTLS, RequireTLS: s.RequireTLS, PeerServer: s.PeerServer, PeerClient: s.PeerClient, PeerSecret: s.PeerSecret,
+		Store: newStore(s.PlatformURL, registry, seed), Backends: dialer, Links: dialer,
+		User: s.User, Password: s.Password, Seed: seed, Registry: registry,
+	})
+	if err != nil {
+		return err
+	}
+	operators := oper.Serve(oper.Config{Instance: i, ID: s.Instance, Center: s.Center, Registry: registry}, doors.operators)
+	<-ctx.Done()
+	end, cancel := context.WithTimeout(context.Background(), shutdownTime)
+	defer cancel()
+	i.Shutdown(end)
+	operators.Close()
+	return nil
+}
+
+func newStore(url string, registry prometheus.Registerer, seed uint64) *plat.Client {
+	return plat.New(plat.Config{
+		URL: url, CallTime: callTime, WatchTime: watchTime, Attempts: callAttempts,
+		Backoff: retry.Backoff{First: firstPause, Most: mostPause}, Random: rand.New(rand.NewPCG(seed, 3)), Registry: registry,
+	})
+}
+
+// doors are an instance's listeners.
+type doors struct{ callers, peers, operators net.Listener }
+
+// openDoors listens on every address, or on none.
+func openDoors(s *sets.Settings) (doors, error) {
+	var d doors
+	var opened []net.Listener
+	for _, door := range []struct {
+		key, address string
+		into         *net.Listener
+	}{{"listen", s.Callers, &d.callers}, {"peer-listen", s.Peers, &d.peers}, {"operator-listen", s.Operators, &d.operators}} {
+		l, err := net.Listen("tcp", door.address)
+		if err != nil {
+			for _, other := range opened {
+				other.Close()
+			}
+			return d, &ListenError{Key: door.key, Address: door.address, Cause: err}
+		}
+		*door.into = l
+		opened = append(opened, l)
+	}
+	return d, nil
+}
+
+// quietLogs sends the log of an in-process fleet to the error stream, warnings and worse only.
+func (p *program) quietLogs() { logs.Start(p.errs, slog.LevelWarn) }
+
+func (p *program) print(format string, args ...any) { fmt.Fprintf(p.out, format, args...) }
--- /dev/null
+++ b/internal/confs/status.go
@@ -0,0 +1,54 @@
+package confs
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/juju/errors"
+
+	"geraniumseam.dev/internal/plat"
+	"geraniumseam.dev/pkg/ident"
+	"geraniumseam.dev/pkg/objs"
+)
+
+// CenterStatus says what a data centre has in force; one of its relays writes it.
+type CenterStatus struct {
+	Center ident.CenterID `json:"center"`
+	// Least is the lowest version in force on any instance that the relay hears.
+	Least     ident.Version    `json:"least"`
+	Instances int              `json:"instances"`
+	By        ident.InstanceID `json:"by"`
+	At        time.Time        `json:"at"`
+}
+
+// Statuses reads what every data centre last reported.
+func Statuses(ctx context.Context, s plat.Store) ([]CenterStatus, error) {
+	list, err := s.List(ctx, objs.Statuses)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	var all []CenterStatus
+	for _, o := range list.Items {
+		var status CenterStatus
+		if json.Unmarshal(o.Spec, &status) == nil {
+			all = append(all, status)
+		}
+	}
+	return all, nil
+}
+
+// Report writes what a data centre has in force, over whatever was reported before.
+func Report(ctx context.Context, s plat.Store, status CenterStatus) error {
+	kept, err := s.Get(ctx, objs.Statuses, string(status.Center))
+	if err != nil && !plat.Is(err, plat.NotFound) {
+		return errors.Trace(err)
+	}
+	spec, err := json.Marshal(status)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	kept.Kind, kept.Metadata.Name, kept.Spec = objs.Statuses, string(status.Center), spec
+	_, err = s.Put(ctx, kept)
+	return err
+}
--- /dev/null
+++ b/internal/entry/dispatch.go
@@ -0,0 +1,87 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"geraniumseam.dev/internal/fault"
+	"geraniumseam.dev/internal/owner"
+	"geraniumseam.dev/internal/pgcon"
+	"geraniumseam.dev/internal/rule/conf"
+	"geraniumseam.dev/internal/rule/retry"
+	"geraniumseam.dev/pkg/ident"
+	"geraniumseam.dev/pkg/stmt"
+)
+
+var dispatchBackoff = retry.Backoff{First: 5 * time.Millisecond, Most: 250 * time.Millisecond}
+
+// dispatch runs work at one of its group's owners, trying others for as long as it has not run.
+func (i *Instance) dispatch(ctx context.Context, s *conf.Snapshot, w *owner.Work, sink pgcon.Sink) (owner.Result, ident.InstanceID) {
+	hosting := s.Groups[w.Group].Hosting()
+	var last owner.Result
+	for attempt := 0; ; attempt++ {
+		owners := i.members.owners(w.Group, hosting)
+		if len(owners) == 0 {
+			last = owner.Result{Outcome: fault.NotRun, Reason: fault.NoOwner}
+		} else {
+			id := owners[attempt%len(owners)]
+			guard := &guarded{sink: sink}
+			last = i.runAt(ctx, id, w, guard)
+			if !retriable(w, last, guard.passed) {
+				return last, id
+			}
+		}
+		if ctx.Err() != nil || !i.rests(ctx, attempt, len(owners)) {
+			return last, ""
+		}
+		i.journal.Retry(last.Reason, w.Trace, w.Customer, w.Group)
+	}
+}
+
+// guarded notes whether anything of an answer has been handed on.
+type guarded struct {
+	sink   pgcon.Sink
+	passed bool
+}
+
+// Emit implements pgcon.Sink.
+func (g *guarded) Emit(messages []byte) error {
+	g.passed = true
+	return g.sink.Emit(messages)
+}
+
+// retriable reports whether another owner may be tried: the work has not run, or
+// running it again changes nothing.
+func retriable(w *owner.Work, r owner.Result, passed bool) bool {
+	if r.Reason != fault.PeerLost && r.Reason != fault.NoOwner || w.Tx != 0 || passed {
+		return false
+	}
+	if r.Outcome == fault.NotRun {
+		return true
+	}
+	return r.Outcome == fault.Unknown && w.Kind == stmt.Read
+}
+
+// rests waits between attempts: not at all before the first round through the owners is over.
+func (i *Instance) rests(ctx context.Context, attempt, owners int) bool {
+	if attempt+1 < owners {
+		return true
+	}
+	pause := dispatchBackoff.After(attempt, rand.New(rand.NewPCG(uint64(attempt), i.traces.Load())))
+	select {
+	case <-ctx.Done():
+		return false
+	case <-i.tomb.Dying():
+		return false
+	case <-time.After(pause):
+		return true
+	}
+}
+
+func (i *Instance) runAt(ctx context.Context, id ident.InstanceID, w *owner.Work, sink pgcon.Sink) owner.Result {
+	if id == i.conf.Instance {
+		return i.host.Run(ctx, w, sink)
+	}
+	return i.hub.Run(ctx, id, w, sink)
+}
--- /dev/null
+++ b/internal/entry/handler.go
@@ -0,0 +1,126 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"geraniumseam.dev/internal/confs"
+	"geraniumseam.dev/internal/owner"
+	"geraniumseam.dev/internal/peer"
+	"geraniumseam.dev/internal/pgcon"
+	"geraniumseam.dev/internal/rule/conf"
+	"geraniumseam.dev/pkg/ident"
+)
+
+// handler is what an instance is to its peers.
+type handler Instance
+
+func (h *handler) instance() *Instance { return (*Instance)(h) }
+
+// Work implements peer.Handler.
+func (h *handler) Work(ctx context.Context, _ ident.InstanceID, w *owner.Work, sink pgcon.Sink) owner.Result {
+	return h.host.Run(ctx, w, sink)
+}
+
+// Heartbeat implements peer.Handler.
+func (h *handler) Heartbeat(ident.InstanceID) peer.Heartbeat {
+	return peer.Heartbeat{
+		Version: h.keeper.Current().Version, Checked: h.keeper.CheckedAgo(),
+		Heard: h.members.hearing(), Leaving: h.draining.Load(),
+	}
+}
+
+// AddressOf implements peer.Handler.
+func (h *handler) AddressOf(id ident.InstanceID) (string, bool) { return h.members.addressOf(id) }
+
+// News implements peer.Handler.
+func (h *handler) News(from ident.InstanceID, m peer.Message) {
+	switch m := m.(type) {
+	case peer.Heartbeat:
+		h.members.heard(from, m.Heard, m.Leaving)
+		h.keeper.Confirm(m.Version, m.Checked)
+		if m.Version > h.keeper.Current().Version {
+			h.fetchFrom(from)
+		}
+	case peer.Opinion:
+		if g := h.host.Group(m.Group); g != nil {
+			g.PeerView(from, m.Server, m.Answers)
+		}
+	case peer.CancelAsk:
+		h.callers.cancel(m.Process, m.Secret)
+	case peer.TxEnd:
+		h.host.End(m.Group, m.Tx)
+	}
+}
+
+// Answer implements peer.Handler.
+func (h *handler) Answer(_ context.Context, _ ident.InstanceID, m peer.Message) peer.Message {
+	switch m := m.(type) {
+	case peer.TokensAsk:
+		return peer.TokensGive{Given: h.quota.Give(m.Want)}
+	case peer.ConfigAsk:
+		return h.give(m)
+	case peer.JournalAsk:
+		return peer.JournalGive{Events: h.journal.Since(m.Since)}
+	}
+	return nil
+}
+
+// give returns the configuration in force: its head, and the pages that were asked for.
+func (h *handler) give(m peer.ConfigAsk) peer.Message {
+	b := h.keeper.Bundle()
+	given := peer.ConfigGive{Version: b.Version, Head: b.Head, Pages: map[conf.PageName][]byte{}}
+	for _, name := range m.Pages {
+		if content, ok := b.Pages[name]; ok {
+			given.Pages[name] = content
+		}
+	}
+	return given
+}
+
+// fetchTime bounds the transfer of a configuration between instances.
+const fetchTime = 2 * time.Second
+
+// fetchFrom gets a newer configuration from a peer, without the pages that are here already.
+func (h *handler) fetchFrom(from ident.InstanceID) {
+	if !h.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer h.fetching.Store(false)
+		ctx, cancel := context.WithTimeout(h.tomb.Context(context.Background()), fetchTime)
+		defer cancel()
+		if b, ok := h.instance().fetch(ctx, from); ok {
+			h.keeper.Offer(b, "instance "+string(from))
+		}
+	}()
+}
+
+func (i *Instance) fetch(ctx context.Context, from ident.InstanceID) (confs.Bundle, bool) {
+	m, err := i.hub.Ask(ctx, from, peer.ConfigAsk{Have: i.keeper.Current().Version})
+	given, ok := m.(peer.ConfigGive)
+	if err != nil || !ok {
+		return confs.Bundle{}, false
+	}
+	b := confs.Bundle{Version: given.Version, Head: given.Head, Pages: map[conf.PageName][]byte{}}
+	var missing []conf.PageName
+	for _, name := range given.Head.Pages {
+		if content, have := i.keeper.Page(name); have {
+			b.Pages[name] = content
+			continue
+		}
+		missing = append(missing, name)
+	}
+	if len(missing) == 0 {
+		return b, true
+	}
+	m, err = i.hub.Ask(ctx, from, peer.ConfigAsk{Pages: missing})
+	given, ok = m.(peer.ConfigGive)
+	if err != nil || !ok || given.Version != b.Version {
+		return confs.Bundle{}, false
+	}
+	for name, content := range given.Pages {
+		b.Pages[name] = content
+	}
+	return b, true
+}
--- /dev/null
+++ b/internal/entry/instance.go
@@ -0,0 +1,341 @@
+package entry
+
+// The flow of events between the parts of an instance:
+//
+//	caller ──▶ session ──▶ keys, quota ──▶ dispatch ─┬─▶ owner.Host ──▶ backend servers
+//	                                                 └─▶ peer.Hub ───▶ another instance's owner.Host
+//	platform ──▶ relay ──▶ confs.Keeper ──▶ sessions (withdrawn keys), owner.Host (groups), quota (rates)
+//	peers ──▶ heartbeats ──▶ membr.View ──▶ owner.Host (who owns what), quota (how many share)
+//	everything ──▶ jrnl.Journal ──▶ log, counters, review
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"gopkg.in/tomb.v2"
+
+	"geraniumseam.dev/internal/confs"
+	"geraniumseam.dev/internal/jrnl"
+	"geraniumseam.dev/internal/owner"
+	"geraniumseam.dev/internal/peer"
+	"geraniumseam.dev/internal/pgcon"
+	"geraniumseam.dev/internal/plat"
+	"geraniumseam.dev/internal/quota"
+	"geraniumseam.dev/internal/rule/conf"
+	"geraniumseam.dev/internal/rule/group"
+	"geraniumseam.dev/pkg/ident"
+)
+
+// Config makes an Instance.
+type Config struct {
+	Instance ident.InstanceID
+	Center   ident.CenterID
+	// Callers and Peers are open listeners; the instance closes them.
+	Callers net.Listener
+	Peers   net.Listener
+	// CallerTLS is offered to callers; nil offers none. RequireTLS refuses keys in plain text.
+	CallerTLS  *tls.Config
+	RequireTLS bool
+	PeerServer *tls.Config
+	PeerClient *tls.Config
+	PeerSecret string
+	Store      plat.Store
+	// Backends dials backend servers, Links other instances.
+	Backends pgcon.Dialer
+	Links    pgcon.Dialer
+	User     string
+	Password string
+	Seed     uint64
+	Registry *prometheus.Registry
+	Baseline Baseline
+}
+
+// Baseline switches mechanisms off, to measure what they are worth.
+type Baseline struct {
+	owner.Baseline
+	// StaticRates gives each instance a fixed part of the rates and moves nothing.
+	StaticRates bool
+}
+
+const (
+	journalCapacity = 16 << 10
+	peerHeartbeat   = 250 * time.Millisecond
+	peerSilence     = time.Second
+)
+
+// Instance is a running entry instance.
+type Instance struct {
+	conf    Config
+	journal *jrnl.Journal
+	keeper  *confs.Keeper
+	host    *owner.Host
+	hub     *peer.Hub
+	quota   *quota.Quota
+	members *members
+	metrics *metrics
+	callers *callers
+	random  *seeded
+	traces  atomic.Uint64
+	boot    string
+	// draining is set once shutdown has begun.
+	draining atomic.Bool
+	fetching atomic.Bool
+	tomb     tomb.Tomb
+}
+
+// Start brings an instance up; it serves callers as soon as it has a configuration.
+func Start(c Config) (*Instance, error) {
+	i := &Instance{conf: c, random: newSeeded(c.Seed), metrics: newMetrics(c.Registry)}
+	i.boot = fmt.Sprintf("%08x", i.random.uint32())
+	i.journal = jrnl.New(jrnl.Config{
+		Instance: c.Instance, Center: c.Center, Capacity: journalCapacity, Registry: c.Registry, Now: time.Now,
+	})
+	i.keeper = confs.NewKeeper(i.journal, time.Now)
+	i.members = newMembers(i)
+	i.callers = newCallers(i)
+	i.host = owner.NewHost(owner.HostConfig{
+		Self: c.Instance, Claimant: group.Claimant(string(c.Instance) + "-" + i.boot), Dialer: c.Backends,
+		User: c.User, Password: c.Password, Store: c.Store, Journal: i.journal, Random: i.random.fork(),
+		Now: time.Now, Opinion: i.tellOpinion, Registry: c.Registry, Baseline: c.Baseline.Baseline,
+	})
+	i.hub = peer.NewHub(peer.Config{
+		Self: c.Instance, Center: c.Center, Secret: c.PeerSecret, Server: c.PeerServer, Client: c.PeerClient,
+		Dialer: c.Links, Heartbeat: peerHeartbeat, Silence: peerSilence, Handler: (*handler)(i),
+		Journal: i.journal, Registry: c.Registry,
+	}, c.Peers)
+	i.quota = quota.New(quota.Config{
+		Self: c.Instance, Center: c.Center, Store: c.Store, Journal: i.journal, Ask: i.askTokens,
+		Peers: i.members.nearest, Members: i.members.inCenter, Snapshot: i.keeper.Current,
+		Random: i.random.fork(), Registry: c.Registry, Static: c.Baseline.StaticRates,
+	})
+	i.keeper.OnChange(i.configured)
+	i.tomb.Go(i.members.run)
+	i.tomb.Go(i.relay)
+	i.tomb.Go(i.callers.accept)
+	i.tomb.Go(i.sweep)
+	i.journal.Add(jrnl.Event{Kind: jrnl.Started, Evidence: "callers at " + c.Callers.Addr().String()})
+	return i, nil
+}
+
+// Journal returns what the instance did.
+func (i *Instance) Journal() *jrnl.Journal { return i.journal }
+
+// Snapshot returns the configuration in force.
+func (i *Instance) Snapshot() *conf.Snapshot { return i.keeper.Current() }
+
+// CheckedAgo returns how long ago the configuration was known to be the platform's latest.
+func (i *Instance) CheckedAgo() time.Duration { return i.keeper.CheckedAgo() }
+
+// Host returns the groups that run here.
+func (i *Instance) Host() *owner.Host { return i.host }
+
+// Quota returns the part of the rates that is held here.
+func (i *Instance) Quota() *quota.Quota { return i.quota }
+
+// Addr returns where callers are served.
+func (i *Instance) Addr() string { return i.conf.Callers.Addr().String() }
+
+// Callers returns how many callers are connected.
+func (i *Instance) Callers() int { return i.callers.count() }
+
+// Ready reports why the instance does not serve callers yet, or any more; nil means that it does.
+func (i *Instance) Ready() error {
+	switch {
+	case i.draining.Load():
+		return &NotReadyError{Why: "shutting down"}
+	case i.keeper.Current().Version == 0:
+		return &NotReadyError{Why: "no configuration yet"}
+	case i.quota.Part() == 0:
+		return &NotReadyError{Why: "no part of the rates yet"}
+	}
+	return nil
+}
+
+// NotReadyError says why an instance does not serve callers.
+type NotReadyError struct{ Why string }
+
+// Error implements error.
+func (e *NotReadyError) Error() string { return "not ready: " + e.Why }
+
+// configured puts a new configuration to use.
+func (i *Instance) configured(s *conf.Snapshot) {
+	i.members.changed()
+	i.callers.recheck(s)
+	i.hub.TellLinked(i.tomb.Context(context.Background()), (*handler)(i).Heartbeat(""))
+}
+
+// Shutdown stops taking callers, lets running requests and transactions end
+// within the drain time, hands the part of the rates back and ends.
+func (i *Instance) Shutdown(ctx context.Context) {
+	if i.draining.Swap(true) {
+		return
+	}
+	i.journal.Add(jrnl.Event{Kind: jrnl.Stopping})
+	i.hub.TellLinked(ctx, (*handler)(i).Heartbeat(""))
+	i.callers.drain(ctx, i.keeper.Current().Defaults.DrainTime)
+	i.quota.Stop(ctx)
+	i.members.settle(ctx)
+	i.end()
+}
+
+// Kill ends the instance at once, as a crash does.
+func (i *Instance) Kill() {
+	i.draining.Store(true)
+	i.callers.kill()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	i.quota.Stop(ctx)
+	i.end()
+}
+
+func (i *Instance) end() {
+	i.tomb.Kill(nil)
+	i.callers.kill()
+	i.hub.Close()
+	i.host.Stop()
+	_ = i.tomb.Wait()
+}
+
+// trace names a request.
+func (i *Instance) trace() ident.TraceID {
+	return ident.TraceID(fmt.Sprintf("%s-%s-%x", i.conf.Instance, i.boot, i.traces.Add(1)))
+}
+
+const (
+	relaysPerCenter = 2
+	// relayPause spaces the attempts of a relay while the platform does not answer.
+	relayPause = 500 * time.Millisecond
+	// lookPause is how often an instance that is no relay looks at the platform itself.
+	lookPause = 30 * time.Second
+)
+
+// relay follows the platform's configuration: as one of the data centre's
+// relays all the time, otherwise at the start and now and then.
+func (i *Instance) relay() error {
+	r := &confs.Relay{Store: i.conf.Store, Keeper: i.keeper}
+	lost := false
+	ctx := i.tomb.Context(context.Background())
+	for {
+		err := r.Once(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		lost = i.notePlatform(err, lost)
+		pause := time.Duration(0)
+		switch {
+		case err != nil:
+			pause = relayPause/2 + i.random.duration(relayPause)
+		case !i.members.relays(relaysPerCenter):
+			pause = lookPause/2 + i.random.duration(lookPause)
+		}
+		if !i.rest(pause) {
+			return nil
+		}
+	}
+}
+
+// rest waits and reports false once the instance ends; becoming a relay ends the wait.
+func (i *Instance) rest(d time.Duration) bool {
+	end := time.Now().Add(d)
+	for time.Now().Before(end) {
+		select {
+		case <-i.tomb.Dying():
+			return false
+		case <-time.After(min(relayPause, time.Until(end))):
+		}
+		if d > 2*relayPause && i.members.relays(relaysPerCenter) {
+			return true
+		}
+	}
+	return i.tomb.Alive()
+}
+
+func (i *Instance) notePlatform(err error, lost bool) bool {
+	unreachable := plat.Is(err, plat.Unreachable)
+	if unreachable && !lost {
+		i.journal.Add(jrnl.Event{Kind: jrnl.PlatformLost, Evidence: err.Error()})
+	}
+	if err == nil && lost {
+		i.journal.Add(jrnl.Event{Kind: jrnl.PlatformBack})
+	}
+	if err == nil {
+		return false
+	}
+	return lost || unreachable
+}
+
+// askTokens asks a peer for tokens of customers' rates.
+func (i *Instance) askTokens(ctx context.Context, id ident.InstanceID, want map[ident.CustomerID]float64) (map[ident.CustomerID]float64, error) {
+	m, err := i.hub.Ask(ctx, id, peer.TokensAsk{Want: want})
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	given, ok := m.(peer.TokensGive)
+	if !ok {
+		return nil, &peer.Error{Cause: peer.BadMessage, Peer: id}
+	}
+	return given.Given, nil
+}
+
+func (i *Instance) tellOpinion(g ident.GroupID, s ident.ServerID, answers bool) {
+	i.hub.TellLinked(i.tomb.Context(context.Background()), peer.Opinion{Group: g, Server: s, Answers: answers})
+}
+
+// Gather returns the journal events of the whole fleet since a time, in order, and the instances that did not answer.
+func (i *Instance) Gather(ctx context.Context, since time.Time) ([]jrnl.Event, []ident.InstanceID) {
+	events := i.journal.Since(since)
+	var missing []ident.InstanceID
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	for _, m := range i.members.others() {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			reply, err := i.hub.Ask(ctx, m, peer.JournalAsk{Since: since})
+			mu.Lock()
+			defer mu.Unlock()
+			if given, ok := reply.(peer.JournalGive); err == nil && ok {
+				events = append(events, given.Events...)
+				return
+			}
+			missing = append(missing, m)
+		}()
+	}
+	wait.Wait()
+	jrnl.Order(events)
+	return events, missing
+}
+
+// seeded is a source of random numbers for several goroutines.
+type seeded struct {
+	mu     sync.Mutex
+	random *rand.Rand
+}
+
+func newSeeded(seed uint64) *seeded { return &seeded{random: rand.New(rand.NewPCG(seed, ^seed))} }
+
+func (s *seeded) uint32() uint32 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.random.Uint32()
+}
+
+func (s *seeded) fork() *rand.Rand {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return rand.New(rand.NewPCG(s.random.Uint64(), s.random.Uint64()))
+}
+
+func (s *seeded) duration(most time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Duration(s.random.Int64N(int64(most) + 1))
+}
--- /dev/null
+++ b/internal/entry/members.go
@@ -0,0 +1,299 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"geraniumseam.dev/internal/rule/membr"
+	"geraniumseam.dev/pkg/ident"
+	"geraniumseam.dev/pkg/objs"
+)
+
+const (
+	// viewPause is how often the view of the fleet is looked at.
+	viewPause = 100 * time.Millisecond
+	// listPause is how often the platform's list of instances is read.
+	listPause = 2 * time.Second
+	// memberSilence is how long an instance may go unheard by all before its work moves.
+	memberSilence = 1500 * time.Millisecond
+	// meshSize is how many instances may all be linked with each other.
+	meshSize = 12
+	// neighbours is how many instances of its own data centre each one listens to beyond that size.
+	neighbours = 4
+	// settleTime is how long a leaving instance waits for the others to see that it leaves.
+	settleTime = 300 * time.Millisecond
+)
+
+// crowd is what the rest of the instance reads of the fleet; it never changes once made.
+type crowd struct {
+	working []membr.Member
+	all     map[ident.InstanceID]membr.Member
+	reach   map[ident.InstanceID]bool
+}
+
+// members keeps the view of the fleet and tells the others when it changes.
+type members struct {
+	instance *Instance
+	current  atomic.Pointer[crowd]
+	poke     chan struct{}
+
+	mu      sync.Mutex
+	view    *membr.View
+	targets []ident.InstanceID
+}
+
+func newMembers(i *Instance) *members {
+	m := &members{
+		instance: i, poke: make(chan struct{}, 1),
+		view: membr.NewView(membr.Config{Self: i.conf.Instance, Silence: memberSilence}),
+	}
+	m.current.Store(&crowd{all: map[ident.InstanceID]membr.Member{}})
+	return m
+}
+
+// run reads the list, keeps links to those it listens to, and reacts to changes.
+func (m *members) run() error {
+	ticker := time.NewTicker(viewPause)
+	defer ticker.Stop()
+	ctx := m.instance.tomb.Context(context.Background())
+	var read time.Time
+	for {
+		if time.Since(read) > listPause/2+m.instance.random.duration(listPause) {
+			m.readList(ctx)
+			read = time.Now()
+		}
+		m.refresh(ctx)
+		select {
+		case <-m.instance.tomb.Dying():
+			return nil
+		case <-m.poke:
+		case <-ticker.C:
+		}
+	}
+}
+
+func (m *members) readList(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, listPause)
+	defer cancel()
+	list, err := m.instance.conf.Store.List(ctx, objs.Machines)
+	if err != nil {
+		return
+	}
+	found := make([]membr.Member, 0, len(list.Items))
+	for _, o := range list.Items {
+		var machine objs.Machine
+		if json.Unmarshal(o.Spec, &machine) != nil {
+			continue
+		}
+		found = append(found, membr.Member{
+			ID: ident.InstanceID(o.Metadata.Name), Center: machine.Center, Address: machine.Address, Leaving: machine.State == objs.Leaving,
+		})
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.view.Listed(time.Now(), found)
+	m.targets = listenTo(m.instance.conf.Instance, m.instance.conf.Center, m.view.All())
+}
+
+// listenTo chooses whom an instance keeps a link to: everybody in a small fleet,
+// else the next few of its data centre and one of each other.
+func listenTo(self ident.InstanceID, center ident.CenterID, all []membr.Member) []ident.InstanceID {
+	var targets []ident.InstanceID
+	if len(all) <= meshSize {
+		for _, m := range all {
+			if m.ID != self {
+				targets = append(targets, m.ID)
+			}
+		}
+		return targets
+	}
+	taken := map[ident.CenterID]int{}
+	for _, m := range membr.After(self, all) {
+		most := 1
+		if m.Center == center {
+			most = neighbours
+		}
+		if m.ID == self || taken[m.Center] >= most {
+			continue
+		}
+		taken[m.Center]++
+		targets = append(targets, m.ID)
+	}
+	return targets
+}
+
+// refresh publishes the view and lets the owner and the quota know of changes.
+func (m *members) refresh(ctx context.Context) {
+	now := time.Now()
+	m.mu.Lock()
+	targets := m.targets
+	working := m.view.Working(now)
+	next := &crowd{working: working, all: map[ident.InstanceID]membr.Member{}, reach: map[ident.InstanceID]bool{}}
+	for _, member := range m.view.All() {
+		next.all[member.ID] = member
+		next.reach[member.ID] = m.view.Reaches(now, member.ID)
+	}
+	m.mu.Unlock()
+	old := m.current.Swap(next)
+	for _, id := range targets {
+		go func() { _ = m.instance.hub.Connect(ctx, id) }()
+	}
+	m.instance.host.Reconcile(m.instance.keeper.Current(), m.placed(working))
+	if len(old.working) != len(next.working) {
+		m.instance.quota.Renew()
+	}
+}
+
+// placed leaves this instance out of the choice of owners once it drains.
+func (m *members) placed(working []membr.Member) []membr.Member {
+	if !m.instance.draining.Load() {
+		return working
+	}
+	var rest []membr.Member
+	for _, member := range working {
+		if member.ID != m.instance.conf.Instance {
+			rest = append(rest, member)
+		}
+	}
+	return rest
+}
+
+// changed makes the view be looked at now.
+func (m *members) changed() {
+	select {
+	case m.poke <- struct{}{}:
+	default:
+	}
+}
+
+func (m *members) heard(id ident.InstanceID, heard map[ident.InstanceID]int64, leaving bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	m.view.Heard(now, id)
+	for about, ago := range heard {
+		m.view.Told(now, id, about, time.Duration(ago)*time.Millisecond)
+	}
+	if leaving {
+		m.view.Leaving(id)
+		m.changed()
+	}
+}
+
+// hearing returns how long ago this instance heard those it listens to, in milliseconds.
+func (m *members) hearing() map[ident.InstanceID]int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	heard := map[ident.InstanceID]int64{}
+	for _, id := range m.targets {
+		if ago := m.view.HeardAgo(now, id); ago < memberSilence {
+			heard[id] = ago.Milliseconds()
+		}
+	}
+	return heard
+}
+
+// relays reports whether this instance is among the first few of its data centre for the configuration.
+func (m *members) relays(count int) bool {
+	ranked := membr.Rank("configuration", m.current.Load().working)
+	for _, member := range ranked {
+		if member.Center != m.instance.conf.Center {
+			continue
+		}
+		if member.ID == m.instance.conf.Instance {
+			return true
+		}
+		if count--; count == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// nearest returns the other working instances, those of the same data centre first.
+func (m *members) nearest() []ident.InstanceID {
+	var near, far []ident.InstanceID
+	c := m.current.Load()
+	for _, member := range c.working {
+		switch {
+		case member.ID == m.instance.conf.Instance || !c.reach[member.ID]:
+		case member.Center == m.instance.conf.Center:
+			near = append(near, member.ID)
+		default:
+			far = append(far, member.ID)
+		}
+	}
+	return append(near, far...)
+}
+
+func (m *members) others() []ident.InstanceID {
+	var ids []ident.InstanceID
+	for id := range m.current.Load().all {
+		if id != m.instance.conf.Instance {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// inCenter returns how many instances work in this data centre, this one included.
+func (m *members) inCenter() int {
+	count := 0
+	self := false
+	for _, member := range m.current.Load().working {
+		if member.Center == m.instance.conf.Center {
+			count++
+			self = self || member.ID == m.instance.conf.Instance
+		}
+	}
+	if !self && !m.instance.draining.Load() {
+		count++
+	}
+	return count
+}
+
+func (m *members) addressOf(id ident.InstanceID) (string, bool) {
+	member, ok := m.current.Load().all[id]
+	return member.Address, ok
+}
+
+// owners returns who may run work on a group, the best first: this instance,
+// those of the same data centre, those that are heard, the rest.
+func (m *members) owners(id ident.GroupID, hosting []ident.CenterID) []ident.InstanceID {
+	c := m.current.Load()
+	chosen := membr.Owners(id, hosting, m.placed(c.working))
+	ids := make([]ident.InstanceID, 0, len(chosen))
+	for class := range 4 {
+		for _, member := range chosen {
+			if m.class(c, member) == class {
+				ids = append(ids, member.ID)
+			}
+		}
+	}
+	return ids
+}
+
+func (m *members) class(c *crowd, member membr.Member) int {
+	switch {
+	case member.ID == m.instance.conf.Instance:
+		return 0
+	case !c.reach[member.ID]:
+		return 3
+	case member.Center == m.instance.conf.Center:
+		return 1
+	default:
+		return 2
+	}
+}
+
+// settle gives the others time to see that this instance leaves and keeps what it owns until then.
+func (m *members) settle(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(settleTime):
+	}
+}
--- /dev/null
+++ b/internal/entry/session.go
@@ -0,0 +1,374 @@
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/binary"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"geraniumseam.dev/internal/fault"
+	"geraniumseam.dev/internal/owner"
+	"geraniumseam.dev/internal/pgcon"
+	"geraniumseam.dev/internal/rule/conf"
+	"geraniumseam.dev/pkg/ident"
+)
+
+const (
+	// startupTime bounds the time from a connection to its first request.
+	startupTime = 10 * time.Second
+	// maxMessage bounds one message of a caller, in bytes.
+	maxMessage = 64 << 20
+	// maxPassword bounds the password message, in bytes.
+	maxPassword = 1024
+	// lingerClose is how long a closed caller may still read its last answer.
+	lingerClose = 500 * time.Millisecond
+)
+
+//go:generate go tool stringer -type=stage -linecomment -output=stage_string.go
+
+// stage is where a session stands between two requests.
+type stage uint8
+
+const (
+	starting stage = iota // starting
+	idle                  // idle
+	running               // running
+	closing               // closing
+)
+
+// session is one caller's connection.
+type session struct {
+	instance *Instance
+	process  uint32
+	secret   uint32
+	conn     net.Conn
+	secure   bool
+	wire     *pgproto3.Backend
+
+	// mu guards what other goroutines look at.
+	mu      sync.Mutex
+	stage   stage
+	access  conf.Access
+	in      bool
+	doomed  fault.Reason
+	retired bool
+	cancels context.CancelFunc
+
+	// The rest belongs to the session's goroutine.
+	floor     ident.Floor
+	floorOf   ident.GroupID
+	settled   bool
+	seen      owner.Seen
+	maxAge    time.Duration
+	hasMaxAge bool
+	settings  []pgcon.Setting
+	status    byte
+	tx        owner.TxID
+	txOwner   ident.InstanceID
+	// lostTx is set while the caller has not yet acknowledged that its transaction is gone.
+	lostTx     bool
+	pinned     bool
+	statements map[string]*prepared
+	portals    map[string]*prepared
+	batch      batch
+	skipping   bool
+}
+
+func newSession(i *Instance, process uint32, conn net.Conn) *session {
+	return &session{
+		instance: i, process: process, secret: i.random.uint32(), conn: conn, status: 'I',
+	}
+}
+
+// markOf hashes an instance's name into the leading bits of its process numbers.
+func markOf(name string) uint32 {
+	return uint32(xxhash.Sum64String(name)>>32) &^ (1<<(32-instanceBits) - 1)
+}
+
+func (s *session) run() {
+	defer s.instance.callers.remove(s)
+	defer s.finish()
+	_ = s.conn.SetDeadline(time.Now().Add(startupTime))
+	s.wire = pgproto3.NewBackend(s.conn, s.conn)
+	if !s.start() {
+		return
+	}
+	_ = s.conn.SetDeadline(time.Time{})
+	s.serve()
+}
+
+// finish frees what the session held and closes its connection so that the caller can still read.
+func (s *session) finish() {
+	s.endTx()
+	if half, ok := s.conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
+		_ = s.conn.SetReadDeadline(time.Now().Add(lingerClose))
+		_, _ = io.Copy(io.Discard, io.LimitReader(s.conn, maxMessage))
+	}
+	s.conn.Close()
+}
+
+func (s *session) endTx() {
+	if s.tx == 0 {
+		return
+	}
+	s.instance.endTx(s.txOwner, s.access.Group, s.tx)
+	s.tx, s.status = 0, 'I'
+}
+
+// start greets the caller and lets it in.
+func (s *session) start() bool {
+	message, err := s.wire.ReceiveStartupMessage()
+	if err != nil {
+		s.refuseStart(fault.BadStartup)
+		return false
+	}
+	switch m := message.(type) {
+	case *pgproto3.SSLRequest:
+		return s.startTLS()
+	case *pgproto3.GSSEncRequest:
+		if _, err := s.conn.Write([]byte{'N'}); err != nil {
+			return false
+		}
+		return s.start()
+	case *pgproto3.CancelRequest:
+		s.cancelOther(m)
+		return false
+	case *pgproto3.StartupMessage:
+		return s.admit(m)
+	}
+	s.refuseStart(fault.BadStartup)
+	return false
+}
+
+func (s *session) cancelOther(m *pgproto3.CancelRequest) {
+	if len(m.SecretKey) != 4 {
+		return
+	}
+	secret := binary.BigEndian.Uint32(m.SecretKey)
+	if !s.instance.callers.cancel(m.ProcessID, secret) {
+		s.instance.forwardCancel(m.ProcessID, secret)
+	}
+}
+
+func (s *session) startTLS() bool {
+	if s.instance.conf.CallerTLS == nil || s.secure {
+		if _, err := s.conn.Write([]byte{'N'}); err != nil {
+			return false
+		}
+		return s.start()
+	}
+	if _, err := s.conn.Write([]byte{'S'}); err != nil {
+		return false
+	}
+	secured := tls.Server(s.conn, s.instance.conf.CallerTLS)
+	ctx, cancel := context.WithTimeout(s.instance.tomb.Context(context.Background()), startupTime)
+	defer cancel()
+	if err := secured.HandshakeContext(ctx); err != nil {
+		return false
+	}
+	s.conn, s.secure = secured, true
+	s.wire = pgproto3.NewBackend(secured, secured)
+	return s.start()
+}
+
+// refuseStart ends a caller that was not let in.
+func (s *session) refuseStart(r fault.Reason) {
+	s.refuse(&fault.Fault{Reason: r, Outcome: fault.NotRun, Trace: s.instance.trace(), Fatal: true})
+	_ = s.wire.Flush()
+}
+
+// refuse counts and sends a fault; the caller flushes.
+func (s *session) refuse(f *fault.Fault) {
+	s.instance.journal.Refuse(f, s.access.Customer, s.access.Group)
+	s.wire.Send(f.Response())
+}
+
+// admit checks the caller's key; what was wrong is not told.
+func (s *session) admit(m *pgproto3.StartupMessage) bool {
+	if s.instance.conf.RequireTLS && !s.secure {
+		s.refuseStart(fault.PlaintextKey)
+		return false
+	}
+	snapshot := s.instance.keeper.Current()
+	database := ident.ServiceID(m.Parameters["database"])
+	key := ""
+	if !snapshot.IsOpen(database) {
+		var ok bool
+		if key, ok = s.askKey(); !ok {
+			return false
+		}
+	}
+	access, ok := s.instance.keeper.Current().Admit(ident.CustomerID(m.Parameters["user"]), database, conf.HashKey(key))
+	if !ok {
+		s.refuseStart(fault.KeyRefused)
+		return false
+	}
+	if access.Key != "" && s.instance.keysUnchecked() {
+		s.refuseStart(fault.KeyUnchecked)
+		return false
+	}
+	s.mu.Lock()
+	s.access, s.in = access, true
+	s.mu.Unlock()
+	return s.welcome(m.Parameters)
+}
+
+func (s *session) askKey() (string, bool) {
+	s.wire.Send(&pgproto3.AuthenticationCleartextPassword{})
+	if s.wire.Flush() != nil {
+		return "", false
+	}
+	_ = s.wire.SetAuthType(pgproto3.AuthTypeCleartextPassword)
+	s.wire.SetMaxBodyLen(maxPassword)
+	message, err := s.wire.Receive()
+	password, ok := message.(*pgproto3.PasswordMessage)
+	if err != nil || !ok {
+		s.refuseStart(fault.BadStartup)
+		return "", false
+	}
+	s.wire.SetMaxBodyLen(maxMessage)
+	return password.Password, true
+}
+
+// parameters are what a caller is told about the server at the start.
+var parameters = [][2]string{
+	{"server_version", "16.0"},
+	{"server_encoding", "UTF8"},
+	{"client_encoding", "UTF8"},
+	{"DateStyle", "ISO, MDY"},
+	{"IntervalStyle", "postgres"},
+	{"TimeZone", "UTC"},
+	{"integer_datetimes", "on"},
+	{"standard_conforming_strings", "on"},
+}
+
+// ownStartup are start-up parameters that are not settings of the database.
+var ownStartup = map[string]bool{
+	"user": true, "database": true, "application_name": true, "client_encoding": true, "replication": true, "options": true,
+}
+
+func (s *session) welcome(given map[string]string) bool {
+	s.floorOf = s.access.Group
+	for name, value := range given {
+		if ownStartup[name] {
+			continue
+		}
+		if isOwn(name) {
+			if s.setOwn(name, value) != nil {
+				s.refuseStart(fault.BadStartup)
+				return false
+			}
+			continue
+		}
+		if !validName(name) {
+			s.refuseStart(fault.BadStartup)
+			return false
+		}
+		s.remember(name, value)
+	}
+	s.wire.Send(&pgproto3.AuthenticationOk{})
+	for _, p := range parameters {
+		s.wire.Send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
+	}
+	s.wire.Send(&pgproto3.BackendKeyData{ProcessID: s.process, SecretKey: binary.BigEndian.AppendUint32(nil, s.secret)})
+	return s.ready()
+}
+
+// admitted returns what the caller was let in to, if it was.
+func (s *session) admitted() (conf.Access, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.access, s.in
+}
+
+// become moves between idle and running; it reports false if the session is to end instead.
+func (s *session) become(next stage) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stage == closing {
+		return false
+	}
+	if next == idle && (s.doomed != fault.None || s.retired && s.tx == 0) {
+		s.stage = closing
+		return false
+	}
+	s.stage = next
+	return true
+}
+
+// doom ends the session for a reason: at once when it is idle, soon when a request runs.
+func (s *session) doom(r fault.Reason) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.doomed != fault.None || s.stage == closing {
+		return
+	}
+	s.doomed = r
+	if s.stage == idle {
+		s.stage = closing
+		s.interrupt()
+		return
+	}
+	time.AfterFunc(doomTime, s.cancelRunning)
+}
+
+// retire ends the session at its next boundary.
+func (s *session) retire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retired = true
+	if s.stage == idle && s.tx == 0 {
+		s.stage = closing
+		s.interrupt()
+	}
+}
+
+// interrupt wakes the session's goroutine out of its wait for a request.
+func (s *session) interrupt() { _ = s.conn.SetReadDeadline(time.Unix(1, 0)) }
+
+// farewell tells a caller why its session ends.
+func (s *session) farewell() {
+	s.mu.Lock()
+	reason := s.doomed
+	if reason == fault.None && s.retired {
+		reason = fault.ShuttingDown
+	}
+	s.mu.Unlock()
+	if reason == fault.None {
+		return
+	}
+	_ = s.conn.SetWriteDeadline(time.Now().Add(lingerClose))
+	s.refuse(&fault.Fault{Reason: reason, Outcome: fault.NotRun, Trace: s.instance.trace(), Fatal: true})
+	_ = s.wire.Flush()
+}
+
+// cancelRunning stops the request that runs, if one does.
+func (s *session) cancelRunning() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cancels != nil {
+		s.cancels()
+	}
+}
+
+func (s *session) ready() bool {
+	s.wire.Send(&pgproto3.ReadyForQuery{TxStatus: s.status})
+	return s.wire.Flush() == nil
+}
+
+// endTx rolls back a transaction at its owner.
+func (i *Instance) endTx(at ident.InstanceID, g ident.GroupID, tx owner.TxID) {
+	if at == i.conf.Instance {
+		i.host.End(g, tx)
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_ = i.hub.Tell(ctx, at, txEnd(g, tx))
+}
--- /dev/null
+++ b/internal/jrnl/event.go
@@ -0,0 +1,92 @@
+package jrnl
+
+import (
+	"time"
+
+	"geraniumseam.dev/internal/fault"
+	"geraniumseam.dev/pkg/ident"
+)
+
+//go:generate go tool stringer -type=Kind -linecomment -output=kind_string.go
+
+// Kind says what an event is about.
+type Kind uint8
+
+// The kinds of event.
+const (
+	Started         Kind = iota // instance-started
+	Stopping                    // instance-stopping
+	Refused                     // request-refused
+	Retried                     // request-retried
+	Lost                        // outcome-unknown
+	PrimarySuspect              // primary-suspected
+	PrimaryBack                 // primary-recovered
+	TermClaimed                 // term-claimed
+	ClaimLost                   // claim-lost
+	ClaimUnrecorded             // claim-without-platform
+	MajoritySealed              // majority-sealed
+	SealFailed                  // seal-failed
+	ServerPromoted              // server-promoted
+	PrimaryChanged              // primary-confirmed
+	ServerRepointed             // server-repointed
+	TailDiscarded               // tail-discarded
+	ConfigInForce               // configuration-in-force
+	ConfigRefused               // configuration-refused
+	CallersEnded                // callers-of-withdrawn-key-ended
+	PlatformLost                // platform-lost
+	PlatformBack                // platform-back
+	ShareChanged                // share-changed
+	SharesMoved                 // tokens-moved
+	PeerJoined                  // peer-joined
+	PeerLost                    // peer-lost
+	OwnerChanged                // owner-changed
+	ServerLeaving               // server-leaving
+	SurplusAnswer               // surplus-answer
+	SessionMoved                // session-moved
+	kindCount
+)
+
+// MarshalText implements encoding.TextMarshaler.
+func (k Kind) MarshalText() ([]byte, error) { return []byte(k.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler; an unknown name gives the first unused kind.
+func (k *Kind) UnmarshalText(text []byte) error {
+	for known := Started; known < kindCount; known++ {
+		if known.String() == string(text) {
+			*k = known
+			return nil
+		}
+	}
+	*k = kindCount
+	return nil
+}
+
+// Event is one thing the system did or saw.
+type Event struct {
+	At       time.Time        `json:"at"`
+	Instance ident.InstanceID `json:"instance"`
+	Center   ident.CenterID   `json:"data-center"`
+	Sequence uint64           `json:"sequence"`
+	Kind     Kind             `json:"kind"`
+	Trace    ident.TraceID    `json:"trace,omitempty"`
+	// Incident groups the events of one change of primary.
+	Incident string           `json:"incident,omitempty"`
+	Customer ident.CustomerID `json:"customer,omitempty"`
+	Group    ident.GroupID    `json:"group,omitempty"`
+	Server   ident.ServerID   `json:"server,omitempty"`
+	Term     ident.Term       `json:"term,omitempty"`
+	Version  ident.Version    `json:"version,omitempty"`
+	Reason   string           `json:"reason,omitempty"`
+	Evidence string           `json:"evidence,omitempty"`
+	// Count is how many alike events this one stands for; 0 means one.
+	Count int64 `json:"count,omitempty"`
+}
+
+// Refusal describes a fault as an event.
+func Refusal(f *fault.Fault, customer ident.CustomerID, group ident.GroupID) Event {
+	kind := Refused
+	if f.Outcome == fault.Unknown {
+		kind = Lost
+	}
+	return Event{Kind: kind, Trace: f.Trace, Customer: customer, Group: group, Reason: f.Reason.String()}
+}
--- /dev/null
+++ b/internal/logs/doc.go
@@ -0,0 +1,2 @@
+// Package logs sends klog's output to a writer as JSON lines.
+package logs
--- /dev/null
+++ b/internal/owner/group.go
@@ -0,0 +1,211 @@
+package owner
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"gopkg.in/tomb.v2"
+
+	"geraniumseam.dev/internal/jrnl"
+	"geraniumseam.dev/internal/pgcon"
+	"geraniumseam.dev/internal/plat"
+	"geraniumseam.dev/internal/rule/conf"
+	"geraniumseam.dev/internal/rule/group"
+	"geraniumseam.dev/internal/rule/retry"
+	"geraniumseam.dev/pkg/ident"
+)
+
+// GroupConfig makes a Group.
+type GroupConfig struct {
+	ID       ident.GroupID
+	Group    conf.Group
+	Defaults conf.Defaults
+	Self     ident.InstanceID
+	Claimant group.Claimant
+	// Rank is this instance's place among the owners, Owners their number.
+	Rank    int
+	Owners  int
+	Dialer  pgcon.Dialer
+	User    string
+	Pass    string
+	Store   plat.Store
+	Journal *jrnl.Journal
+	Budget  *retry.Budget
+	Random  *rand.Rand
+	Now     func() time.Time
+	// Opinion tells peers whether a server answers this instance.
+	Opinion func(g ident.GroupID, s ident.ServerID, answers bool)
+	// Baseline switches mechanisms off for comparison.
+	Baseline Baseline
+}
+
+// Baseline names simple policies to measure against; the zero value is the product's own.
+type Baseline struct {
+	// PrimaryOnly sends every read to the primary.
+	PrimaryOnly bool
+	// AckAtOnce acknowledges a write as soon as the primary does.
+	AckAtOnce bool
+	// FirstReplica reads from whatever replica answers, whatever its state.
+	FirstReplica bool
+}
+
+// server is one backend server as its owner sees it.
+type server struct {
+	conf.Server
+	at      int
+	pool    *pool
+	dial    pgcon.Config
+	kick    chan struct{}
+	control chan *controlCall
+}
+
+// Group is one database group at one of its owners.
+type Group struct {
+	conf    GroupConfig
+	servers []*server
+	index   map[ident.ServerID]int
+	board   *board
+	events  chan group.Event
+	waiting atomic.Int64
+	limits  atomic.Pointer[conf.Defaults]
+	leaving atomic.Pointer[map[ident.ServerID]bool]
+	rank    atomic.Int64
+	tomb    tomb.Tomb
+
+	mu       sync.Mutex
+	txs      map[TxID]*transaction
+	incident string
+}
+
+// eventQueue is how many events may wait for the machine.
+const eventQueue = 1024
+
+// NewGroup starts watching a group.
+func NewGroup(c GroupConfig) *Group {
+	g := &Group{
+		conf: c, index: map[ident.ServerID]int{}, board: newBoard(len(c.Group.Servers)),
+		events: make(chan group.Event, eventQueue), txs: map[TxID]*transaction{},
+	}
+	g.limits.Store(&c.Defaults)
+	g.rank.Store(int64(c.Rank))
+	limit := poolLimit(c.Group.Connections, c.Owners)
+	for at, s := range c.Group.Servers {
+		dial := pgcon.Config{Server: s.ID, Address: s.Address, Dialer: c.Dialer, User: c.User, Password: c.Pass, Database: string(c.ID)}
+		g.index[s.ID] = at
+		g.servers = append(g.servers, &server{
+			Server: s, at: at, dial: dial, kick: make(chan struct{}, 1), control: make(chan *controlCall, 8),
+			pool: newPool(dial, limit, c.Defaults.QueueLength, c.Now),
+		})
+	}
+	g.noteLeaving(c.Group)
+	for _, s := range g.servers {
+		g.tomb.Go(func() error { return g.watch(s) })
+	}
+	g.tomb.Go(g.mind)
+	g.tomb.Go(g.reap)
+	return g
+}
+
+// poolLimit divides a server's connections among the owners, after one control connection for each.
+func poolLimit(connections, owners int) int {
+	owners = max(owners, 1)
+	return max((connections-owners)/owners, 1)
+}
+
+// Update takes in new limits, the servers that leave and this instance's place
+// among the owners; it reports false if the group must be started anew.
+func (g *Group) Update(c conf.Group, d conf.Defaults, rank, owners int) bool {
+	if len(c.Servers) != len(g.servers) {
+		return false
+	}
+	for at, s := range c.Servers {
+		if g.servers[at].ID != s.ID || g.servers[at].Address != s.Address {
+			return false
+		}
+	}
+	g.limits.Store(&d)
+	g.rank.Store(int64(rank))
+	for _, s := range g.servers {
+		s.pool.resize(poolLimit(c.Connections, owners))
+	}
+	g.noteLeaving(c)
+	return true
+}
+
+func (g *Group) noteLeaving(c conf.Group) {
+	leaving := map[ident.ServerID]bool{}
+	for _, s := range c.Servers {
+		if s.Leaving {
+			leaving[s.ID] = true
+		}
+	}
+	old := g.leaving.Swap(&leaving)
+	for id := range leaving {
+		if old == nil || !(*old)[id] {
+			g.note(jrnl.Event{Kind: jrnl.ServerLeaving, Server: id, Evidence: "the configuration says so"})
+			g.servers[g.index[id]].pool.dropIdle()
+		}
+	}
+}
+
+// PeerView takes in another instance's view of a server.
+func (g *Group) PeerView(by ident.InstanceID, s ident.ServerID, answers bool) {
+	g.tell(group.PeerView{Instance: by, Server: s, Answers: answers})
+}
+
+// Primary returns the primary and its term as the owner sees them; an empty name means none.
+func (g *Group) Primary() (ident.ServerID, ident.Term) {
+	v := g.board.current.Load()
+	if v.primary == noPrimary {
+		return "", 0
+	}
+	return g.servers[v.primary].ID, v.term
+}
+
+// Stop ends the watch, refuses those who wait and drops open transactions.
+func (g *Group) Stop() {
+	g.tomb.Kill(nil)
+	for _, s := range g.servers {
+		s.pool.close()
+	}
+	g.mu.Lock()
+	open := g.txs
+	g.txs = map[TxID]*transaction{}
+	g.mu.Unlock()
+	for _, t := range open {
+		t.drop()
+	}
+	_ = g.tomb.Wait()
+}
+
+// Idle reports whether no transaction is open here.
+func (g *Group) Idle() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.txs) == 0
+}
+
+// tell hands the machine an event; when it cannot keep up, polls are dropped, for the next one says as much.
+func (g *Group) tell(e group.Event) {
+	select {
+	case g.events <- e:
+	default:
+	}
+}
+
+// hurry makes every poller ask its server now.
+func (g *Group) hurry() {
+	for _, s := range g.servers {
+		select {
+		case s.kick <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (g *Group) note(e jrnl.Event) {
+	e.Group = g.conf.ID
+	g.conf.Journal.Add(e)
+}
--- /dev/null
+++ b/internal/owner/mind.go
@@ -0,0 +1,217 @@
+package owner
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"geraniumseam.dev/internal/jrnl"
+	"geraniumseam.dev/internal/plat"
+	"geraniumseam.dev/internal/rule/conf"
+	"geraniumseam.dev/internal/rule/group"
+	"geraniumseam.dev/pkg/ident"
+	"geraniumseam.dev/pkg/objs"
+)
+
+// tickPause is how often the machine looks at the clock.
+const tickPause = 20 * time.Millisecond
+
+// mind runs the group's machine and carries out what it decides.
+func (g *Group) mind() error {
+	machine := group.New(group.Config{
+		Servers: g.serverIDs(), Claimant: g.conf.Claimant, Rank: int(g.rank.Load()), Timing: timing(g.limits.Load()),
+	})
+	ticker := time.NewTicker(tickPause)
+	defer ticker.Stop()
+	for {
+		var event group.Event
+		select {
+		case <-g.tomb.Dying():
+			return nil
+		case event = <-g.events:
+		case <-ticker.C:
+			event = group.Tick{}
+			machine.SetRank(int(g.rank.Load()))
+			machine.SetLeaving(*g.leaving.Load())
+		}
+		for _, a := range machine.Step(g.conf.Now(), event) {
+			g.carryOut(a)
+		}
+	}
+}
+
+func timing(d *conf.Defaults) group.Timing {
+	return group.Timing{Silence: d.Silence, PathSilence: d.PathSilence, Stagger: d.Stagger, StepTime: d.StepTime}
+}
+
+func (g *Group) serverIDs() []ident.ServerID {
+	var ids []ident.ServerID
+	for _, s := range g.servers {
+		ids = append(ids, s.ID)
+	}
+	return ids
+}
+
+// carryOut starts an action; its end comes back as an event.
+func (g *Group) carryOut(action group.Action) {
+	switch a := action.(type) {
+	case group.Note:
+		g.noteFor(a)
+	case group.Claim:
+		g.tomb.Go(func() error { g.claim(a.Record); return nil })
+	case group.Publish:
+		g.tomb.Go(func() error { g.publish(a.Record); return nil })
+	case group.Seal:
+		g.tomb.Go(func() error { g.seal(a); return nil })
+	case group.Promote:
+		g.tomb.Go(func() error { g.promote(a); return nil })
+	case group.Follow:
+		g.tomb.Go(func() error { g.follow(a); return nil })
+	}
+}
+
+func (g *Group) stepContext() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(g.tomb.Context(context.Background()), g.limits.Load().StepTime)
+}
+
+// claimPart is the part of a step that the platform gets before the servers arbitrate alone.
+const claimPart = 2
+
+func (g *Group) claim(r group.Record) {
+	ctx, cancel := context.WithTimeout(g.tomb.Context(context.Background()), g.limits.Load().StepTime/claimPart)
+	defer cancel()
+	kept, object, err := g.readRecord(ctx)
+	switch {
+	case err != nil:
+		g.tell(group.Claimed{Term: r.Term, Down: true})
+		return
+	case kept.Term >= r.Term && kept.Claimant != r.Claimant:
+		g.tell(group.Claimed{Term: r.Term, Record: kept})
+		return
+	}
+	err = g.writeRecord(ctx, object, r)
+	switch {
+	case err == nil:
+		g.tell(group.Claimed{Term: r.Term, Won: true})
+	case plat.Is(err, plat.Conflict):
+		kept, _, _ = g.readRecord(ctx)
+		g.tell(group.Claimed{Term: r.Term, Record: kept})
+	default:
+		g.tell(group.Claimed{Term: r.Term, Down: true})
+	}
+}
+
+func (g *Group) readRecord(ctx context.Context) (group.Record, objs.Object, error) {
+	var kept group.Record
+	object, err := g.conf.Store.Get(ctx, objs.Groups, string(g.conf.ID))
+	if plat.Is(err, plat.NotFound) {
+		return kept, objs.Object{Kind: objs.Groups, Metadata: objs.Metadata{Name: string(g.conf.ID)}}, nil
+	}
+	if err != nil {
+		return kept, object, err
+	}
+	if err := json.Unmarshal(object.Spec, &kept); err != nil {
+		return group.Record{}, object, nil
+	}
+	return kept, object, nil
+}
+
+func (g *Group) writeRecord(ctx context.Context, object objs.Object, r group.Record) error {
+	spec, err := json.Marshal(r)
+	if err != nil {
+		return err
+	}
+	object.Spec = spec
+	_, err = g.conf.Store.Put(ctx, object)
+	return err
+}
+
+// publishPause spaces attempts to record a primary while the platform is down.
+const publishPause = 2 * time.Second
+
+// publish records a settled primary unless a later term is recorded already.
+func (g *Group) publish(r group.Record) {
+	ctx, cancel := context.WithTimeout(g.tomb.Context(context.Background()), publishPause)
+	defer cancel()
+	kept, object, err := g.readRecord(ctx)
+	if err == nil && (kept.Term > r.Term || kept.Term == r.Term && kept.Settled) {
+		g.tell(group.Recorded{Record: kept})
+		return
+	}
+	if err == nil && g.writeRecord(ctx, object, r) == nil {
+		g.tell(group.Recorded{Record: r})
+		return
+	}
+	<-ctx.Done()
+	g.tell(group.Recorded{})
+}
+
+func (g *Group) seal(a group.Seal) {
+	ctx, cancel := g.stepContext()
+	defer cancel()
+	s := g.servers[g.index[a.Server]]
+	row, err := s.run(ctx, fmt.Sprintf("SELECT group_seal(%d,'%s')", a.Term, a.Claimant))
+	if err != nil || !isTrue(row) {
+		g.tell(group.Sealed{Term: a.Term})
+		return
+	}
+	status, err := g.statusAfter(ctx, s)
+	g.tell(group.Sealed{Term: a.Term, OK: err == nil, Status: status})
+}
+
+// statusAfter asks for a server's state after something was done to it.
+func (g *Group) statusAfter(ctx context.Context, s *server) (group.Status, error) {
+	asked := time.Now()
+	row, err := s.run(ctx, statusText)
+	if err != nil {
+		return group.Status{}, err
+	}
+	status, err := parseRow(row)
+	if err == nil {
+		g.board.observe(s.at, status, asked, time.Now())
+	}
+	return status, err
+}
+
+func (g *Group) promote(a group.Promote) {
+	ctx, cancel := g.stepContext()
+	defer cancel()
+	s := g.servers[g.index[a.Server]]
+	row, err := s.run(ctx, fmt.Sprintf("SELECT group_promote(%d,'%s')", a.Term, a.Claimant))
+	if err != nil {
+		return
+	}
+	if isTrue(row) {
+		_, _ = g.statusAfter(ctx, s)
+	}
+	g.tell(group.Promoted{Term: a.Term, Server: a.Server, OK: isTrue(row)})
+}
+
+func (g *Group) follow(a group.Follow) {
+	ctx, cancel := g.stepContext()
+	defer cancel()
+	s := g.servers[g.index[a.Server]]
+	_, _ = s.run(ctx, fmt.Sprintf("SELECT group_follow(%d,'%s')", a.Term, a.Primary))
+}
+
+func isTrue(row []string) bool { return len(row) == 1 && row[0] == "t" }
+
+var noteKinds = map[group.NoteKind]jrnl.Kind{
+	group.Suspected: jrnl.PrimarySuspect, group.Recovered: jrnl.PrimaryBack, group.Claiming: jrnl.TermClaimed,
+	group.ClaimLost: jrnl.ClaimLost, group.StoreDown: jrnl.ClaimUnrecorded, group.Sealing: jrnl.MajoritySealed,
+	group.SealFailed: jrnl.SealFailed, group.Promoting: jrnl.ServerPromoted, group.NewPrimary: jrnl.PrimaryChanged,
+	group.Repointed: jrnl.ServerRepointed, group.TailDropped: jrnl.TailDiscarded,
+}
+
+// noteFor writes a decision of the machine into the journal, under the incident it belongs to.
+func (g *Group) noteFor(n group.Note) {
+	g.mu.Lock()
+	g.incident = fmt.Sprintf("%s-term-%d", g.conf.ID, n.Term)
+	if n.What == group.Suspected {
+		g.incident = fmt.Sprintf("%s-term-%d", g.conf.ID, n.Term+1)
+	}
+	incident := g.incident
+	g.mu.Unlock()
+	g.note(jrnl.Event{Kind: noteKinds[n.What], Server: n.Server, Term: n.Term, Evidence: n.Evidence, Incident: incident})
+}
--- /dev/null
+++ b/internal/owner/run.go
@@ -0,0 +1,261 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"geraniumseam.dev/internal/fault"
+	"geraniumseam.dev/internal/pgcon"
+	"geraniumseam.dev/internal/rule/fair"
+	"geraniumseam.dev/internal/rule/group"
+	"geraniumseam.dev/internal/rule/retry"
+	"geraniumseam.dev/pkg/ident"
+	"geraniumseam.dev/pkg/stmt"
+)
+
+var (
+	statusText = pgcon.StatusQuery
+	parseRow   = pgcon.ParseStatus
+	backoff    = retry.Backoff{First: 4 * time.Millisecond, Most: 200 * time.Millisecond}
+)
+
+// Run runs the work and hands its answer to sink. Nothing reaches sink unless the
+// outcome is Done, or the answer of a read was cut short.
+func (g *Group) Run(ctx context.Context, w *Work, sink pgcon.Sink) Result {
+	ctx, cancel := context.WithTimeout(ctx, w.Limits.Run)
+	defer cancel()
+	g.conf.Budget.Earn()
+	if w.Tx != 0 {
+		return g.runInTx(ctx, w, sink)
+	}
+	if w.Pin {
+		return g.runWrite(ctx, w, sink)
+	}
+	switch w.Kind {
+	case stmt.Empty, stmt.Read, stmt.Show, stmt.Set:
+		return g.runRead(ctx, w, sink)
+	case stmt.Begin:
+		if w.ReadOnly {
+			return g.runRead(ctx, w, sink)
+		}
+	}
+	return g.runWrite(ctx, w, sink)
+}
+
+// attempt is one try's end: a result, and whether another try may follow.
+type attempt struct {
+	result Result
+	again  bool
+	// free is set if another try costs nothing of the retry budget: the request only waits.
+	free bool
+}
+
+// try repeats a request that has not run, within the budget and the deadline.
+func (g *Group) try(ctx context.Context, w *Work, once func() attempt) Result {
+	for count := 0; ; count++ {
+		a := once()
+		if !a.again {
+			return a.result
+		}
+		if ctx.Err() != nil || !a.free && !g.conf.Budget.Spend() {
+			return a.result
+		}
+		g.conf.Journal.Retry(a.result.Reason, w.Trace, w.Customer, w.Group)
+		g.hurry()
+		if !g.pause(ctx, count) {
+			return a.result
+		}
+	}
+}
+
+// pause waits before another try; it reports false once the deadline leaves no time.
+func (g *Group) pause(ctx context.Context, count int) bool {
+	g.mu.Lock()
+	d := backoff.After(count, g.conf.Random)
+	g.mu.Unlock()
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) <= d {
+		return false
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-g.tomb.Dying():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// runWrite runs a request on the primary and holds its answer back until a
+// majority of servers has what it wrote.
+func (g *Group) runWrite(ctx context.Context, w *Work, sink pgcon.Sink) Result {
+	return g.try(ctx, w, func() attempt { return g.writeOnce(ctx, w, sink) })
+}
+
+func (g *Group) writeOnce(ctx context.Context, w *Work, sink pgcon.Sink) attempt {
+	s, reason := g.awaitPrimary(ctx)
+	if s == nil {
+		return attempt{result: notRun(reason)}
+	}
+	got := s.pool.acquire(ctx, flowOf(w), w.Weight, min(w.Limits.Queue, untilDeadline(ctx)))
+	if got.conn == nil {
+		again := got.reason == fault.ConnectFailed || got.reason == fault.ServerFull
+		return attempt{result: Result{Outcome: fault.NotRun, Reason: got.reason, RetryAfter: got.wait}, again: again, free: true}
+	}
+	held := &keep{}
+	request := w.Request
+	request.Position = true
+	began := time.Now()
+	answer, err := got.conn.Run(ctx, &request, held)
+	if err != nil {
+		s.pool.release(got.conn, 0)
+		return g.brokenWrite(ctx, err)
+	}
+	if refusedByServer(answer) {
+		s.pool.release(got.conn, 0)
+		return attempt{result: notRun(fault.ServerReadOnly), again: true, free: true}
+	}
+	if answer.TxStatus != 'I' || w.Pin {
+		return attempt{result: g.open(w, s, got.conn, answer, held, sink)}
+	}
+	s.pool.release(got.conn, time.Since(began))
+	return attempt{result: g.finishWrite(ctx, w, answer, held, sink)}
+}
+
+func flowOf(w *Work) fair.Flow { return fair.Flow{Customer: w.Customer, Kind: string(w.Route)} }
+
+func untilDeadline(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return time.Hour
+	}
+	return time.Until(deadline)
+}
+
+// refusedByServer reports an answer that says the server takes no writes, outside any transaction: nothing ran.
+func refusedByServer(a pgcon.Answer) bool {
+	return a.ErrorCode == codeReadOnly && a.TxStatus == 'I'
+}
+
+// brokenWrite tells from how far a failed write got what became of it.
+func (g *Group) brokenWrite(ctx context.Context, err error) attempt {
+	var failed *pgcon.RunError
+	if errors.As(err, &failed) && failed.Stage == pgcon.Unsent {
+		return attempt{result: notRun(fault.ConnectionLost), again: true}
+	}
+	return attempt{result: unknown(lossReason(ctx))}
+}
+
+func lossReason(ctx context.Context) fault.Reason {
+	if ctx.Err() != nil {
+		return reasonOf(ctx)
+	}
+	return fault.AnswerLost
+}
+
+// finishWrite waits until a majority holds the write, then hands the answer on.
+func (g *Group) finishWrite(ctx context.Context, w *Work, a pgcon.Answer, held *keep, sink pgcon.Sink) Result {
+	result := Result{Floor: w.Floor, TxStatus: a.TxStatus, ErrorCode: a.ErrorCode}
+	if a.ErrorCode == "" && !g.conf.Baseline.AckAtOnce {
+		if reason := g.awaitHeld(ctx, w, a.Status); reason != fault.None {
+			return unknown(reason)
+		}
+	}
+	if a.ErrorCode == "" {
+		result.Floor = w.Floor.Raise(ident.Floor{Term: a.Status.Term, Position: a.Status.Received})
+	}
+	return g.hand(result, held.bytes, sink)
+}
+
+func (g *Group) hand(r Result, bytes []byte, sink pgcon.Sink) Result {
+	if err := sink.Emit(bytes); err != nil {
+		return unknown(fault.PeerLost)
+	}
+	return r
+}
+
+// awaitHeld waits until a majority holds all that the server had right after the write.
+func (g *Group) awaitHeld(ctx context.Context, w *Work, s group.Status) fault.Reason {
+	if s.Role != group.Primary {
+		return fault.PrimaryReplaced
+	}
+	ctx, cancel := context.WithTimeout(ctx, w.Limits.Ack)
+	defer cancel()
+	done := false
+	ended := g.await(ctx, func(v *view) bool {
+		held, ok := v.held(s)
+		done = ok && held >= s.Received
+		return done || v.superseded(s.Term)
+	})
+	switch {
+	case done:
+		return fault.None
+	case ended:
+		return fault.PrimaryReplaced
+	default:
+		return fault.AnswerUnconfirmed
+	}
+}
+
+// await watches the board until the view satisfies; it reports false if ctx ends first.
+func (g *Group) await(ctx context.Context, satisfied func(*view) bool) bool {
+	if satisfied(g.board.current.Load()) {
+		return true
+	}
+	g.waiting.Add(1)
+	defer g.waiting.Add(-1)
+	g.hurry()
+	for {
+		v, changed := g.board.next()
+		if satisfied(v) {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-g.tomb.Dying():
+			return false
+		case <-changed:
+		}
+	}
+}
+
+// awaitPrimary returns the primary, waiting for one while a change goes on.
+func (g *Group) awaitPrimary(ctx context.Context) (*server, fault.Reason) {
+	var found *server
+	ended := g.await(ctx, func(v *view) bool {
+		found = nil
+		if v.primary != noPrimary && g.canWrite(v, &v.servers[v.primary]) {
+			found = g.servers[v.primary]
+		}
+		return found != nil
+	})
+	if ended {
+		return found, fault.None
+	}
+	return nil, fault.NoPrimary
+}
+
+// canWrite reports whether a primary answered lately and no later term has sealed it.
+func (g *Group) canWrite(v *view, r *report) bool {
+	return !r.missed && r.status.Sealed <= v.term && time.Since(r.got) < g.limits.Load().Silence
+}
+
+// confirm returns the position that the confirmed primary had after the call began.
+func (g *Group) confirm(ctx context.Context) (ident.Floor, bool) {
+	began := time.Now()
+	var floor ident.Floor
+	ok := g.await(ctx, func(v *view) bool {
+		asked, found, confirmed := v.confirmed()
+		if !confirmed || asked.Before(began) {
+			return false
+		}
+		floor = found
+		return true
+	})
+	return floor, ok
+}
--- /dev/null
+++ b/internal/owner/view.go
@@ -0,0 +1,162 @@
+package owner
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"geraniumseam.dev/internal/rule/group"
+	"geraniumseam.dev/internal/rule/route"
+	"geraniumseam.dev/pkg/ident"
+)
+
+// report is the last that a server told about itself, and when it was asked.
+type report struct {
+	status  group.Status
+	known   bool
+	asked   time.Time
+	got     time.Time
+	latency time.Duration
+	missed  bool
+}
+
+// view is what an owner knows of a group at one moment; it never changes once made.
+type view struct {
+	servers []report
+	primary int
+	term    ident.Term
+}
+
+const noPrimary = -1
+
+// board publishes views and wakes those who wait for a better one.
+type board struct {
+	size    int
+	current atomic.Pointer[view]
+
+	mu      sync.Mutex
+	ages    route.Ages
+	changed chan struct{}
+}
+
+func newBoard(size int) *board {
+	b := &board{size: size, changed: make(chan struct{})}
+	b.current.Store(&view{servers: make([]report, size), primary: noPrimary})
+	return b
+}
+
+// update replaces one server's report and recomputes who leads.
+func (b *board) update(at int, change func(*report)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	old := b.current.Load()
+	next := &view{servers: append([]report(nil), old.servers...), primary: noPrimary}
+	change(&next.servers[at])
+	for i := range next.servers {
+		r := &next.servers[i]
+		if r.known && r.status.Role == group.Primary && r.status.Term > next.term {
+			next.term, next.primary = r.status.Term, i
+		}
+	}
+	if asked, floor, ok := next.confirmed(); ok {
+		b.ages.Saw(asked, floor.Term, floor.Position)
+	}
+	b.current.Store(next)
+	close(b.changed)
+	b.changed = make(chan struct{})
+}
+
+// observe takes in a status that was asked for at the given time; an older one than known is dropped.
+func (b *board) observe(at int, s group.Status, asked, got time.Time) {
+	b.update(at, func(r *report) {
+		latency := got.Sub(asked)
+		if r.latency == 0 {
+			r.latency = latency
+		}
+		r.latency += (latency - r.latency) / 8
+		r.missed = false
+		if r.known && asked.Before(r.asked) {
+			return
+		}
+		r.status, r.known, r.asked, r.got = s, true, asked, got
+	})
+}
+
+func (b *board) miss(at int) {
+	b.update(at, func(r *report) { r.missed = true })
+}
+
+// next returns the current view and what is closed at the next change.
+func (b *board) next() (*view, <-chan struct{}) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.current.Load(), b.changed
+}
+
+// confirmed returns when the primary was asked, and its state, if a majority of
+// servers has been asked since and none of them has left its term.
+func (v *view) confirmed() (time.Time, ident.Floor, bool) {
+	if v.primary == noPrimary {
+		return time.Time{}, ident.Floor{}, false
+	}
+	p := &v.servers[v.primary]
+	times := make([]time.Time, 0, len(v.servers))
+	for at := range v.servers {
+		r := &v.servers[at]
+		if r.known && r.status.Term == v.term && r.status.Sealed <= v.term {
+			times = append(times, r.asked)
+		}
+	}
+	need := group.Majority(len(v.servers))
+	if len(times) < need || p.status.Sealed > v.term {
+		return time.Time{}, ident.Floor{}, false
+	}
+	asked := earliestOf(times, need)
+	if p.asked.Before(asked) {
+		asked = p.asked
+	}
+	return asked, ident.Floor{Term: v.term, Position: p.status.Received}, true
+}
+
+// earliestOf returns the earliest of the n latest times.
+func earliestOf(times []time.Time, n int) time.Time {
+	for i := range n {
+		for j := i + 1; j < len(times); j++ {
+			if times[j].After(times[i]) {
+				times[i], times[j] = times[j], times[i]
+			}
+		}
+	}
+	return times[n-1]
+}
+
+// held returns the position that a majority holds under the primary's term,
+// counting what the primary itself has just reported.
+func (v *view) held(primary group.Status) (ident.Position, bool) {
+	statuses := make([]group.Status, 0, len(v.servers)+1)
+	statuses = append(statuses, primary)
+	for at := range v.servers {
+		r := &v.servers[at]
+		if r.known && r.status.Server != primary.Server {
+			statuses = append(statuses, r.status)
+		}
+	}
+	return group.Held(statuses, len(v.servers), primary.Term)
+}
+
+// superseded reports whether a majority has left the term for a later one.
+func (v *view) superseded(term ident.Term) bool { return v.term > term }
+
+// age bounds how old data in the given state can be.
+func (b *board) age(now time.Time, term ident.Term, applied ident.Position) (time.Duration, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ages.Age(now, term, applied)
+}
+
+// arrival estimates how long until a replica in the given state has caught up.
+func (b *board) arrival(now time.Time, applied ident.Position) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ages.Arrival(now, applied)
+}
--- /dev/null
+++ b/internal/owner/watch.go
@@ -0,0 +1,171 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"geraniumseam.dev/internal/pgcon"
+	"geraniumseam.dev/internal/rule/group"
+)
+
+const (
+	// hurryPause is the time between two polls while somebody waits for one.
+	hurryPause = time.Millisecond
+	// pollTime bounds one poll.
+	pollTime = 200 * time.Millisecond
+	// opinionPause is how often this instance's view of a server is told to peers.
+	opinionPause = 500 * time.Millisecond
+)
+
+// controlCall is one control function to run on a server.
+type controlCall struct {
+	ctx  context.Context
+	text string
+	done chan controlAnswer
+}
+
+type controlAnswer struct {
+	row []string
+	err error
+}
+
+// watcher polls one server over one connection.
+type watcher struct {
+	group   *Group
+	server  *server
+	conn    *pgcon.Conn
+	told    time.Time
+	answers bool
+}
+
+func (g *Group) watch(s *server) error {
+	w := &watcher{group: g, server: s}
+	defer w.drop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-g.tomb.Dying():
+			return nil
+		case call := <-s.control:
+			w.call(call)
+			continue
+		case <-s.kick:
+		case <-timer.C:
+		}
+		w.poll()
+		pause := g.limits.Load().Poll
+		if g.waiting.Load() > 0 {
+			pause = hurryPause
+		}
+		timer.Reset(pause)
+	}
+}
+
+// poll asks for the server's state; after a failure it tries once more on a new
+// connection, so that one silent connection is not taken for a dead server.
+func (w *watcher) poll() {
+	ctx, cancel := context.WithTimeout(w.group.tomb.Context(context.Background()), pollTime)
+	defer cancel()
+	old := w.conn != nil
+	asked, status, err := w.ask(ctx)
+	if err != nil && old {
+		w.group.tell(group.Missed{Server: w.server.ID})
+		fresh, done := context.WithTimeout(w.group.tomb.Context(context.Background()), pollTime)
+		defer done()
+		asked, status, err = w.ask(fresh)
+	}
+	if err != nil {
+		w.missed()
+		return
+	}
+	w.group.board.observe(w.server.at, status, asked, time.Now())
+	w.group.tell(group.Polled{Status: status})
+	w.tellPeers(true)
+}
+
+func (w *watcher) ask(ctx context.Context) (time.Time, group.Status, error) {
+	if err := w.connect(ctx); err != nil {
+		return time.Time{}, group.Status{}, err
+	}
+	asked := time.Now()
+	status, err := w.conn.Status(ctx)
+	if err != nil {
+		w.drop()
+		return asked, status, errors.Trace(err)
+	}
+	if status.Server != w.server.ID {
+		w.drop()
+		return asked, status, &pgcon.ProtocolError{What: "the address of " + string(w.server.ID) + " answers as " + string(status.Server)}
+	}
+	return asked, status, nil
+}
+
+func (w *watcher) connect(ctx context.Context) error {
+	if w.conn != nil {
+		return nil
+	}
+	c, err := pgcon.Dial(ctx, w.server.dial)
+	if err != nil {
+		return err
+	}
+	w.conn = c
+	return nil
+}
+
+func (w *watcher) drop() {
+	if w.conn != nil {
+		w.conn.Close()
+		w.conn = nil
+	}
+}
+
+func (w *watcher) missed() {
+	w.group.board.miss(w.server.at)
+	w.group.tell(group.Missed{Server: w.server.ID, Fresh: true})
+	w.tellPeers(false)
+	w.server.pool.dropIdle()
+}
+
+// tellPeers spreads a change of this instance's view at once and repeats it now and then while the server is out of reach.
+func (w *watcher) tellPeers(answers bool) {
+	if w.group.conf.Opinion == nil {
+		return
+	}
+	now := time.Now()
+	if answers == w.answers && (answers || now.Sub(w.told) < opinionPause) {
+		return
+	}
+	w.answers, w.told = answers, now
+	w.group.conf.Opinion(w.group.conf.ID, w.server.ID, answers)
+}
+
+func (w *watcher) call(c *controlCall) {
+	if err := w.connect(c.ctx); err != nil {
+		c.done <- controlAnswer{err: err}
+		return
+	}
+	row, err := w.conn.Control(c.ctx, c.text)
+	if err != nil {
+		w.drop()
+	}
+	c.done <- controlAnswer{row: row, err: err}
+}
+
+// run hands a control function to the server's watcher and waits for its end.
+func (s *server) run(ctx context.Context, text string) ([]string, error) {
+	c := &controlCall{ctx: ctx, text: text, done: make(chan controlAnswer, 1)}
+	select {
+	case s.control <- c:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	select {
+	case a := <-c.done:
+		return a.row, a.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/owner/work.go
@@ -0,0 +1,114 @@
+package owner
+
+import (
+	"time"
+
+	"geraniumseam.dev/internal/fault"
+	"geraniumseam.dev/internal/pgcon"
+	"geraniumseam.dev/pkg/ident"
+	"geraniumseam.dev/pkg/stmt"
+)
+
+// TxID names an open transaction, or a session's pinned connection, at its owner; 0 is none.
+type TxID uint64
+
+// Seen tells an owner what a session read last, so that it does not read backwards.
+type Seen struct {
+	Owner  ident.InstanceID `cbor:"1,keyasint,omitempty"`
+	Server ident.ServerID   `cbor:"2,keyasint,omitempty"`
+	// Mark is the owner's clock when the read ended, in nanoseconds.
+	Mark int64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Work is one request on its way to a server.
+type Work struct {
+	Trace    ident.TraceID    `cbor:"1,keyasint"`
+	Customer ident.CustomerID `cbor:"2,keyasint"`
+	Route    ident.ServiceID  `cbor:"3,keyasint"`
+	Group    ident.GroupID    `cbor:"4,keyasint"`
+	Kind     stmt.Kind        `cbor:"5,keyasint"`
+	// ReadOnly marks a transaction that promised to write nothing.
+	ReadOnly bool        `cbor:"6,keyasint,omitempty"`
+	Weight   float64     `cbor:"7,keyasint"`
+	Floor    ident.Floor `cbor:"8,keyasint"`
+	// Settled is set when the session's floor is known; otherwise the owner asks the confirmed primary.
+	Settled bool          `cbor:"9,keyasint,omitempty"`
+	MaxAge  time.Duration `cbor:"10,keyasint,omitempty"`
+	Seen    Seen          `cbor:"11,keyasint"`
+	Limits  Limits        `cbor:"12,keyasint"`
+	Tx      TxID          `cbor:"13,keyasint,omitempty"`
+	// Pin keeps the connection after the request, for a session whose state lives on it.
+	Pin     bool          `cbor:"14,keyasint,omitempty"`
+	Request pgcon.Request `cbor:"15,keyasint"`
+}
+
+// Limits bound one request.
+type Limits struct {
+	Run         time.Duration `cbor:"1,keyasint"`
+	Queue       time.Duration `cbor:"2,keyasint"`
+	Ack         time.Duration `cbor:"3,keyasint"`
+	ReadWait    time.Duration `cbor:"4,keyasint"`
+	PrimaryCost time.Duration `cbor:"5,keyasint"`
+}
+
+// Result is what became of a Work.
+type Result struct {
+	Outcome    fault.Outcome `cbor:"1,keyasint"`
+	Reason     fault.Reason  `cbor:"2,keyasint,omitempty"`
+	RetryAfter time.Duration `cbor:"3,keyasint,omitempty"`
+	// Floor is the session's floor from now on.
+	Floor    ident.Floor `cbor:"4,keyasint"`
+	TxStatus byte        `cbor:"5,keyasint,omitempty"`
+	Tx       TxID        `cbor:"6,keyasint,omitempty"`
+	Seen     Seen        `cbor:"7,keyasint"`
+	// Replica is set when a replica served the request.
+	Replica bool `cbor:"8,keyasint,omitempty"`
+	// ErrorCode is the SQLSTATE that the server answered with, if any.
+	ErrorCode string `cbor:"9,keyasint,omitempty"`
+}
+
+func notRun(r fault.Reason) Result { return Result{Outcome: fault.NotRun, Reason: r} }
+
+func unknown(r fault.Reason) Result { return Result{Outcome: fault.Unknown, Reason: r} }
+
+// keep is a Sink that holds an answer back.
+type keep struct{ bytes []byte }
+
+// Emit implements pgcon.Sink.
+func (k *keep) Emit(messages []byte) error {
+	k.bytes = append(k.bytes, messages...)
+	return nil
+}
+
+// spill is a Sink that holds back the beginning of an answer, so that a read can
+// be retried as long as nothing of it has been handed on.
+type spill struct {
+	sink   pgcon.Sink
+	bytes  []byte
+	passed bool
+}
+
+// spillSize is how much of a read's answer is held back, in bytes.
+const spillSize = 256 << 10
+
+// Emit implements pgcon.Sink.
+func (s *spill) Emit(messages []byte) error {
+	if !s.passed && len(s.bytes)+len(messages) <= spillSize {
+		s.bytes = append(s.bytes, messages...)
+		return nil
+	}
+	if err := s.flush(); err != nil {
+		return err
+	}
+	return s.sink.Emit(messages)
+}
+
+func (s *spill) flush() error {
+	s.passed = true
+	if len(s.bytes) == 0 {
+		return nil
+	}
+	held := s.bytes
+	s.bytes = nil
+	return s.sink.Emit(held)
+}
--- /dev/null
+++ b/internal/peer/error.go
@@ -0,0 +1,34 @@
+package peer
+
+import (
+	"fmt"
+
+	"geraniumseam.dev/pkg/ident"
+)
+
+//go:generate go tool stringer -type=Cause -linecomment -output=cause_string.go
+
+// Cause says why a link or a message failed.
+type Cause uint8
+
+// The causes.
+const (
+	Unreachable  Cause = iota // unreachable
+	Silent                    // silent
+	Unauthorized              // unauthorized
+	WrongVersion              // wrong-version
+	WrongPeer                 // wrong-peer
+	BadMessage                // bad-message
+	Closed                    // closed
+	Unlisted                  // unlisted
+)
+
+// Error is a failure between instances.
+type Error struct {
+	Cause  Cause
+	Peer   ident.InstanceID
+	Detail string
+}
+
+// Error implements error.
+func (e *Error) Error() string { return fmt.Sprintf("peer %s: %s %s", e.Peer, e.Cause, e.Detail) }
--- /dev/null
+++ b/internal/peer/link.go
@@ -0,0 +1,423 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/juju/errors"
+	"gopkg.in/tomb.v2"
+
+	"geraniumseam.dev/internal/fault"
+	"geraniumseam.dev/internal/owner"
+	"geraniumseam.dev/internal/pgcon"
+	"geraniumseam.dev/pkg/ident"
+)
+
+const (
+	// outQueue is how many frames may wait to be written on a link.
+	outQueue = 1024
+	// batchSize is how many bytes of frames are joined into one write.
+	batchSize = 64 << 10
+	// readLimit bounds one WebSocket message, in bytes.
+	readLimit = 64 << 20
+	// maxHeld bounds what one answer may hold here while its caller is slow, in bytes.
+	maxHeld = 64 << 20
+)
+
+// stream is one request of ours that waits for its answer.
+type stream struct {
+	mu    sync.Mutex
+	queue []frame
+	held  int
+	ready chan struct{}
+}
+
+func newStream() *stream { return &stream{ready: make(chan struct{}, 1)} }
+
+// put queues a frame; it reports false when the answer has grown too large.
+func (s *stream) put(f frame) bool {
+	s.mu.Lock()
+	s.queue = append(s.queue, f)
+	s.held += len(f.Body)
+	fits := s.held <= maxHeld
+	s.mu.Unlock()
+	select {
+	case s.ready <- struct{}{}:
+	default:
+	}
+	return fits
+}
+
+func (s *stream) take() []frame {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	taken := s.queue
+	s.queue, s.held = nil, 0
+	return taken
+}
+
+// link is one open connection to another instance.
+type link struct {
+	hub    *Hub
+	peer   ident.InstanceID
+	socket *websocket.Conn
+	out    chan []byte
+	next   atomic.Uint64
+	heard  atomic.Int64
+	tomb   tomb.Tomb
+
+	mu      sync.Mutex
+	streams map[uint64]*stream
+	serving map[uint64]context.CancelFunc
+}
+
+func newLink(h *Hub, peer ident.InstanceID, socket *websocket.Conn) *link {
+	socket.SetReadLimit(readLimit)
+	l := &link{
+		hub: h, peer: peer, socket: socket, out: make(chan []byte, outQueue),
+		streams: map[uint64]*stream{}, serving: map[uint64]context.CancelFunc{},
+	}
+	l.heard.Store(time.Now().UnixNano())
+	l.tomb.Go(l.write)
+	l.tomb.Go(l.read)
+	l.tomb.Go(l.beat)
+	return l
+}
+
+func (l *link) close(cause Cause) {
+	l.tomb.Kill(&Error{Cause: cause, Peer: l.peer})
+	_ = l.socket.CloseNow()
+}
+
+// send queues a frame; it fails only once the link is dying.
+func (l *link) send(ctx context.Context, k kind, stream uint64, body any) error {
+	text, err := encodeFrame(k, stream, body)
+	if err != nil {
+		return err
+	}
+	select {
+	case <-l.tomb.Dying():
+		return &Error{Cause: Closed, Peer: l.peer}
+	default:
+	}
+	select {
+	case l.out <- text:
+		l.hub.bytesOut.Add(float64(len(text)))
+		return nil
+	case <-l.tomb.Dying():
+		return &Error{Cause: Closed, Peer: l.peer}
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// write joins the waiting frames into few messages.
+func (l *link) write() error {
+	defer l.socket.CloseNow()
+	buffer := make([]byte, 0, batchSize)
+	for {
+		select {
+		case <-l.tomb.Dying():
+			return nil
+		case text := <-l.out:
+			buffer = l.gather(append(buffer[:0], text...))
+		}
+		ctx, cancel := context.WithTimeout(l.tomb.Context(context.Background()), l.hub.conf.Silence)
+		err := l.socket.Write(ctx, websocket.MessageBinary, buffer)
+		cancel()
+		if err != nil {
+			return &Error{Cause: Closed, Peer: l.peer, Detail: err.Error()}
+		}
+	}
+}
+
+func (l *link) gather(buffer []byte) []byte {
+	for len(buffer) < batchSize {
+		select {
+		case text := <-l.out:
+			buffer = append(buffer, text...)
+		default:
+			return buffer
+		}
+	}
+	return buffer
+}
+
+func (l *link) read() error {
+	defer l.finish()
+	ctx := l.tomb.Context(context.Background())
+	for {
+		_, data, err := l.socket.Read(ctx)
+		if err != nil {
+			return &Error{Cause: Closed, Peer: l.peer, Detail: err.Error()}
+		}
+		l.hub.bytesIn.Add(float64(len(data)))
+		l.heard.Store(time.Now().UnixNano())
+		decoder := decoding.NewDecoder(bytes.NewReader(data))
+		for decoder.NumBytesRead() < len(data) {
+			var f frame
+			if err := decoder.Decode(&f); err != nil {
+				return &Error{Cause: BadMessage, Peer: l.peer, Detail: err.Error()}
+			}
+			if err := l.dispatch(f); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// finish fails what still waits on the link and stops what was run for the peer.
+func (l *link) finish() {
+	l.mu.Lock()
+	streams, serving := l.streams, l.serving
+	l.streams, l.serving = nil, nil
+	l.mu.Unlock()
+	for _, s := range streams {
+		s.put(frame{})
+	}
+	for _, cancel := range serving {
+		cancel()
+	}
+	l.hub.gone(l)
+}
+
+// beat sends heartbeats and ends the link when the peer has fallen silent.
+func (l *link) beat() error {
+	ticker := time.NewTicker(l.hub.conf.Heartbeat)
+	defer ticker.Stop()
+	for {
+		if err := l.send(l.tomb.Context(context.Background()), kindHeartbeat, 0, l.hub.conf.Handler.Heartbeat(l.peer)); err != nil {
+			return nil
+		}
+		select {
+		case <-l.tomb.Dying():
+			return nil
+		case <-ticker.C:
+		}
+		if time.Since(time.Unix(0, l.heard.Load())) > l.hub.conf.Silence {
+			_ = l.socket.CloseNow()
+			return &Error{Cause: Silent, Peer: l.peer}
+		}
+	}
+}
+
+func (l *link) dispatch(f frame) error {
+	switch f.Kind {
+	case kindWork:
+		return l.serve(f)
+	case kindStop:
+		l.stop(f.Stream)
+		return nil
+	case kindChunk, kindResult:
+		l.deliver(f)
+		return nil
+	}
+	m, err := decode(f.Kind, f.Body)
+	if err != nil || m == nil {
+		return err
+	}
+	if f.Stream == 0 {
+		l.hub.conf.Handler.News(l.peer, m)
+		return nil
+	}
+	if f.Stream%2 == l.own() {
+		l.deliver(f)
+		return nil
+	}
+	l.tomb.Go(func() error { return l.answer(f.Stream, m) })
+	return nil
+}
+
+// own returns the remainder by two of the streams that this end opens.
+func (l *link) own() uint64 {
+	if l.hub.conf.Self < l.peer {
+		return 1
+	}
+	return 0
+}
+
+func (l *link) openStream() (uint64, *stream, bool) {
+	s := newStream()
+	id := l.next.Add(1)*2 + l.own()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.streams == nil {
+		return 0, nil, false
+	}
+	l.streams[id] = s
+	return id, s, true
+}
+
+func (l *link) closeStream(id uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.streams != nil {
+		delete(l.streams, id)
+	}
+}
+
+func (l *link) deliver(f frame) {
+	l.mu.Lock()
+	s := l.streams[f.Stream]
+	l.mu.Unlock()
+	if s == nil {
+		return
+	}
+	if !s.put(f) {
+		l.closeStream(f.Stream)
+		s.put(frame{})
+	}
+}
+
+// answer replies to a question; no reply means that there is nothing to say.
+func (l *link) answer(stream uint64, m Message) error {
+	ctx := l.tomb.Context(context.Background())
+	reply := l.hub.conf.Handler.Answer(ctx, l.peer, m)
+	if reply == nil {
+		return nil
+	}
+	_ = l.send(ctx, kindOf(reply), stream, reply)
+	return nil
+}
+
+// call asks a question and waits for its answer.
+func (l *link) call(ctx context.Context, m Message) (Message, error) {
+	id, s, ok := l.openStream()
+	if !ok {
+		return nil, &Error{Cause: Closed, Peer: l.peer}
+	}
+	defer l.closeStream(id)
+	if err := l.send(ctx, kindOf(m), id, m); err != nil {
+		return nil, err
+	}
+	select {
+	case <-s.ready:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	for _, f := range s.take() {
+		if f.Kind != 0 {
+			return decode(f.Kind, f.Body)
+		}
+	}
+	return nil, &Error{Cause: Closed, Peer: l.peer}
+}
+
+// serve runs a peer's request and streams its answer back.
+func (l *link) serve(f frame) error {
+	var w owner.Work
+	if err := decoding.Unmarshal(f.Body, &w); err != nil {
+		return &Error{Cause: BadMessage, Peer: l.peer, Detail: err.Error()}
+	}
+	ctx, cancel := context.WithCancel(l.tomb.Context(context.Background()))
+	l.mu.Lock()
+	if l.serving == nil {
+		l.mu.Unlock()
+		cancel()
+		return nil
+	}
+	l.serving[f.Stream] = cancel
+	l.mu.Unlock()
+	l.tomb.Go(func() error {
+		defer l.stop(f.Stream)
+		back := &reply{link: l, ctx: ctx, stream: f.Stream}
+		r := l.hub.conf.Handler.Work(ctx, l.peer, &w, back)
+		if err := l.send(l.tomb.Context(context.Background()), kindResult, f.Stream, result{Result: r, Bytes: back.bytes}); err != nil && r.Tx != 0 {
+			l.hub.conf.Handler.News(l.peer, TxEnd{Group: w.Group, Tx: r.Tx})
+		}
+		return nil
+	})
+	return nil
+}
+
+func (l *link) stop(stream uint64) {
+	l.mu.Lock()
+	cancel := l.serving[stream]
+	if l.serving != nil {
+		delete(l.serving, stream)
+	}
+	l.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
+
+// reply is the Sink of a request that a peer sent.
+type reply struct {
+	link   *link
+	ctx    context.Context
+	stream uint64
+	bytes  []byte
+}
+
+// Emit implements pgcon.Sink.
+func (r *reply) Emit(messages []byte) error {
+	if len(r.bytes)+len(messages) > batchSize {
+		if err := r.link.send(r.ctx, kindChunk, r.stream, chunk{Bytes: r.bytes}); err != nil {
+			return err
+		}
+		r.bytes = nil
+	}
+	r.bytes = append(r.bytes, messages...)
+	return nil
+}
+
+// run hands a request to the peer and its answer to sink.
+func (l *link) run(ctx context.Context, w *owner.Work, sink pgcon.Sink) owner.Result {
+	id, s, ok := l.openStream()
+	if !ok {
+		return owner.Result{Outcome: fault.NotRun, Reason: fault.PeerLost}
+	}
+	defer l.closeStream(id)
+	if err := l.send(ctx, kindWork, id, w); err != nil {
+		return owner.Result{Outcome: fault.NotRun, Reason: fault.PeerLost}
+	}
+	for {
+		select {
+		case <-s.ready:
+		case <-ctx.Done():
+			_ = l.send(l.tomb.Context(context.Background()), kindStop, id, nil)
+			return owner.Result{Outcome: fault.Unknown, Reason: stopReason(ctx)}
+		}
+		for _, f := range s.take() {
+			r, ended := l.receive(f, sink)
+			if ended {
+				return r
+			}
+		}
+	}
+}
+
+func stopReason(ctx context.Context) fault.Reason {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return fault.DeadlinePassed
+	}
+	return fault.Cancelled
+}
+
+// receive takes in one frame of an answer and reports whether it ended it.
+func (l *link) receive(f frame, sink pgcon.Sink) (owner.Result, bool) {
+	lost := owner.Result{Outcome: fault.Unknown, Reason: fault.PeerLost}
+	switch f.Kind {
+	case kindChunk:
+		var c chunk
+		if decoding.Unmarshal(f.Body, &c) != nil || sink.Emit(c.Bytes) != nil {
+			return lost, true
+		}
+		return owner.Result{}, false
+	case kindResult:
+		var r result
+		if decoding.Unmarshal(f.Body, &r) != nil {
+			return lost, true
+		}
+		if len(r.Bytes) > 0 && sink.Emit(r.Bytes) != nil {
+			return lost, true
+		}
+		return r.Result, true
+	}
+	return lost, true
+}
--- /dev/null
+++ b/internal/pgcon/conn.go
@@ -0,0 +1,196 @@
+package pgcon
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"io"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/juju/errors"
+
+	"geraniumseam.dev/pkg/ident"
+)
+
+// Dialer opens connections; tests put faults here.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Config says how to reach a server; the credentials are the proxy's own.
+type Config struct {
+	Server   ident.ServerID
+	Address  string
+	Dialer   Dialer
+	User     string
+	Password string
+	Database string
+}
+
+const (
+	headerSize = 5
+	readBuffer = 8 << 10
+	// maxStatements bounds the prepared statements kept on one connection.
+	maxStatements = 256
+	// maxMessage bounds one message of a server, in bytes.
+	maxMessage = 1 << 30
+)
+
+// Conn is a connection to a backend server; it is not safe for concurrent use.
+type Conn struct {
+	server   ident.ServerID
+	net      net.Conn
+	reader   *bufio.Reader
+	prepared map[string]bool
+	settings string
+	broken   bool
+	out      []byte
+	in       []byte
+	txStatus byte
+	// Opened is when the connection was made.
+	Opened time.Time
+}
+
+// Dial opens a connection and authenticates.
+func Dial(ctx context.Context, c Config) (*Conn, error) {
+	raw, err := c.Dialer.DialContext(ctx, "tcp", c.Address)
+	if err != nil {
+		return nil, &DialError{Server: c.Server, Cause: err}
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		_ = raw.SetDeadline(deadline)
+	}
+	conn := &Conn{
+		server: c.Server, net: raw, reader: bufio.NewReaderSize(raw, readBuffer),
+		prepared: map[string]bool{}, Opened: time.Now(),
+	}
+	stop := context.AfterFunc(ctx, func() { _ = raw.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	if err := conn.start(c); err != nil {
+		raw.Close()
+		return nil, err
+	}
+	_ = raw.SetDeadline(time.Time{})
+	return conn, nil
+}
+
+func (c *Conn) start(conf Config) error {
+	front := pgproto3.NewFrontend(c.reader, c.net)
+	front.Send(&pgproto3.StartupMessage{
+		ProtocolVersion: pgproto3.ProtocolVersion30,
+		Parameters:      map[string]string{"user": conf.User, "database": conf.Database, "application_name": "geraniumseam"},
+	})
+	if err := front.Flush(); err != nil {
+		return &DialError{Server: c.server, Cause: err}
+	}
+	for {
+		kind, body, err := c.readFrame()
+		if err != nil {
+			return &DialError{Server: c.server, Cause: err}
+		}
+		switch kind {
+		case 'R':
+			if err := c.authenticate(front, body, conf.Password); err != nil {
+				return err
+			}
+		case 'E':
+			return &DialError{Server: c.server, Code: errorCode(body), Cause: &ProtocolError{What: "refused at start-up"}}
+		case 'Z':
+			return nil
+		}
+	}
+}
+
+const (
+	authOK        = 0
+	authCleartext = 3
+)
+
+func (c *Conn) authenticate(front *pgproto3.Frontend, body []byte, password string) error {
+	if len(body) < 4 {
+		return &DialError{Server: c.server, Cause: &ProtocolError{What: "short authentication request"}}
+	}
+	switch binary.BigEndian.Uint32(body) {
+	case authOK:
+		return nil
+	case authCleartext:
+		front.Send(&pgproto3.PasswordMessage{Password: password})
+		if err := front.Flush(); err != nil {
+			return &DialError{Server: c.server, Cause: err}
+		}
+		return nil
+	}
+	return &DialError{Server: c.server, Cause: &ProtocolError{What: "unsupported authentication method"}}
+}
+
+// Server returns the server's name.
+func (c *Conn) Server() ident.ServerID { return c.server }
+
+// Close ends the connection at once.
+func (c *Conn) Close() {
+	c.broken = true
+	c.net.Close()
+}
+
+// Clean reports whether the connection is open and nothing unasked has arrived on it.
+func (c *Conn) Clean() bool {
+	if c.broken || c.reader.Buffered() > 0 {
+		return false
+	}
+	if wrapped, ok := c.net.(interface{ Quiet() bool }); ok {
+		return wrapped.Quiet()
+	}
+	raw, ok := c.net.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var quiet bool
+	var one [1]byte
+	err = control.Read(func(fd uintptr) bool {
+		_, _, e := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(e, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// readFrame reads one message whole; the body is valid until the next read.
+func (c *Conn) readFrame() (byte, []byte, error) {
+	kind, size, err := c.readHeader()
+	if err != nil {
+		return 0, nil, err
+	}
+	body := make([]byte, size)
+	_, err = io.ReadFull(c.reader, body)
+	return kind, body, err
+}
+
+func (c *Conn) readHeader() (byte, int, error) {
+	head, err := c.reader.Peek(headerSize)
+	if err != nil {
+		return 0, 0, err
+	}
+	kind := head[0]
+	size := int(binary.BigEndian.Uint32(head[1:])) - 4
+	if size < 0 || size > maxMessage {
+		return 0, 0, &ProtocolError{What: "impossible message length"}
+	}
+	_, err = c.reader.Discard(headerSize)
+	return kind, size, err
+}
+
+// errorCode reads the SQLSTATE out of an ErrorResponse's body.
+func errorCode(body []byte) string {
+	var e pgproto3.ErrorResponse
+	if e.Decode(body) != nil {
+		return "XX000"
+	}
+	return e.Code
+}
--- /dev/null
+++ b/internal/rule/conf/check.go
@@ -0,0 +1,183 @@
+package conf
+
+import (
+	"fmt"
+	"net"
+	"slices"
+	"strings"
+
+	"geraniumseam.dev/pkg/ident"
+)
+
+// ValueError says that a default cannot take a value.
+type ValueError struct {
+	Name string
+	Text string
+	Want string
+}
+
+// Error implements error.
+func (e *ValueError) Error() string {
+	return fmt.Sprintf("%s cannot be %q: want %s", e.Name, e.Text, e.Want)
+}
+
+// Mistake is one thing wrong with a configuration.
+type Mistake struct {
+	Section string
+	Key     string
+	Want    string
+}
+
+// Error implements error.
+func (m Mistake) Error() string { return fmt.Sprintf("[%s] %s: want %s", m.Section, m.Key, m.Want) }
+
+// maxName bounds the length of a name, in bytes.
+const maxName = 63
+
+// checker gathers mistakes.
+type checker struct {
+	conf  *Config
+	found []Mistake
+}
+
+// Check returns every mistake of the configuration, in a fixed order.
+func Check(c *Config) []Mistake {
+	k := &checker{conf: c}
+	k.defaults()
+	for id, g := range c.Groups {
+		k.group(id, g)
+	}
+	for id, s := range c.Services {
+		k.service(id, s)
+	}
+	for id, r := range c.Routes {
+		k.route(id, r)
+	}
+	for id, customer := range c.Customers {
+		k.customer(id, customer)
+	}
+	for id, key := range c.Keys {
+		k.key(id, key)
+	}
+	for name, e := range c.Exceptions {
+		k.exception(name, e)
+	}
+	for id, center := range c.Centers {
+		k.name("center", string(id))
+		k.want(center.Part > 0, "center "+string(id), "part", "a whole number above 0")
+	}
+	k.servers()
+	slices.SortFunc(k.found, func(a, b Mistake) int { return strings.Compare(a.Error(), b.Error()) })
+	return k.found
+}
+
+func (k *checker) want(ok bool, section, key, want string) {
+	if !ok {
+		k.found = append(k.found, Mistake{Section: section, Key: key, Want: want})
+	}
+}
+
+func (k *checker) name(kind, name string) {
+	ok := name != "" && len(name) <= maxName
+	for _, c := range name {
+		ok = ok && (c >= 'a' && c <= 'z' || c >= '0' && c <= '9' || c == '-' || c == '.' || c == '_')
+	}
+	k.want(ok, kind+" "+name, "name", "lower-case letters, digits, '-', '_' and '.', at most 63")
+}
+
+func (k *checker) defaults() {
+	for _, s := range Settings {
+		d := k.conf.Defaults
+		if err := s.Parse(&d, s.Get(&d)); err != nil {
+			k.want(false, "defaults", s.Name, s.Want)
+		}
+	}
+	d := k.conf.Defaults
+	k.want(d.ShareGrace >= d.ShareLease, "defaults", "share-grace", "at least share-lease")
+	k.want(d.Poll*3 <= d.Silence, "defaults", "silence", "at least three times poll")
+}
+
+func (k *checker) group(id ident.GroupID, g Group) {
+	section := "group " + string(id)
+	k.name("group", string(id))
+	k.want(len(g.Servers) > 0, section, "servers", "at least one NAME@CENTER/ADDRESS")
+	k.want(g.Connections >= 2, section, "connections", "a whole number, at least 2")
+	k.want(g.Slots >= 1, section, "slots", "a whole number above 0")
+	for _, s := range g.Servers {
+		_, _, err := net.SplitHostPort(s.Address)
+		k.want(err == nil, section, "servers", fmt.Sprintf("HOST:PORT as the address of %s", s.ID))
+		_, known := k.conf.Centers[s.Center]
+		k.want(known, section, "servers", fmt.Sprintf("a section [center %s] for server %s", s.Center, s.ID))
+	}
+}
+
+// servers checks that no two groups share a server's name.
+func (k *checker) servers() {
+	owner := map[ident.ServerID]ident.GroupID{}
+	for id, g := range k.conf.Groups {
+		for _, s := range g.Servers {
+			other, taken := owner[s.ID]
+			k.want(!taken, "group "+string(max(id, other)), "servers", fmt.Sprintf("server %s only once", s.ID))
+			owner[s.ID] = id
+		}
+	}
+}
+
+func (k *checker) service(id ident.ServiceID, s Service) {
+	k.name("service", string(id))
+	_, known := k.conf.Groups[s.Group]
+	k.want(known, "service "+string(id), "group", "the name of a section [group NAME]")
+}
+
+func (k *checker) route(id ident.ServiceID, r Route) {
+	section := "route " + string(id)
+	k.name("route", string(id))
+	_, known := k.conf.Services[r.Service]
+	k.want(known, section, "service", "the name of a section [service NAME]")
+	_, clash := k.conf.Services[id]
+	k.want(!clash || id == r.Service, section, "name", "a name that is no other service's")
+	if r.Open != "" {
+		_, known := k.conf.Customers[r.Open]
+		k.want(known, section, "open", "the customer whose rate the open route counts against")
+	}
+	k.want(r.Worth > 0, section, "worth", "a number above 0")
+	k.want(r.MaxAge >= 0, section, "max-age", "a duration, not negative")
+}
+
+func (k *checker) customer(id ident.CustomerID, c Customer) {
+	section := "customer " + string(id)
+	k.name("customer", string(id))
+	k.want(c.Rate > 0, section, "rate", "requests a second, above 0")
+	k.want(c.Burst >= 1, section, "burst", "requests, at least 1")
+	k.want(c.Weight > 0, section, "weight", "a number above 0")
+}
+
+func (k *checker) key(id ident.KeyID, key Key) {
+	section := "key " + string(id)
+	k.name("key", string(id))
+	_, known := k.conf.Customers[key.Customer]
+	k.want(known, section, "customer", "the name of a section [customer NAME]")
+	k.want(key.Hash != Hash{}, section, "hash", "the hash that 'key give' printed")
+}
+
+func (k *checker) exception(name string, e Exception) {
+	section := "exception " + name
+	k.name("exception", name)
+	k.want(len(strings.TrimSpace(e.Reason)) >= 3, section, "reason", "why the default does not fit, in words")
+	k.want(e.Owner != "", section, "owner", "who answers for it")
+	kind, scope, _ := strings.Cut(e.Scope, "/")
+	known := false
+	switch kind {
+	case "customer":
+		_, known = k.conf.Customers[ident.CustomerID(scope)]
+	case "service":
+		_, known = k.conf.Services[ident.ServiceID(scope)]
+	}
+	k.want(known, section, "scope", "customer/NAME or service/NAME of one that exists")
+	s, found := SettingNamed(e.Default)
+	k.want(found, section, "default", "the name of a default")
+	if found {
+		d := k.conf.Defaults
+		k.want(s.Parse(&d, e.Value) == nil, section, "value", s.Want)
+	}
+}
--- /dev/null
+++ b/internal/rule/conf/defaults.go
@@ -0,0 +1,145 @@
+package conf
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+)
+
+// Defaults govern the whole fleet; an Exception overrides one of them for one scope.
+type Defaults struct {
+	ReadWait          time.Duration `json:"read-wait"`
+	PrimaryCost       time.Duration `json:"primary-cost"`
+	StatementDeadline time.Duration `json:"statement-deadline"`
+	QueueDeadline     time.Duration `json:"queue-deadline"`
+	QueueLength       int           `json:"queue-length"`
+	AckDeadline       time.Duration `json:"ack-deadline"`
+	IdleTransaction   time.Duration `json:"idle-transaction"`
+	Poll              time.Duration `json:"poll"`
+	Silence           time.Duration `json:"silence"`
+	PathSilence       time.Duration `json:"path-silence"`
+	Stagger           time.Duration `json:"stagger"`
+	StepTime          time.Duration `json:"step-time"`
+	RateWait          time.Duration `json:"rate-wait"`
+	ShareLease        time.Duration `json:"share-lease"`
+	ShareGrace        time.Duration `json:"share-grace"`
+	ShareReserve      float64       `json:"share-reserve"`
+	KeyGrace          time.Duration `json:"key-grace"`
+	RetryRatio        float64       `json:"retry-ratio"`
+	DrainTime         time.Duration `json:"drain-time"`
+}
+
+// Usual returns the defaults that a new configuration starts from.
+func Usual() Defaults {
+	return Defaults{
+		ReadWait:          50 * time.Millisecond,
+		PrimaryCost:       100 * time.Millisecond,
+		StatementDeadline: 10 * time.Second,
+		QueueDeadline:     2 * time.Second,
+		QueueLength:       128,
+		AckDeadline:       5 * time.Second,
+		IdleTransaction:   time.Minute,
+		Poll:              50 * time.Millisecond,
+		Silence:           400 * time.Millisecond,
+		PathSilence:       3 * time.Second,
+		Stagger:           250 * time.Millisecond,
+		StepTime:          600 * time.Millisecond,
+		RateWait:          100 * time.Millisecond,
+		ShareLease:        time.Minute,
+		ShareGrace:        15 * time.Minute,
+		ShareReserve:      0.3,
+		KeyGrace:          10 * time.Minute,
+		RetryRatio:        0.1,
+		DrainTime:         10 * time.Second,
+	}
+}
+
+// Setting describes one default: its name, its meaning and how it reads as text.
+type Setting struct {
+	Name  string
+	Want  string
+	Help  string
+	Get   func(*Defaults) string
+	Parse func(*Defaults, string) error
+}
+
+func duration(name, help string, least, most time.Duration, at func(*Defaults) *time.Duration) Setting {
+	want := fmt.Sprintf("a duration from %v to %v, such as %v", least, most, least)
+	return Setting{
+		Name: name, Want: want, Help: help,
+		Get: func(d *Defaults) string { return at(d).String() },
+		Parse: func(d *Defaults, text string) error {
+			value, err := time.ParseDuration(text)
+			if err != nil || value < least || value > most {
+				return &ValueError{Name: name, Text: text, Want: want}
+			}
+			*at(d) = value
+			return nil
+		},
+	}
+}
+
+func count(name, help string, least, most int, at func(*Defaults) *int) Setting {
+	want := fmt.Sprintf("a whole number from %d to %d", least, most)
+	return Setting{
+		Name: name, Want: want, Help: help,
+		Get: func(d *Defaults) string { return strconv.Itoa(*at(d)) },
+		Parse: func(d *Defaults, text string) error {
+			value, err := strconv.Atoi(text)
+			if err != nil || value < least || value > most {
+				return &ValueError{Name: name, Text: text, Want: want}
+			}
+			*at(d) = value
+			return nil
+		},
+	}
+}
+
+func fraction(name, help string, at func(*Defaults) *float64) Setting {
+	want := "a fraction from 0 to 1"
+	return Setting{
+		Name: name, Want: want, Help: help,
+		Get: func(d *Defaults) string { return strconv.FormatFloat(*at(d), 'g', -1, 64) },
+		Parse: func(d *Defaults, text string) error {
+			value, err := strconv.ParseFloat(text, 64)
+			if err != nil || !(value >= 0 && value <= 1) {
+				return &ValueError{Name: name, Text: text, Want: want}
+			}
+			*at(d) = value
+			return nil
+		},
+	}
+}
+
+// Settings lists every default in the order in which they are shown.
+var Settings = []Setting{
+	duration("read-wait", "longest wait of a read for a replica to reach its floor", 0, time.Second, func(d *Defaults) *time.Duration { return &d.ReadWait }),
+	duration("primary-cost", "extra cost of a read on the primary when servers are compared", 0, time.Second, func(d *Defaults) *time.Duration { return &d.PrimaryCost }),
+	duration("statement-deadline", "longest run of one statement", 10*time.Millisecond, time.Hour, func(d *Defaults) *time.Duration { return &d.StatementDeadline }),
+	duration("queue-deadline", "longest wait for a backend connection", time.Millisecond, time.Minute, func(d *Defaults) *time.Duration { return &d.QueueDeadline }),
+	count("queue-length", "most requests that wait for one server", 1, 100_000, func(d *Defaults) *int { return &d.QueueLength }),
+	duration("ack-deadline", "longest wait for a majority to hold a write", 10*time.Millisecond, time.Minute, func(d *Defaults) *time.Duration { return &d.AckDeadline }),
+	duration("idle-transaction", "longest pause of a caller inside a transaction", time.Second, time.Hour, func(d *Defaults) *time.Duration { return &d.IdleTransaction }),
+	duration("poll", "time between two polls of an idle server", 5*time.Millisecond, 10*time.Second, func(d *Defaults) *time.Duration { return &d.Poll }),
+	duration("silence", "silence after which a primary is suspected", 50*time.Millisecond, time.Minute, func(d *Defaults) *time.Duration { return &d.Silence }),
+	duration("path-silence", "silence towards every instance after which a primary that its replicas hear is replaced", 100*time.Millisecond, 10*time.Minute, func(d *Defaults) *time.Duration { return &d.PathSilence }),
+	duration("stagger", "how much longer each further instance waits before it replaces a primary", 10*time.Millisecond, time.Minute, func(d *Defaults) *time.Duration { return &d.Stagger }),
+	duration("step-time", "longest step of a promotion", 50*time.Millisecond, time.Minute, func(d *Defaults) *time.Duration { return &d.StepTime }),
+	duration("rate-wait", "longest wait for rate before a request is refused", 0, time.Minute, func(d *Defaults) *time.Duration { return &d.RateWait }),
+	duration("share-lease", "how long an instance spends its part of the rates without renewal", 2*time.Second, time.Hour, func(d *Defaults) *time.Duration { return &d.ShareLease }),
+	duration("share-grace", "how long it spends the reserved fraction of its part", 2*time.Second, 24*time.Hour, func(d *Defaults) *time.Duration { return &d.ShareGrace }),
+	fraction("share-reserve", "fraction of a part that outlasts the lease until the grace is over", func(d *Defaults) *float64 { return &d.ShareReserve }),
+	duration("key-grace", "how long keys are accepted while neither the platform nor a peer that reaches it answers", 0, 24*time.Hour, func(d *Defaults) *time.Duration { return &d.KeyGrace }),
+	fraction("retry-ratio", "retries allowed per request", func(d *Defaults) *float64 { return &d.RetryRatio }),
+	duration("drain-time", "longest wait for callers at shutdown before their idle connections are closed", 0, time.Hour, func(d *Defaults) *time.Duration { return &d.DrainTime }),
+}
+
+// SettingNamed finds a default by name.
+func SettingNamed(name string) (Setting, bool) {
+	for _, s := range Settings {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return Setting{}, false
+}
--- /dev/null
+++ b/internal/rule/fair/queue.go
@@ -0,0 +1,178 @@
+package fair
+
+import (
+	"container/heap"
+	"time"
+
+	"geraniumseam.dev/pkg/ident"
+)
+
+// Flow tells apart what shares the resource: a customer's requests of one kind.
+type Flow struct {
+	Customer ident.CustomerID
+	Kind     string
+}
+
+// Item is one waiting request.
+type Item struct {
+	Flow   Flow
+	Weight float64
+	// Deadline is when waiting has become useless.
+	Deadline time.Time
+	// Value is handed back when the item's turn comes or it is shed.
+	Value any
+
+	finish float64
+	order  uint64
+	index  int
+}
+
+type flow struct {
+	finish float64
+	items  []*Item
+	weight float64
+}
+
+// Queue orders waiting requests by virtual finishing time; it is not safe for concurrent use.
+type Queue struct {
+	capacity int
+	virtual  float64
+	order    uint64
+	flows    map[Flow]*flow
+	heads    heads
+	size     int
+}
+
+// NewQueue returns a queue of at most capacity items.
+func NewQueue(capacity int) *Queue {
+	return &Queue{capacity: capacity, flows: map[Flow]*flow{}}
+}
+
+// Len returns how many items wait.
+func (q *Queue) Len() int { return q.size }
+
+// Push adds an item and returns the item shed to make room: nil, another one, or the item itself.
+func (q *Queue) Push(it *Item) *Item {
+	if it.Weight <= 0 {
+		it.Weight = 1
+	}
+	f := q.flow(it)
+	it.finish = max(q.virtual, f.finish) + 1/it.Weight
+	f.finish = it.finish
+	q.order++
+	it.order = q.order
+	f.items = append(f.items, it)
+	q.size++
+	if len(f.items) == 1 {
+		heap.Push(&q.heads, it)
+	}
+	if q.size <= q.capacity {
+		return nil
+	}
+	return q.shed()
+}
+
+func (q *Queue) flow(it *Item) *flow {
+	f := q.flows[it.Flow]
+	if f == nil {
+		f = &flow{}
+		q.flows[it.Flow] = f
+	}
+	f.weight = it.Weight
+	return f
+}
+
+// shed drops the newest item of the flow that holds most for its weight.
+func (q *Queue) shed() *Item {
+	var heaviest Flow
+	most := -1.0
+	newest := uint64(0)
+	for name, f := range q.flows {
+		held := float64(len(f.items)) / f.weight
+		last := f.items[len(f.items)-1].order
+		if held > most || held == most && last > newest {
+			heaviest, most, newest = name, held, last
+		}
+	}
+	f := q.flows[heaviest]
+	last := f.items[len(f.items)-1]
+	f.finish -= 1 / last.Weight
+	q.drop(f, len(f.items)-1)
+	return last
+}
+
+// Remove takes an item out before its turn, as when its caller gives up.
+func (q *Queue) Remove(it *Item) bool {
+	f := q.flows[it.Flow]
+	if f == nil {
+		return false
+	}
+	for at, other := range f.items {
+		if other == it {
+			q.drop(f, at)
+			return true
+		}
+	}
+	return false
+}
+
+func (q *Queue) drop(f *flow, at int) {
+	it := f.items[at]
+	if at == 0 {
+		heap.Remove(&q.heads, it.index)
+		if len(f.items) > 1 {
+			heap.Push(&q.heads, f.items[1])
+		}
+	}
+	f.items = append(f.items[:at], f.items[at+1:]...)
+	q.size--
+	if len(f.items) == 0 {
+		delete(q.flows, it.Flow)
+	}
+}
+
+// Pop returns the item whose turn it is and those whose deadline has passed.
+func (q *Queue) Pop(now time.Time) (turn *Item, late []*Item) {
+	for len(q.heads) > 0 {
+		it := q.heads[0]
+		q.drop(q.flows[it.Flow], 0)
+		if now.After(it.Deadline) {
+			late = append(late, it)
+			continue
+		}
+		q.virtual = max(q.virtual, it.finish)
+		return it, late
+	}
+	return nil, late
+}
+
+// heads is a heap of each flow's first item.
+type heads []*Item
+
+func (h heads) Len() int { return len(h) }
+func (h heads) Less(i, j int) bool {
+	if h[i].finish != h[j].finish {
+		return h[i].finish < h[j].finish
+	}
+	return h[i].order < h[j].order
+}
+
+func (h heads) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (h *heads) Push(x any) {
+	it := x.(*Item)
+	it.index = len(*h)
+	*h = append(*h, it)
+}
+
+// Pop implements heap.Interface.
+func (h *heads) Pop() any {
+	old := *h
+	it := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return it
+}
--- /dev/null
+++ b/internal/rule/group/machine.go
@@ -0,0 +1,481 @@
+package group
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"geraniumseam.dev/pkg/ident"
+)
+
+// Config makes a Machine.
+type Config struct {
+	Servers  []ident.ServerID
+	Claimant Claimant
+	Timing   Timing
+	// Rank is this instance's place among those that watch the group; it can be changed later.
+	Rank int
+}
+
+// peerViewAge bounds how long another instance's view counts.
+const peerViewAge = 2 * time.Second
+
+// followPause is how long a re-pointed server gets before it is told again.
+const followPause = 500 * time.Millisecond
+
+//go:generate go tool stringer -type=phase -linecomment -output=phase_string.go
+
+// phase is where a promotion stands.
+type phase uint8
+
+const (
+	idle      phase = iota // idle
+	claiming               // claiming
+	sealing                // sealing
+	promoting              // promoting
+)
+
+type server struct {
+	status   Status
+	known    bool
+	answered time.Time
+	missing  time.Time
+	fresh    bool
+	followed time.Time
+}
+
+type peerView struct {
+	answers bool
+	at      time.Time
+}
+
+// Machine watches one group; it is not safe for concurrent use.
+type Machine struct {
+	conf    Config
+	started time.Time
+	servers map[ident.ServerID]*server
+	peers   map[ident.ServerID]map[ident.InstanceID]peerView
+
+	leaving   map[ident.ServerID]bool
+	term      ident.Term
+	primary   ident.ServerID
+	record    Record
+	suspected bool
+	since     time.Time
+	stalled   time.Time
+
+	phase    phase
+	attempt  ident.Term
+	deadline time.Time
+	sealed   map[ident.ServerID]Status
+	chosen   ident.ServerID
+	hold     time.Time
+}
+
+// New returns a Machine that knows nothing yet.
+func New(c Config) *Machine {
+	m := &Machine{conf: c, servers: map[ident.ServerID]*server{}, peers: map[ident.ServerID]map[ident.InstanceID]peerView{}}
+	for _, id := range c.Servers {
+		m.servers[id] = &server{}
+	}
+	return m
+}
+
+// SetRank changes this instance's place among those that watch the group.
+func (m *Machine) SetRank(rank int) { m.conf.Rank = rank }
+
+// SetLeaving names the servers that are about to be taken away: a primary among them is replaced, and none of them is chosen.
+func (m *Machine) SetLeaving(leaving map[ident.ServerID]bool) { m.leaving = leaving }
+
+// Primary returns the primary that the machine believes in, and its term; an empty name means none.
+func (m *Machine) Primary() (ident.ServerID, ident.Term) { return m.primary, m.term }
+
+// Suspected reports whether the primary is out of reach.
+func (m *Machine) Suspected() bool { return m.suspected }
+
+// Phase names where a promotion by this instance stands.
+func (m *Machine) Phase() string { return m.phase.String() }
+
+// Step takes in one event and returns what to do about it.
+func (m *Machine) Step(now time.Time, event Event) []Action {
+	if m.started.IsZero() {
+		m.started = now
+	}
+	switch e := event.(type) {
+	case Tick:
+		return m.tick(now)
+	case Polled:
+		return m.polled(now, e.Status)
+	case Missed:
+		m.missed(now, e)
+	case PeerView:
+		m.peerViewed(now, e)
+	case Recorded:
+		return m.recorded(now, e.Record)
+	case Claimed:
+		return m.claimed(now, e)
+	case Sealed:
+		return m.sealedBy(now, e)
+	case Promoted:
+		return m.promoted(now, e)
+	}
+	return nil
+}
+
+func (m *Machine) polled(now time.Time, s Status) []Action {
+	known := m.servers[s.Server]
+	if known == nil {
+		return nil
+	}
+	known.status, known.known = s, true
+	known.answered, known.missing, known.fresh = now, time.Time{}, false
+	var actions []Action
+	if m.phase == promoting && s.Role == Primary && s.Term == m.attempt && s.Server == m.chosen {
+		return m.promoted(now, Promoted{Term: s.Term, Server: s.Server, OK: true})
+	}
+	if s.Role == Primary && s.Term > m.term {
+		actions = append(actions, m.accept(s)...)
+	}
+	if s.Server == m.primary && m.suspected && s.Role == Primary && s.Term == m.term && s.Sealed <= m.term {
+		m.suspected = false
+		actions = append(actions, m.note(Recovered, s.Server, "it answers again"))
+	}
+	return append(actions, m.repoint(now, s)...)
+}
+
+// accept takes a newer primary as the group's.
+func (m *Machine) accept(s Status) []Action {
+	m.term, m.primary, m.suspected = s.Term, s.Server, false
+	if m.phase != idle && m.attempt <= s.Term {
+		m.phase = idle
+	}
+	return []Action{m.note(NewPrimary, s.Server, fmt.Sprintf("it reports itself primary of term %d at %s", s.Term, s.Received))}
+}
+
+// repoint sends a server that is behind the current term to its primary.
+func (m *Machine) repoint(now time.Time, s Status) []Action {
+	stray := s.Term < m.term || s.Role == Replica && s.Upstream > m.conf.Timing.Silence
+	if !stray || s.Server == m.primary || m.primary == "" || m.suspected || s.Sealed > m.term {
+		return nil
+	}
+	known := m.servers[s.Server]
+	if now.Sub(known.followed) < followPause+time.Duration(m.conf.Rank)*m.conf.Timing.Stagger {
+		return nil
+	}
+	known.followed = now
+	actions := []Action{Follow{Server: s.Server, Term: m.term, Primary: m.primary}}
+	if s.Role == Primary {
+		actions = append(actions, m.note(TailDropped, s.Server,
+			fmt.Sprintf("it still led term %d at %s; what no majority held is discarded", s.Term, s.Received)))
+	}
+	if s.Term < m.term {
+		actions = append(actions, m.note(Repointed, s.Server, fmt.Sprintf("it was in term %d, the group is in %d", s.Term, m.term)))
+	}
+	return actions
+}
+
+func (m *Machine) missed(now time.Time, e Missed) {
+	known := m.servers[e.Server]
+	if known == nil {
+		return
+	}
+	if known.missing.IsZero() {
+		known.missing = now
+		if !known.answered.IsZero() {
+			known.missing = known.answered
+		}
+	}
+	known.fresh = known.fresh || e.Fresh
+}
+
+func (m *Machine) peerViewed(now time.Time, e PeerView) {
+	if m.peers[e.Server] == nil {
+		m.peers[e.Server] = map[ident.InstanceID]peerView{}
+	}
+	m.peers[e.Server][e.Instance] = peerView{answers: e.Answers, at: now}
+}
+
+func (m *Machine) recorded(now time.Time, r Record) []Action {
+	if r.Term < m.record.Term || r.Term == m.record.Term && m.record.Settled {
+		return nil
+	}
+	m.record = r
+	if !r.Settled && r.Claimant != m.conf.Claimant && r.Term > m.term {
+		m.hold = now.Add(m.conf.Timing.StepTime)
+	}
+	return nil
+}
+
+func (m *Machine) tick(now time.Time) []Action {
+	if m.phase != idle {
+		return m.retryStep(now)
+	}
+	reason, gone := m.primaryGone(now)
+	if !gone {
+		return m.publishLate()
+	}
+	var actions []Action
+	if !m.suspected {
+		m.suspected, m.since = true, now
+		actions = append(actions, m.note(Suspected, m.primary, reason))
+	}
+	wait := time.Duration(m.conf.Rank) * m.conf.Timing.Stagger
+	if now.Before(m.since.Add(wait)) || now.Before(m.hold) {
+		return actions
+	}
+	return append(actions, m.claim(now, reason)...)
+}
+
+// publishLate records a primary that was promoted while the platform was down,
+// or whose claimant died before it could publish.
+func (m *Machine) publishLate() []Action {
+	if m.primary == "" || m.conf.Rank != 0 {
+		return nil
+	}
+	if m.record.Term > m.term || m.record.Term == m.term && m.record.Settled {
+		return nil
+	}
+	return []Action{Publish{Record{Term: m.term, Primary: m.primary, Claimant: m.conf.Claimant, Settled: true}}}
+}
+
+// primaryGone reports whether the primary must be replaced, and the evidence.
+func (m *Machine) primaryGone(now time.Time) (string, bool) {
+	if m.primary == "" {
+		return m.neverSeen(now)
+	}
+	p := m.servers[m.primary]
+	if p == nil {
+		return "the primary is no server of the group", true
+	}
+	if !p.missing.IsZero() {
+		return m.outOfReach(now, p)
+	}
+	if m.leaving[m.primary] && m.canMove(now) {
+		return "it is about to be taken away", true
+	}
+	if p.status.Role != Primary {
+		return fmt.Sprintf("it answers as a replica of term %d", p.status.Term), m.reachable(now) >= Majority(len(m.servers))
+	}
+	return m.leaderless(now, p)
+}
+
+// canMove reports whether the servers that stay make a majority and answer.
+func (m *Machine) canMove(now time.Time) bool {
+	staying := 0
+	for id, s := range m.servers {
+		if !m.leaving[id] && m.answers(now, s) {
+			staying++
+		}
+	}
+	return staying >= Majority(len(m.servers))
+}
+
+// leaderless reports a primary that was sealed for a term which nobody came to
+// lead: a claimant died between seal and promotion.
+func (m *Machine) leaderless(now time.Time, p *server) (string, bool) {
+	if p.status.Sealed <= m.term || !m.noLeader() {
+		m.stalled = time.Time{}
+		return "", false
+	}
+	if m.stalled.IsZero() {
+		m.stalled = now
+	}
+	if now.Sub(m.stalled) < m.conf.Timing.StepTime || m.reachable(now) < Majority(len(m.servers)) {
+		return "", false
+	}
+	return fmt.Sprintf("it was sealed for term %d, which nobody leads", p.status.Sealed), true
+}
+
+func (m *Machine) neverSeen(now time.Time) (string, bool) {
+	if now.Sub(m.started) < 2*m.conf.Timing.Silence {
+		return "", false
+	}
+	return "no server reports itself primary", m.reachable(now) >= Majority(len(m.servers))
+}
+
+func (m *Machine) outOfReach(now time.Time, p *server) (string, bool) {
+	silent := now.Sub(p.missing)
+	if silent < m.conf.Timing.Silence || !p.fresh {
+		return "", false
+	}
+	hear, others := m.hearPrimary(now)
+	if others < Majority(len(m.servers)) {
+		return "", false
+	}
+	if hear+1 < Majority(len(m.servers)) {
+		return fmt.Sprintf("no answer for %v, also on a new connection; %d of %d other servers still hear it, too few for a majority",
+			silent.Round(time.Millisecond), hear, others), true
+	}
+	if silent >= m.conf.Timing.PathSilence && m.peersAgree(now) {
+		return fmt.Sprintf("no instance has reached it for %v, though %d servers still hear it", silent.Round(time.Millisecond), hear), true
+	}
+	return "", false
+}
+
+// hearPrimary counts the other servers that answer, and those among them that still hear the primary.
+func (m *Machine) hearPrimary(now time.Time) (hear, others int) {
+	for id, s := range m.servers {
+		if id == m.primary || !m.answers(now, s) {
+			continue
+		}
+		others++
+		if s.status.Upstream < m.conf.Timing.Silence/2 && s.status.Term == m.term && s.status.Sealed <= m.term {
+			hear++
+		}
+	}
+	return hear, others
+}
+
+func (m *Machine) peersAgree(now time.Time) bool {
+	for _, view := range m.peers[m.primary] {
+		if now.Sub(view.at) < peerViewAge && view.answers {
+			return false
+		}
+	}
+	return true
+}
+
+func (m *Machine) answers(now time.Time, s *server) bool {
+	return s.known && s.missing.IsZero() && now.Sub(s.answered) < 2*m.conf.Timing.Silence
+}
+
+func (m *Machine) reachable(now time.Time) int {
+	count := 0
+	for _, s := range m.servers {
+		if m.answers(now, s) {
+			count++
+		}
+	}
+	return count
+}
+
+func (m *Machine) noLeader() bool {
+	for _, s := range m.servers {
+		if s.known && s.status.Role == Primary && s.status.Term > m.term {
+			return false
+		}
+	}
+	return true
+}
+
+// nextTerm is above every term seen anywhere.
+func (m *Machine) nextTerm() ident.Term {
+	highest := max(m.term, m.record.Term, m.attempt)
+	for _, s := range m.servers {
+		highest = max(highest, s.status.Term, s.status.Sealed)
+	}
+	return highest + 1
+}
+
+func (m *Machine) claim(now time.Time, reason string) []Action {
+	m.attempt = m.nextTerm()
+	m.phase, m.deadline = claiming, now.Add(m.conf.Timing.StepTime)
+	m.sealed, m.chosen = map[ident.ServerID]Status{}, ""
+	return []Action{
+		Note{What: Claiming, Server: m.primary, Term: m.attempt, Evidence: reason},
+		Claim{Record{Term: m.attempt, Primary: m.primary, Claimant: m.conf.Claimant}},
+	}
+}
+
+func (m *Machine) claimed(now time.Time, e Claimed) []Action {
+	if m.phase != claiming || e.Term != m.attempt {
+		return nil
+	}
+	if !e.Won && !e.Down {
+		m.record = e.Record
+		m.stop(now)
+		return []Action{m.note(ClaimLost, m.primary, fmt.Sprintf("%s holds term %d", e.Record.Claimant, e.Record.Term))}
+	}
+	var actions []Action
+	if e.Down {
+		actions = append(actions, m.note(StoreDown, m.primary, "the platform did not answer; the servers' seals arbitrate"))
+	} else {
+		m.record = Record{Term: e.Term, Primary: m.primary, Claimant: m.conf.Claimant}
+	}
+	m.phase, m.deadline = sealing, now.Add(m.conf.Timing.StepTime)
+	for _, id := range m.conf.Servers {
+		if !m.leaving[id] {
+			actions = append(actions, Seal{Server: id, Term: m.attempt, Claimant: m.conf.Claimant})
+		}
+	}
+	return actions
+}
+
+func (m *Machine) sealedBy(now time.Time, e Sealed) []Action {
+	if m.phase != sealing || e.Term != m.attempt || !e.OK {
+		return nil
+	}
+	m.sealed[e.Status.Server] = e.Status
+	if len(m.sealed) < Majority(len(m.servers)) {
+		return nil
+	}
+	statuses := make([]Status, 0, len(m.sealed))
+	for _, id := range m.conf.Servers {
+		if s, ok := m.sealed[id]; ok {
+			statuses = append(statuses, s)
+		}
+	}
+	best := Best(statuses)
+	m.chosen = best.Server
+	m.phase, m.deadline = promoting, now.Add(m.conf.Timing.StepTime)
+	return []Action{
+		Note{What: Sealing, Server: best.Server, Term: m.attempt, Evidence: describe(statuses)},
+		Promote{Server: best.Server, Term: m.attempt, Claimant: m.conf.Claimant},
+	}
+}
+
+func describe(statuses []Status) string {
+	text := fmt.Sprintf("%d servers sealed:", len(statuses))
+	slices.SortFunc(statuses, func(a, b Status) int { return int(b.LogTerm) - int(a.LogTerm) })
+	for _, s := range statuses {
+		text += fmt.Sprintf(" %s has term %d to %s;", s.Server, s.LogTerm, s.Received)
+	}
+	return text
+}
+
+func (m *Machine) promoted(now time.Time, e Promoted) []Action {
+	if m.phase != promoting || e.Term != m.attempt || e.Server != m.chosen {
+		return nil
+	}
+	if !e.OK {
+		m.stop(now)
+		return []Action{m.note(SealFailed, e.Server, "the chosen server refused to lead: a later term has sealed it")}
+	}
+	m.phase = idle
+	m.term, m.primary, m.suspected = e.Term, e.Server, false
+	leader := m.servers[e.Server]
+	leader.missing = time.Time{}
+	leader.answered = now
+	leader.status.Role, leader.status.Term, leader.status.Sealed = Primary, e.Term, e.Term
+	m.record = Record{Term: e.Term, Primary: e.Server, Claimant: m.conf.Claimant}
+	actions := []Action{
+		Note{What: Promoting, Server: e.Server, Term: e.Term, Evidence: "it had the most advanced log of a sealed majority"},
+		Publish{Record{Term: e.Term, Primary: e.Server, Claimant: m.conf.Claimant, Settled: true}},
+	}
+	for _, id := range m.conf.Servers {
+		if id != e.Server {
+			m.servers[id].followed = now
+			actions = append(actions, Follow{Server: id, Term: e.Term, Primary: e.Server})
+		}
+	}
+	return actions
+}
+
+// retryStep gives up a step that took too long; the next attempt takes a higher term.
+func (m *Machine) retryStep(now time.Time) []Action {
+	if now.Before(m.deadline) {
+		return nil
+	}
+	at := m.phase
+	m.stop(now)
+	return []Action{m.note(SealFailed, m.chosen, fmt.Sprintf("no end of step %q within %v", at, m.conf.Timing.StepTime))}
+}
+
+func (m *Machine) stop(now time.Time) {
+	m.phase = idle
+	m.hold = now.Add(m.conf.Timing.StepTime/2 + time.Duration(m.conf.Rank)*m.conf.Timing.Stagger)
+}
+
+func (m *Machine) note(what NoteKind, server ident.ServerID, evidence string) Note {
+	return Note{What: what, Server: server, Term: max(m.term, m.attempt), Evidence: evidence}
+}
--- /dev/null
+++ b/internal/rule/retry/budget_test.go
@@ -0,0 +1,40 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func TestRetriesStayWithinBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewBudget(0.1, 10)
+		requests, retries := 0, 0
+		for range rapid.IntRange(0, 300).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "request") {
+				requests++
+				b.Earn()
+				continue
+			}
+			if b.Spend() {
+				retries++
+			}
+		}
+		if float64(retries) > 10+0.1*float64(requests)+1e-9 {
+			t.Fatalf("%d retries for %d requests", retries, requests)
+		}
+	})
+}
+
+func TestBackoffGrowsToItsMost(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	b := Backoff{First: 10 * time.Millisecond, Most: time.Second}
+	for attempt := range 80 {
+		pause := b.After(attempt, random)
+		if pause < b.First/2 || pause > b.Most {
+			t.Fatalf("attempt %d waits %v", attempt, pause)
+		}
+	}
+}
--- /dev/null
+++ b/internal/rule/share/bucket.go
@@ -0,0 +1,130 @@
+package share
+
+import "time"
+
+// Rate is tokens a second; Tokens counts requests.
+type (
+	Rate   float64
+	Tokens float64
+)
+
+type reservation struct {
+	amount Tokens
+	until  time.Time
+}
+
+// Bucket holds one customer's tokens at one instance; it is not safe for concurrent use.
+type Bucket struct {
+	rate     Rate
+	burst    Tokens
+	tokens   Tokens
+	at       time.Time
+	lent     []reservation
+	borrowed []reservation
+}
+
+// NewBucket returns an empty bucket: tokens come with time, never with a new holder.
+func NewBucket(now time.Time, rate Rate, burst Tokens) *Bucket {
+	return &Bucket{rate: rate, burst: burst, at: now}
+}
+
+// Resize changes the bucket's part of the rate and of the burst.
+func (b *Bucket) Resize(now time.Time, rate Rate, burst Tokens) {
+	b.refill(now)
+	b.rate, b.burst = rate, burst
+	b.clip()
+}
+
+func (b *Bucket) refill(now time.Time) {
+	if elapsed := now.Sub(b.at); elapsed > 0 {
+		b.tokens += Tokens(float64(b.rate) * elapsed.Seconds())
+		b.at = now
+	}
+	b.lent = current(b.lent, now)
+	b.borrowed = current(b.borrowed, now)
+	b.clip()
+}
+
+// clip keeps the bucket and what it has lent within its burst.
+func (b *Bucket) clip() {
+	b.tokens = max(0, min(b.tokens, b.burst-total(b.lent)))
+}
+
+// Take spends n tokens if they are there; what was borrowed goes first, since it expires.
+func (b *Bucket) Take(now time.Time, n Tokens) bool {
+	b.refill(now)
+	if b.tokens+total(b.borrowed) < n {
+		return false
+	}
+	for at := range b.borrowed {
+		spent := min(n, b.borrowed[at].amount)
+		b.borrowed[at].amount -= spent
+		n -= spent
+	}
+	b.tokens -= n
+	return true
+}
+
+// Available returns how many tokens could be taken now.
+func (b *Bucket) Available(now time.Time) Tokens {
+	b.refill(now)
+	return b.tokens + total(b.borrowed)
+}
+
+// Give takes out up to want tokens for another instance and keeps their room empty for ttl.
+func (b *Bucket) Give(now time.Time, want Tokens, ttl time.Duration) Tokens {
+	b.refill(now)
+	given := min(want, b.tokens)
+	if given <= 0 {
+		return 0
+	}
+	b.tokens -= given
+	b.lent = append(b.lent, reservation{amount: given, until: now.Add(ttl)})
+	return given
+}
+
+// Accept adds borrowed tokens until they expire, ttl after they were asked for.
+func (b *Bucket) Accept(now, asked time.Time, amount Tokens, ttl time.Duration) {
+	b.refill(now)
+	until := asked.Add(ttl)
+	if !now.Before(until) || amount <= 0 {
+		return
+	}
+	b.borrowed = append(b.borrowed, reservation{amount: amount, until: until})
+}
+
+// Until returns how long until n tokens are there at the bucket's own rate.
+func (b *Bucket) Until(now time.Time, n Tokens) time.Duration {
+	missing := n - b.Available(now)
+	if missing <= 0 {
+		return 0
+	}
+	if b.rate <= 0 {
+		return time.Hour
+	}
+	return time.Duration(float64(missing) / float64(b.rate) * float64(time.Second))
+}
+
+func current(list []reservation, now time.Time) []reservation {
+	kept := list[:0]
+	for _, r := range list {
+		if now.Before(r.until) && r.amount > 0 {
+			kept = append(kept, r)
+		}
+	}
+	return kept
+}
+
+func total(list []reservation) Tokens {
+	sum := Tokens(0)
+	for _, r := range list {
+		sum += r.amount
+	}
+	return sum
+}
+
+// Own returns how many tokens are there without what was borrowed.
+func (b *Bucket) Own(now time.Time) Tokens {
+	b.refill(now)
+	return b.tokens
+}
--- /dev/null
+++ b/internal/sets/doc.go
@@ -0,0 +1,2 @@
+// Package sets reads the settings of one entry instance.
+package sets
--- /dev/null
+++ b/internal/sets/sets.go
@@ -0,0 +1,163 @@
+package sets
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"log/slog"
+	"net"
+	"net/url"
+	"os"
+	"strings"
+
+	"geraniumseam.dev/internal/certs"
+	"geraniumseam.dev/internal/inifl"
+	"geraniumseam.dev/pkg/ident"
+)
+
+// Settings are what an instance learns from its settings file.
+type Settings struct {
+	Instance    ident.InstanceID
+	Center      ident.CenterID
+	Callers     string
+	Peers       string
+	Operators   string
+	PlatformURL string
+	User        string
+	Password    string
+	PeerSecret  string
+	CallerTLS   *tls.Config
+	RequireTLS  bool
+	PeerServer  *tls.Config
+	PeerClient  *tls.Config
+	Level       slog.Level
+}
+
+// Help lists every section and key of a settings file.
+const Help = `[instance]
+id              = NAME of this instance, as the platform lists it
+center          = NAME of its data centre
+listen          = HOST:PORT for callers
+peer-listen     = HOST:PORT for other instances
+operator-listen = HOST:PORT for /metrics, /healthz, /readyz, /journal, /status
+[platform]
+url             = URL of the object API
+[backend]
+user            = NAME that the proxy gives to backend servers
+password-file   = FILE with its password
+[tls]
+certificate     = FILE offered to callers; read anew when it changes
+key             = FILE with its private key
+required        = yes or no: refuse keys in plain text (default yes, if a certificate is given)
+[peers]
+secret-file     = FILE with the secret that all instances share
+certificate     = FILE, key = FILE, authority = FILE: mutual TLS between instances
+insecure        = yes to run the links without TLS (default no)
+[logs]
+level           = debug, info, warn or error
+`
+
+// Read reads a settings file and everything that it names; every mistake is found at once.
+func Read(name string) (*Settings, error) {
+	f, err := inifl.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	s := &Settings{}
+	instance := f.Section("instance")
+	s.Instance = ident.InstanceID(instance.Need("id", "the name of this instance"))
+	s.Center = ident.CenterID(instance.Need("center", "the name of its data centre"))
+	s.Callers = address(instance, "listen")
+	s.Peers = address(instance, "peer-listen")
+	s.Operators = address(instance, "operator-listen")
+	s.PlatformURL = platform(f.Section("platform"))
+	backend := f.Section("backend")
+	s.User = backend.Need("user", "the name that the proxy gives to backend servers")
+	s.Password = secret(backend, "password-file")
+	s.callerTLS(f.Section("tls"))
+	s.peerTLS(f.Section("peers"))
+	s.level(f.Section("logs"))
+	return s, f.End()
+}
+
+func address(s *inifl.Section, key string) string {
+	text := s.Need(key, "HOST:PORT")
+	if text == "" {
+		return ""
+	}
+	if _, _, err := net.SplitHostPort(text); err != nil {
+		s.Fault(key, "HOST:PORT")
+	}
+	return text
+}
+
+func platform(s *inifl.Section) string {
+	text := s.Need("url", "a URL such as http://10.0.0.1:9000")
+	parsed, err := url.Parse(text)
+	if text != "" && (err != nil || parsed.Host == "" || parsed.Scheme != "http" && parsed.Scheme != "https") {
+		s.Fault("url", "a URL such as http://10.0.0.1:9000")
+	}
+	return strings.TrimSuffix(text, "/")
+}
+
+// secret reads a file that holds one secret.
+func secret(s *inifl.Section, key string) string {
+	name := s.Need(key, "a file with the secret")
+	if name == "" {
+		return ""
+	}
+	content, err := os.ReadFile(name)
+	text := strings.TrimSpace(string(content))
+	if err != nil || text == "" {
+		s.Fault(key, "a readable file that is not empty")
+	}
+	return text
+}
+
+func (s *Settings) callerTLS(section *inifl.Section) {
+	certificate, key := section.Text("certificate", ""), section.Text("key", "")
+	s.RequireTLS = section.Flag("required", certificate != "")
+	if certificate == "" && key == "" {
+		if s.RequireTLS {
+			section.Fault("certificate", "a file, since TLS is required")
+		}
+		return
+	}
+	pair, err := certs.Watch(certificate, key)
+	if err != nil {
+		section.Fault("certificate", "a certificate and the key that fits it")
+		return
+	}
+	s.CallerTLS = &tls.Config{MinVersion: tls.VersionTLS12, GetCertificate: pair.Certificate}
+}
+
+func (s *Settings) peerTLS(section *inifl.Section) {
+	s.PeerSecret = secret(section, "secret-file")
+	certificate, key := section.Text("certificate", ""), section.Text("key", "")
+	authority := section.Text("authority", "")
+	insecure := section.Flag("insecure", false)
+	if certificate == "" && key == "" && authority == "" {
+		if !insecure {
+			section.Fault("certificate", "certificate, key and authority, or insecure = yes")
+		}
+		return
+	}
+	pair, err := certs.Watch(certificate, key)
+	if err != nil {
+		section.Fault("certificate", "a certificate and the key that fits it")
+		return
+	}
+	pool := x509.NewCertPool()
+	content, err := os.ReadFile(authority)
+	if err != nil || !pool.AppendCertsFromPEM(content) {
+		section.Fault("authority", "a file with the certificate that signed all instances' certificates")
+		return
+	}
+	s.PeerServer, s.PeerClient = certs.Mutual(pair, pool)
+}
+
+func (s *Settings) level(section *inifl.Section) {
+	text := section.Text("level", "info")
+	if s.Level.UnmarshalText([]byte(text)) != nil {
+		section.Fault("level", "debug, info, warn or error")
+	}
+}
--- /dev/null
+++ b/pkg/ident/doc.go
@@ -0,0 +1,4 @@
+// Package ident names the things geraniumseam routes between and the units it counts in.
+//
+// Parsing failures are reported as *ParseError.
+package ident
--- /dev/null
+++ b/pkg/stmt/classify_test.go
@@ -0,0 +1,40 @@
+package stmt
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+func TestClassify(t *testing.T) {
+	datadriven.RunTest(t, "testdata/classify", func(t *testing.T, d *datadriven.TestData) string {
+		class := Classify(d.Input)
+		out := class.Kind.String()
+		if class.ReadOnly {
+			out += " read-only"
+		}
+		if class.Keeps {
+			out += " keeps"
+		}
+		if class.Setting != "" {
+			out += fmt.Sprintf(" %s=%q", class.Setting, class.Value)
+		}
+		return out + "\n"
+	})
+}
+
+// FuzzClassify looks for texts that hide a write from Classify: whatever is
+// appended as a second statement, a write stays at least a write.
+func FuzzClassify(f *testing.F) {
+	for _, seed := range []string{"select 1", "select '\\'' ; --", "$a$ $a$", "/* /* */ select", "\"", "begin read only"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		Classify(text)
+		joined := Classify("delete from ledger; " + text)
+		if joined.Kind < Write {
+			t.Fatalf("%q hides a write: %v", text, joined.Kind)
+		}
+	})
+}
