Stop requests on connections that went silent; move owners without a stall

Cause: with all open connections to a group gone silent, requests waited for their whole deadline of 10 s: the poller found out after 200 ms and told nobody. A replaced instance kept its connections for 5 s while the new owner needed them (queue-late). Rates of 40/s cut into parts of 4/s ran dry for longer than the 100 ms that a request waits for rate.

Change: a poll that fails on the old connection and succeeds on a new one now closes idle connections of that age, stops reads to run them anew and, a second later, writes as unknown. A lost group yields its connections at once. A request waits 500 ms for rate.

Ruled out: a longer share lease (the parts were right, the wait too short).

--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -26,6 +26,8 @@
 	NotRun    int64   `json:"not-run"`
 	Unknown   int64   `json:"unknown"`
 	Failed    int64   `json:"failed"`
+	// Moved counts requests that a leaving instance did not run and another one did.
+	Moved int64 `json:"moved"`
 	// ReplicaShare is the part of reads that replicas served.
 	ReplicaShare float64 `json:"replica-share"`
 	ReplicaReads float64 `json:"replica-reads"`
@@ -149,6 +151,7 @@
 		report.NotRun += t.outcomes[NotRun]
 		report.Unknown += t.outcomes[Unknown]
 		report.Failed += t.outcomes[Failed]
+		report.Moved += t.moved
 		for reason, n := range t.reasons {
 			report.Reasons[reason] += n
 		}
--- a/internal/bench/session.go
+++ b/internal/bench/session.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/url"
+	"slices"
 	"strings"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/jackc/pgx/v5/pgconn"
 
 	"geraniumseam.dev/internal/fault"
+	"geraniumseam.dev/internal/fleet"
 	"geraniumseam.dev/pkg/ident"
 )
 
@@ -71,7 +73,7 @@
 		return nil
 	}
 	c.close()
-	members := c.run.fleet.Members()
+	members := slices.DeleteFunc(c.run.fleet.Members(), func(m *fleet.Member) bool { return m.Instance.Ready() != nil })
 	if len(members) == 0 {
 		return errNoMember
 	}
@@ -109,12 +111,25 @@
 		c.tally.note(kind, c.judge(err, false), err, time.Since(due))
 		return
 	}
+	outcome, err := c.askOnce(ctx, kind)
+	if outcome == NotRun && reasonOf(err) == fault.ShuttingDown.String() {
+		c.tally.reconnect()
+		c.close()
+		if err = c.connect(ctx); err == nil {
+			outcome, err = c.askOnce(ctx, kind)
+		}
+	}
+	c.tally.note(kind, outcome, err, time.Since(due))
+}
+
+// askOnce runs a request and notes what it spent.
+func (c *caller) askOnce(ctx context.Context, kind string) (Outcome, error) {
 	sent := time.Now()
 	outcome, tokens, err := c.ask(ctx, kind)
 	for range tokens {
 		c.run.checker.spent(c.customer, sent)
 	}
-	c.tally.note(kind, outcome, err, time.Since(due))
+	return outcome, err
 }
 
 // ask runs a request and returns its outcome and how many statements were let through.
--- a/internal/bench/tally.go
+++ b/internal/bench/tally.go
@@ -19,6 +19,7 @@
 	mu       sync.Mutex
 	began    time.Time
 	offered  int64
+	moved    int64
 	outcomes map[Outcome]int64
 	reasons  map[string]int64
 	latency  *hdrhistogram.Histogram
@@ -39,6 +40,13 @@
 	t.offered++
 }
 
+// reconnect counts a caller that its instance sent away before it ran the request, and that went to another.
+func (t *tally) reconnect() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.moved++
+}
+
 // note takes in a request that was due and has ended after the given time.
 func (t *tally) note(_ string, o Outcome, err error, took time.Duration) {
 	t.mu.Lock()
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -134,6 +134,14 @@
 	return true
 }
 
+// yield frees the connections that the group's new owner needs, but one a server.
+func (g *Group) yield() {
+	for _, s := range g.servers {
+		s.pool.resize(1)
+		s.pool.dropIdle()
+	}
+}
+
 func (g *Group) noteLeaving(c conf.Group) {
 	leaving := map[ident.ServerID]bool{}
 	for _, s := range c.Servers {
--- a/internal/owner/host.go
+++ b/internal/owner/host.go
@@ -132,6 +132,7 @@
 	now := h.conf.Now()
 	if was.lost.IsZero() {
 		h.conf.Journal.Add(jrnl.Event{Kind: jrnl.OwnerChanged, Group: was.group.conf.ID, Evidence: "another instance of the data centre owns the group"})
+		was.group.yield()
 		return &held{group: was.group, conf: was.conf, lost: now}, nil
 	}
 	if now.Sub(was.lost) < lingerTime || !was.group.Idle() {
--- a/internal/owner/pool.go
+++ b/internal/owner/pool.go
@@ -23,6 +23,18 @@
 	codeReadOnly = "25006"
 )
 
+// running is a request on its connection: what stops it if the connection has gone silent.
+type running struct {
+	stop  context.CancelCauseFunc
+	reads bool
+}
+
+// SilentError says that a connection went silent while new ones work.
+type SilentError struct{}
+
+// Error implements error.
+func (*SilentError) Error() string { return "the connection went silent" }
+
 // grant is what a waiter gets: a connection or a reason.
 type grant struct {
 	conn   *pgcon.Conn
@@ -40,6 +52,7 @@
 	dialing int
 	idle    []*pgcon.Conn
 	queue   *fair.Queue
+	running map[*pgcon.Conn]running
 	closed  bool
 	fullTil time.Time
 	service time.Duration
@@ -47,7 +60,7 @@
 }
 
 func newPool(conf pgcon.Config, limit, queueLength int, now func() time.Time) *pool {
-	return &pool{conf: conf, now: now, limit: max(limit, 1), queue: fair.NewQueue(queueLength)}
+	return &pool{conf: conf, now: now, limit: max(limit, 1), queue: fair.NewQueue(queueLength), running: map[*pgcon.Conn]running{}}
 }
 
 // load returns how many requests run or wait here, and how long one takes.
@@ -225,6 +238,66 @@
 	p.idle = append(p.idle, c)
 }
 
+// silentGrace is how long a write on an old connection may still be answered once
+// another connection of that age has gone silent.
+const silentGrace = time.Second
+
+// run lets a request be stopped if its connection turns out to be silent.
+func (p *pool) run(ctx context.Context, c *pgcon.Conn, r *pgcon.Request, sink pgcon.Sink, reads bool) (pgcon.Answer, error) {
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	p.mu.Lock()
+	p.running[c] = running{stop: stop, reads: reads}
+	p.mu.Unlock()
+	defer func() {
+		p.mu.Lock()
+		delete(p.running, c)
+		p.mu.Unlock()
+	}()
+	answer, err := c.Run(ctx, r, sink)
+	if err != nil && isSilent(context.Cause(ctx)) {
+		err = &pgcon.RunError{Server: p.conf.Server, Stage: stageOf(err), Cause: &SilentError{}}
+	}
+	return answer, err
+}
+
+func isSilent(err error) bool {
+	var silent *SilentError
+	return errors.As(err, &silent)
+}
+
+func stageOf(err error) pgcon.Stage {
+	var failed *pgcon.RunError
+	if errors.As(err, &failed) {
+		return failed.Stage
+	}
+	return pgcon.Sent
+}
+
+// silent reacts to a connection that went silent while a new one works: others of
+// its age are likely silent too. Idle ones close; reads are stopped, to be run
+// anew; writes get a little time.
+func (p *pool) silent() {
+	p.dropIdle()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c, r := range p.running {
+		if r.reads {
+			r.stop(&SilentError{})
+			continue
+		}
+		time.AfterFunc(silentGrace, func() { p.stopIfRunning(c) })
+	}
+}
+
+func (p *pool) stopIfRunning(c *pgcon.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r, still := p.running[c]; still {
+		r.stop(&SilentError{})
+	}
+}
+
 // resize changes the limits; what is open above them closes as it is returned.
 func (p *pool) resize(limit int) {
 	p.mu.Lock()
--- a/internal/owner/read.go
+++ b/internal/owner/read.go
@@ -83,7 +83,7 @@
 func (g *Group) readOn(ctx context.Context, w *Work, s *server, c *pgcon.Conn, replica bool, floor ident.Floor, sink pgcon.Sink) attempt {
 	held := &spill{sink: sink}
 	began := time.Now()
-	answer, err := c.Run(ctx, &w.Request, held)
+	answer, err := s.pool.run(ctx, c, &w.Request, held, true)
 	if err != nil {
 		s.pool.release(c, 0)
 		return g.brokenRead(ctx, err, held)
@@ -114,6 +114,9 @@
 	if held.passed || !errors.As(err, &failed) {
 		return attempt{result: unknown(fault.AnswerLost)}
 	}
+	if isSilent(err) {
+		return attempt{result: notRun(fault.ConnectionSilent), again: true}
+	}
 	return attempt{result: notRun(fault.ConnectionLost), again: true}
 }
 
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -110,7 +110,7 @@
 	request := w.Request
 	request.Position = true
 	began := time.Now()
-	answer, err := got.conn.Run(ctx, &request, held)
+	answer, err := s.pool.run(ctx, got.conn, &request, held, false)
 	if err != nil {
 		s.pool.release(got.conn, 0)
 		return g.brokenWrite(ctx, err)
@@ -147,10 +147,13 @@
 	if errors.As(err, &failed) && failed.Stage == pgcon.Unsent {
 		return attempt{result: notRun(fault.ConnectionLost), again: true}
 	}
-	return attempt{result: unknown(lossReason(ctx))}
+	return attempt{result: unknown(lossReason(ctx, err))}
 }
 
-func lossReason(ctx context.Context) fault.Reason {
+func lossReason(ctx context.Context, err error) fault.Reason {
+	if isSilent(err) {
+		return fault.ConnectionSilent
+	}
 	if ctx.Err() != nil {
 		return reasonOf(ctx)
 	}
--- a/internal/owner/tx.go
+++ b/internal/owner/tx.go
@@ -100,7 +100,7 @@
 	held := &keep{}
 	request := w.Request
 	request.Position = !t.replica && w.Kind != stmt.Read
-	answer, err := t.conn.Run(ctx, &request, held)
+	answer, err := t.server.pool.run(ctx, t.conn, &request, held, false)
 	t.used = time.Now()
 	if w.Kind > stmt.Rollback {
 		t.wrote = true
@@ -124,7 +124,7 @@
 	unsent := errors.As(err, &failed) && failed.Stage == pgcon.Unsent
 	mayCommit := w.Kind == stmt.Commit || w.Kind == stmt.Pin
 	if mayCommit && wrote && !unsent {
-		return unknown(lossReason(ctx))
+		return unknown(lossReason(ctx, err))
 	}
 	return notRun(fault.TransactionLost)
 }
--- a/internal/owner/watch.go
+++ b/internal/owner/watch.go
@@ -6,6 +6,7 @@
 
 	"github.com/juju/errors"
 
+	"geraniumseam.dev/internal/jrnl"
 	"geraniumseam.dev/internal/pgcon"
 	"geraniumseam.dev/internal/rule/group"
 )
@@ -72,10 +73,15 @@
 	old := w.conn != nil
 	asked, status, err := w.ask(ctx)
 	if err != nil && old {
+		silent := ctx.Err() != nil
 		w.group.tell(group.Missed{Server: w.server.ID})
 		fresh, done := context.WithTimeout(w.group.tomb.Context(context.Background()), pollTime)
 		defer done()
 		asked, status, err = w.ask(fresh)
+		if silent && err == nil {
+			w.server.pool.silent()
+			w.group.note(jrnl.Event{Kind: jrnl.ConnectionSilent, Server: w.server.ID, Evidence: "no answer on the old connection, an answer on a new one"})
+		}
 	}
 	if err != nil {
 		w.missed()
--- a/internal/rule/conf/defaults.go
+++ b/internal/rule/conf/defaults.go
@@ -44,7 +44,7 @@
 		PathSilence:       3 * time.Second,
 		Stagger:           250 * time.Millisecond,
 		StepTime:          600 * time.Millisecond,
-		RateWait:          100 * time.Millisecond,
+		RateWait:          500 * time.Millisecond,
 		ShareLease:        time.Minute,
 		ShareGrace:        15 * time.Minute,
 		ShareReserve:      0.3,
--- a/stand/platf/server.go
+++ b/stand/platf/server.go
@@ -190,6 +190,9 @@
 	}
 }
 
+// outagePause is how soon an outage ends the watches that wait.
+const outagePause = 100 * time.Millisecond
+
 // watch streams a kind's events from after a version until its time is over.
 func (s *Platform) watch(w http.ResponseWriter, r *http.Request, kind objs.Kind) {
 	query := r.URL.Query()
@@ -213,6 +216,10 @@
 		after = version
 		select {
 		case <-changed:
+		case <-time.After(outagePause):
+			if s.faults.Outage.Load() {
+				return
+			}
 		case <-end.C:
 			mark := objs.Object{Kind: kind, Metadata: objs.Metadata{ResourceVersion: format(after)}}
 			s.send(w, []objs.Event{{Type: objs.Bookmark, Object: mark}})
