Close every link of an ended instance; read on without asking for a bound

Cause: when two instances dial each other at once both links stand, but only the later one was closed when an instance ended. Reads asked for a fresh poll of a majority each time to make sure that a session does not read backwards, even when they stayed on the server they had read last.

Change: a hub knows every link and closes them all. The bound is only asked for when a read moves to another server. Requests make two contexts instead of five.

Ruled out for the link: lost end-of-file in the emulated net, a blocked shutdown (goroutine dumps showed the dead instance's link goroutines alive and all others gone).

--- a/internal/bench/faults.go
+++ b/internal/bench/faults.go
@@ -191,11 +191,8 @@
 
 // withdrawKey connects with the probe's key through every instance and times how long it goes on working.
 func withdrawKey(ctx context.Context, s *striker) (string, func()) {
-	customers := slices.Sorted(maps.Keys(s.run.conf.Config.Customers))
+	customers := slices.Sorted(maps.Keys(s.run.tallies))
 	victim := customers[s.random.IntN(len(customers))]
-	if victim == probeCustomer {
-		victim = customers[0]
-	}
 	began := time.Now()
 	_, err := s.fleet.Change(ctx, "bench: withdraw a key", func(c *conf.Config) { delete(c.Keys, ident.KeyID(victim)+"-first") })
 	if err != nil {
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +17,8 @@
 const (
 	// viewPause is how often the view of the fleet is looked at.
 	viewPause = 100 * time.Millisecond
+	// reconcilePause is how often ownership is looked at although nothing has changed.
+	reconcilePause = time.Second
 	// listPause is how often the platform's list of instances is read.
 	listPause = 2 * time.Second
 	// memberSilence is how long an instance may go unheard by all before its work moves.
@@ -30,8 +34,12 @@
 // crowd is what the rest of the instance reads of the fleet; it never changes once made.
 type crowd struct {
 	working []membr.Member
-	all     map[ident.InstanceID]membr.Member
-	reach   map[ident.InstanceID]bool
+	// placed are those that may own groups.
+	placed membr.Centers
+	// owners remembers who owns a group, the best first.
+	owners sync.Map
+	all    map[ident.InstanceID]membr.Member
+	reach  map[ident.InstanceID]bool
 }
 
 // members keeps the view of the fleet and tells the others when it changes.
@@ -40,6 +48,10 @@
 	current  atomic.Pointer[crowd]
 	poke     chan struct{}
 
+	// reconciled and version belong to run.
+	reconciled time.Time
+	version    ident.Version
+
 	mu      sync.Mutex
 	view    *membr.View
 	targets []ident.InstanceID
@@ -137,16 +149,39 @@
 		next.reach[member.ID] = m.view.Reaches(now, member.ID)
 	}
 	m.mu.Unlock()
-	old := m.current.Swap(next)
-	for _, id := range targets {
-		go func() { _ = m.instance.hub.Connect(ctx, id) }()
+	m.link(ctx, targets)
+	next.placed = membr.ByCenter(m.placed(working))
+	old := m.current.Load()
+	snapshot := m.instance.keeper.Current()
+	changed := !old.same(next) || snapshot.Version != m.version
+	if !changed && now.Sub(m.reconciled) < reconcilePause {
+		return
 	}
-	m.instance.host.Reconcile(m.instance.keeper.Current(), m.placed(working))
+	m.reconciled, m.version = now, snapshot.Version
+	if changed {
+		m.current.Store(next)
+	}
+	m.instance.host.Reconcile(snapshot, next.placed)
 	if len(old.working) != len(next.working) {
 		m.instance.quota.Renew()
 	}
 }
 
+// link opens the links that are missing.
+func (m *members) link(ctx context.Context, targets []ident.InstanceID) {
+	for _, id := range targets {
+		if !m.instance.hub.Has(id) {
+			go func() { _ = m.instance.hub.Connect(ctx, id) }()
+		}
+	}
+}
+
+// same reports whether two views lead to the same choices.
+func (c *crowd) same(other *crowd) bool {
+	return slices.Equal(c.working, other.working) && maps.Equal(c.reach, other.reach) && maps.Equal(c.all, other.all) &&
+		maps.EqualFunc(c.placed, other.placed, slices.Equal)
+}
+
 // placed leaves this instance out of the choice of owners once it drains.
 func (m *members) placed(working []membr.Member) []membr.Member {
 	if !m.instance.draining.Load() {
@@ -265,7 +300,10 @@
 // those of the same data centre, those that are heard, the rest.
 func (m *members) owners(id ident.GroupID, hosting []ident.CenterID) []ident.InstanceID {
 	c := m.current.Load()
-	chosen := membr.Owners(id, hosting, m.placed(c.working))
+	if known, ok := c.owners.Load(id); ok {
+		return known.([]ident.InstanceID)
+	}
+	chosen := membr.Owners(id, hosting, c.placed)
 	ids := make([]ident.InstanceID, 0, len(chosen))
 	for class := range 4 {
 		for _, member := range chosen {
@@ -274,6 +312,7 @@
 			}
 		}
 	}
+	c.owners.Store(id, ids)
 	return ids
 }
 
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -211,6 +211,9 @@
 
 // spendRate takes a token; inside a transaction it waits as long as a statement may.
 func (s *session) spendRate(a conf.Access, d conf.Defaults, trace ident.TraceID) *fault.Fault {
+	if s.instance.quota.TakeNow(a.Customer) {
+		return nil
+	}
 	wait := d.RateWait
 	if s.tx != 0 {
 		wait = d.StatementDeadline
@@ -265,7 +268,7 @@
 }
 
 func (s *session) dispatch(w *owner.Work, quiet bool) outcome {
-	ctx, done := s.cancellable(w.Limits.Run + w.Limits.Ack)
+	ctx, done := s.cancellable(w.Limits.Run)
 	defer done()
 	sink := &callerSink{session: s, stream: w.Kind == stmt.Read && !quiet}
 	if w.Tx != 0 {
--- /dev/null
+++ b/internal/fleet/bench_test.go
@@ -0,0 +1,228 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/url"
+	"runtime"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"geraniumseam.dev/internal/rule/conf"
+	"geraniumseam.dev/pkg/ident"
+)
+
+// single is one instance before one group without latency: what a proxy costs on its own.
+func single(b *testing.B) *Fleet {
+	b.Helper()
+	c := conf.New()
+	c.Defaults.RateWait = time.Second
+	c.Centers["one-a"] = conf.Center{Part: 1}
+	c.Customers["load"] = conf.Customer{Rate: 1e9, Burst: 1e9, Weight: 1}
+	c.Services["db"] = conf.Service{Group: "db"}
+	c.Groups["db"] = conf.Group{Connections: 64, Slots: 64, Servers: []conf.Server{
+		{ID: "db-1", Center: "one-a", Address: loopback}, {ID: "db-2", Center: "one-a", Address: loopback}, {ID: "db-3", Center: "one-a", Address: loopback},
+	}}
+	d := &Deployment{Name: "single", Config: c, Instances: map[ident.CenterID]int{"one-a": 1}}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	f, err := Start(ctx, Config{Deployment: d, Seed: 1, Raw: true})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(f.Stop)
+	return f
+}
+
+// ways are the two ends that are compared: the stand-in itself, and the proxy before it.
+func ways(f *Fleet) map[string]string {
+	server := f.Groups["db"].Servers()[0]
+	direct := fmt.Sprintf("postgres://%s:%s@%s/db?sslmode=disable", BackendUser, BackendPassword, server.Addr())
+	return map[string]string{"direct": direct, "proxy": f.URL(f.Members()[0], "load", "db")}
+}
+
+func cpu() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func insertRow(b *testing.B, target string) {
+	b.Helper()
+	ctx := context.Background()
+	c, err := pgx.Connect(ctx, target)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer c.Close(ctx)
+	if _, err := c.Exec(ctx, "INSERT INTO ledger (id, value) VALUES ('bike', 'free')"); err != nil {
+		b.Fatal(err)
+	}
+}
+
+func read(ctx context.Context, c *pgx.Conn) error {
+	var value string
+	return c.QueryRow(ctx, "SELECT value FROM ledger WHERE id = $1", "bike").Scan(&value)
+}
+
+// BenchmarkPointRead measures the latency of one caller's point read.
+func BenchmarkPointRead(b *testing.B) {
+	f := single(b)
+	all := ways(f)
+	insertRow(b, all["proxy"])
+	for _, way := range []string{"direct", "proxy"} {
+		b.Run(way, func(b *testing.B) {
+			ctx := context.Background()
+			c, err := pgx.Connect(ctx, all[way])
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer c.Close(ctx)
+			began := cpu()
+			for b.Loop() {
+				if err := read(ctx, c); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64((cpu()-began).Microseconds())/float64(b.N), "cpu-µs/op")
+		})
+	}
+}
+
+// BenchmarkCallers measures processor time per statement as callers grow; the
+// difference between proxy and direct is the proxy's own.
+func BenchmarkCallers(b *testing.B) {
+	f := single(b)
+	all := ways(f)
+	insertRow(b, all["proxy"])
+	for _, way := range []string{"direct", "proxy"} {
+		for _, count := range []int{10, 50, 340, 3400} {
+			if way == "direct" && count > 50 {
+				continue
+			}
+			b.Run(fmt.Sprintf("%s/%d", way, count), func(b *testing.B) { manyCallers(b, all[way], count) })
+		}
+	}
+}
+
+// dialAtOnce bounds how many callers connect at a time.
+const dialAtOnce = 32
+
+func manyCallers(b *testing.B, target string, count int) {
+	ctx := context.Background()
+	conns := make([]*pgx.Conn, count)
+	gate := make(chan struct{}, dialAtOnce)
+	var wait sync.WaitGroup
+	for at := range conns {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			gate <- struct{}{}
+			defer func() { <-gate }()
+			conns[at], _ = pgx.Connect(ctx, target)
+			if conns[at] != nil {
+				_ = read(ctx, conns[at])
+			}
+		}()
+	}
+	wait.Wait()
+	defer func() {
+		for _, c := range conns {
+			if c != nil {
+				_ = c.Close(ctx)
+			}
+		}
+	}()
+	began := cpu()
+	b.ResetTimer()
+	var running sync.WaitGroup
+	active := min(count, 64)
+	for worker := range active {
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			own := worker
+			for n := worker; n < b.N; n += active {
+				c := conns[own]
+				if own += active; own >= count {
+					own = worker
+				}
+				if c == nil {
+					b.Error("a caller is not connected")
+					return
+				}
+				if err := read(ctx, c); err != nil {
+					b.Error(err)
+					return
+				}
+			}
+		}()
+	}
+	running.Wait()
+	b.StopTimer()
+	b.ReportMetric(float64((cpu()-began).Nanoseconds())/1000/float64(b.N), "cpu-µs/op")
+}
+
+// BenchmarkIdleCallers measures the memory of a caller that is connected and silent.
+func BenchmarkIdleCallers(b *testing.B) {
+	f := single(b)
+	target, err := url.Parse(ways(f)["proxy"])
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		const count = 2000
+		before := inUse()
+		conns := make([]net.Conn, count)
+		for at := range conns {
+			conns[at] = idleCaller(b, target)
+		}
+		time.Sleep(200 * time.Millisecond)
+		b.ReportMetric(float64(inUse()-before)/count, "bytes/caller")
+		for _, c := range conns {
+			c.Close()
+		}
+	}
+}
+
+func inUse() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapInuse + m.StackInuse
+}
+
+// idleCaller logs in by hand and keeps no buffers, so that the proxy's memory is what is measured.
+func idleCaller(b *testing.B, target *url.URL) net.Conn {
+	b.Helper()
+	c, err := net.Dial("tcp", target.Host)
+	if err != nil {
+		b.Fatal(err)
+	}
+	key, _ := target.User.Password()
+	front := pgproto3.NewFrontend(c, c)
+	front.Send(&pgproto3.StartupMessage{
+		ProtocolVersion: pgproto3.ProtocolVersion30,
+		Parameters:      map[string]string{"user": target.User.Username(), "database": target.Path[1:]},
+	})
+	front.Send(&pgproto3.PasswordMessage{Password: key})
+	if err := front.Flush(); err != nil {
+		b.Fatal(err)
+	}
+	for {
+		m, err := front.Receive()
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, ready := m.(*pgproto3.ReadyForQuery); ready {
+			return c
+		}
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -17,6 +17,7 @@
 	"geraniumseam.dev/internal/certs"
 	"geraniumseam.dev/internal/confs"
 	"geraniumseam.dev/internal/entry"
+	"geraniumseam.dev/internal/pgcon"
 	"geraniumseam.dev/internal/plat"
 	"geraniumseam.dev/internal/rule/conf"
 	"geraniumseam.dev/internal/rule/retry"
@@ -47,6 +48,8 @@
 	Plain bool
 	// Listen is where the platform listens; empty takes a free address.
 	Listen string
+	// Raw dials without the emulated net, for measurements of the proxy alone.
+	Raw bool
 	// Bare starts no instances and waits for none.
 	Bare bool
 	// Adjust changes the configuration before it is put in force.
@@ -225,7 +228,7 @@
 	m := &Member{ID: id, Center: center, Registry: registry, Store: f.client(center, registry)}
 	c := entry.Config{
 		Instance: id, Center: center, Callers: callers, Peers: peers, PeerSecret: "fleet-secret", Store: m.Store,
-		Backends: f.Net.From(center), Links: f.Net.From(center), User: BackendUser, Password: BackendPassword,
+		Backends: f.dialer(center), Links: f.dialer(center), User: BackendUser, Password: BackendPassword,
 		Seed: f.random.Uint64(), Registry: registry, Baseline: f.conf.Baseline,
 	}
 	if !f.conf.Plain {
@@ -240,6 +243,13 @@
 	return m, nil
 }
 
+func (f *Fleet) dialer(center ident.CenterID) pgcon.Dialer {
+	if f.conf.Raw {
+		return &net.Dialer{}
+	}
+	return f.Net.From(center)
+}
+
 // Members returns the running instances.
 func (f *Fleet) Members() []*Member {
 	f.mu.Lock()
--- a/internal/owner/host.go
+++ b/internal/owner/host.go
@@ -75,7 +75,7 @@
 }
 
 // Reconcile starts the groups that this instance has come to own and ends those it lost.
-func (h *Host) Reconcile(s *conf.Snapshot, working []membr.Member) {
+func (h *Host) Reconcile(s *conf.Snapshot, working membr.Centers) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	old := *h.groups.Load()
--- a/internal/owner/pool.go
+++ b/internal/owner/pool.go
@@ -23,18 +23,6 @@
 	codeReadOnly = "25006"
 )
 
-// running is a request on its connection: what stops it if the connection has gone silent.
-type running struct {
-	stop  context.CancelCauseFunc
-	reads bool
-}
-
-// SilentError says that a connection went silent while new ones work.
-type SilentError struct{}
-
-// Error implements error.
-func (*SilentError) Error() string { return "the connection went silent" }
-
 // grant is what a waiter gets: a connection or a reason.
 type grant struct {
 	conn   *pgcon.Conn
@@ -52,7 +40,7 @@
 	dialing int
 	idle    []*pgcon.Conn
 	queue   *fair.Queue
-	running map[*pgcon.Conn]running
+	running map[*pgcon.Conn]bool
 	closed  bool
 	fullTil time.Time
 	service time.Duration
@@ -60,7 +48,7 @@
 }
 
 func newPool(conf pgcon.Config, limit, queueLength int, now func() time.Time) *pool {
-	return &pool{conf: conf, now: now, limit: max(limit, 1), queue: fair.NewQueue(queueLength), running: map[*pgcon.Conn]running{}}
+	return &pool{conf: conf, now: now, limit: max(limit, 1), queue: fair.NewQueue(queueLength), running: map[*pgcon.Conn]bool{}}
 }
 
 // load returns how many requests run or wait here, and how long one takes.
@@ -244,34 +232,19 @@
 
 // run lets a request be stopped if its connection turns out to be silent.
 func (p *pool) run(ctx context.Context, c *pgcon.Conn, r *pgcon.Request, sink pgcon.Sink, reads bool) (pgcon.Answer, error) {
-	ctx, stop := context.WithCancelCause(ctx)
-	defer stop(nil)
 	p.mu.Lock()
-	p.running[c] = running{stop: stop, reads: reads}
+	p.running[c] = reads
 	p.mu.Unlock()
-	defer func() {
-		p.mu.Lock()
-		delete(p.running, c)
-		p.mu.Unlock()
-	}()
 	answer, err := c.Run(ctx, r, sink)
-	if err != nil && isSilent(context.Cause(ctx)) {
-		err = &pgcon.RunError{Server: p.conf.Server, Stage: stageOf(err), Cause: &SilentError{}}
-	}
+	p.mu.Lock()
+	delete(p.running, c)
+	p.mu.Unlock()
 	return answer, err
 }
 
 func isSilent(err error) bool {
-	var silent *SilentError
-	return errors.As(err, &silent)
-}
-
-func stageOf(err error) pgcon.Stage {
 	var failed *pgcon.RunError
-	if errors.As(err, &failed) {
-		return failed.Stage
-	}
-	return pgcon.Sent
+	return errors.As(err, &failed) && failed.Silent
 }
 
 // silent reacts to a connection that went silent while a new one works: others of
@@ -281,9 +254,9 @@
 	p.dropIdle()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for c, r := range p.running {
-		if r.reads {
-			r.stop(&SilentError{})
+	for c, reads := range p.running {
+		if reads {
+			c.Interrupt()
 			continue
 		}
 		time.AfterFunc(silentGrace, func() { p.stopIfRunning(c) })
@@ -293,8 +266,8 @@
 func (p *pool) stopIfRunning(c *pgcon.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if r, still := p.running[c]; still {
-		r.stop(&SilentError{})
+	if _, still := p.running[c]; still {
+		c.Interrupt()
 	}
 }
 
--- a/internal/owner/read.go
+++ b/internal/owner/read.go
@@ -19,11 +19,23 @@
 	if !ok {
 		return notRun(fault.NoPrimary)
 	}
-	elsewhere, ok := g.elsewhere(ctx, w)
-	if !ok {
-		return notRun(fault.NoPrimary)
+	return g.try(ctx, w, func() attempt { return g.readOnce(ctx, w, floor, sink) })
+}
+
+// stays reports whether the server that the session read last is still the best choice.
+func (g *Group) stays(w *Work, floor ident.Floor) bool {
+	if w.Seen.Server == "" || w.Seen.Owner != g.conf.Self {
+		return false
+	}
+	c, ok := g.pick(requestOf(w, floor, ident.Floor{}), g.board.current.Load()).(route.Serve)
+	return ok && c.Server == w.Seen.Server
+}
+
+func requestOf(w *Work, floor, elsewhere ident.Floor) route.Request {
+	return route.Request{
+		Floor: floor, Elsewhere: elsewhere, MaxAge: w.MaxAge, Wait: w.Limits.ReadWait,
+		PrimaryCost: w.Limits.PrimaryCost, Last: w.Seen.Server,
 	}
-	return g.try(ctx, w, func() attempt { return g.readOnce(ctx, w, floor, elsewhere, sink) })
 }
 
 // floorOf returns the session's floor; one without takes the confirmed primary's position.
@@ -64,7 +76,14 @@
 	return ident.Floor{}, false
 }
 
-func (g *Group) readOnce(ctx context.Context, w *Work, floor, elsewhere ident.Floor, sink pgcon.Sink) attempt {
+func (g *Group) readOnce(ctx context.Context, w *Work, floor ident.Floor, sink pgcon.Sink) attempt {
+	elsewhere := ident.Floor{}
+	if !g.stays(w, floor) {
+		var ok bool
+		if elsewhere, ok = g.elsewhere(ctx, w); !ok {
+			return attempt{result: notRun(fault.NoPrimary)}
+		}
+	}
 	s, replica, reason := g.choose(ctx, w, floor, elsewhere)
 	if s == nil {
 		return attempt{result: notRun(reason)}
@@ -125,10 +144,7 @@
 
 // choose returns a server that may serve the read, waiting where that is the cheapest.
 func (g *Group) choose(ctx context.Context, w *Work, floor, elsewhere ident.Floor) (*server, bool, fault.Reason) {
-	r := route.Request{
-		Floor: floor, Elsewhere: elsewhere, MaxAge: w.MaxAge, Wait: w.Limits.ReadWait,
-		PrimaryCost: w.Limits.PrimaryCost, Last: w.Seen.Server,
-	}
+	r := requestOf(w, floor, elsewhere)
 	began := time.Now()
 	for {
 		v := g.board.current.Load()
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -24,8 +24,11 @@
 // Run runs the work and hands its answer to sink. Nothing reaches sink unless the
 // outcome is Done, or the answer of a read was cut short.
 func (g *Group) Run(ctx context.Context, w *Work, sink pgcon.Sink) Result {
-	ctx, cancel := context.WithTimeout(ctx, w.Limits.Run)
-	defer cancel()
+	if untilDeadline(ctx) > w.Limits.Run {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, w.Limits.Run)
+		defer cancel()
+	}
 	g.conf.Budget.Earn()
 	if w.Tx != 0 {
 		return g.runInTx(ctx, w, sink)
--- a/internal/peer/hub.go
+++ b/internal/peer/hub.go
@@ -4,8 +4,10 @@
 	"context"
 	"crypto/subtle"
 	"crypto/tls"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -70,8 +72,10 @@
 	bytesOut prometheus.Counter
 	open     prometheus.Gauge
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// links are those that requests go over; every holds those that peers keep using besides.
 	links   map[ident.InstanceID]*link
+	every   map[*link]bool
 	dialing map[ident.InstanceID]chan struct{}
 	refused map[ident.InstanceID]time.Time
 	closed  bool
@@ -80,7 +84,7 @@
 // NewHub serves links on the listener.
 func NewHub(c Config, l net.Listener) *Hub {
 	h := &Hub{
-		conf: c, listener: l, links: map[ident.InstanceID]*link{},
+		conf: c, listener: l, links: map[ident.InstanceID]*link{}, every: map[*link]bool{},
 		dialing: map[ident.InstanceID]chan struct{}{}, refused: map[ident.InstanceID]time.Time{},
 		bytesIn:  prometheus.NewCounter(prometheus.CounterOpts{Name: "geraniumseam_peer_bytes_in_total", Help: "Bytes received from peers."}),
 		bytesOut: prometheus.NewCounter(prometheus.CounterOpts{Name: "geraniumseam_peer_bytes_out_total", Help: "Bytes sent to peers."}),
@@ -102,7 +106,7 @@
 func (h *Hub) Close() {
 	h.mu.Lock()
 	h.closed = true
-	links := h.links
+	links := slices.Collect(maps.Keys(h.every))
 	h.links = map[ident.InstanceID]*link{}
 	h.mu.Unlock()
 	_ = h.server.Close()
@@ -172,9 +176,10 @@
 
 // keep registers a link; of two that were opened at once, both serve until one ends.
 func (h *Hub) keep(peer ident.InstanceID, socket *websocket.Conn) *link {
-	l := newLink(h, peer, socket)
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	l := newLink(h, peer, socket)
+	h.every[l] = true
 	if h.closed {
 		l.close(Closed)
 		return l
@@ -190,6 +195,7 @@
 func (h *Hub) gone(l *link) {
 	h.mu.Lock()
 	current := h.links[l.peer] == l
+	delete(h.every, l)
 	if current {
 		delete(h.links, l.peer)
 		h.open.Dec()
@@ -323,6 +329,14 @@
 	return l.run(ctx, w, sink)
 }
 
+// Has reports whether a link is open.
+func (h *Hub) Has(id ident.InstanceID) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	l := h.links[id]
+	return l != nil && l.tomb.Alive()
+}
+
 // Connect opens a link if there is none.
 func (h *Hub) Connect(ctx context.Context, id ident.InstanceID) error {
 	_, err := h.get(ctx, id)
--- a/internal/pgcon/conn.go
+++ b/internal/pgcon/conn.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"io"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -50,6 +51,7 @@
 	out      []byte
 	in       []byte
 	txStatus byte
+	silent   atomic.Bool
 	// Opened is when the connection was made.
 	Opened time.Time
 }
@@ -135,9 +137,16 @@
 	c.net.Close()
 }
 
+// Interrupt stops the request that runs because the connection seems to have gone
+// silent; unlike the other methods it may be called by another goroutine.
+func (c *Conn) Interrupt() {
+	c.silent.Store(true)
+	_ = c.net.SetDeadline(time.Unix(1, 0))
+}
+
 // Clean reports whether the connection is open and nothing unasked has arrived on it.
 func (c *Conn) Clean() bool {
-	if c.broken || c.reader.Buffered() > 0 {
+	if c.broken || c.silent.Load() || c.reader.Buffered() > 0 {
 		return false
 	}
 	if wrapped, ok := c.net.(interface{ Quiet() bool }); ok {
--- a/internal/pgcon/request.go
+++ b/internal/pgcon/request.go
@@ -69,6 +69,8 @@
 type RunError struct {
 	Server ident.ServerID
 	Stage  Stage
+	// Silent is set if the connection was interrupted for having gone silent.
+	Silent bool
 	Cause  error
 }
 
--- a/internal/pgcon/run.go
+++ b/internal/pgcon/run.go
@@ -83,7 +83,7 @@
 	if ctx.Err() != nil {
 		err = ctx.Err()
 	}
-	return &RunError{Server: c.server, Stage: stage, Cause: err}
+	return &RunError{Server: c.server, Stage: stage, Silent: c.silent.Load(), Cause: err}
 }
 
 // encode puts the statements that the connection lacks before the request, and
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -152,13 +152,14 @@
 	a.bucket.Resize(now, share.Rate(c.Rate*part), share.Tokens(c.Burst*part))
 }
 
-// Take spends one token, waiting up to wait for it; None means that it was spent.
+// TakeNow spends one token if it is there.
+func (q *Quota) TakeNow(customer ident.CustomerID) bool {
+	return q.spend(q.account(customer), time.Now(), customer)
+}
+
+// Take waits up to wait for a token and spends it; None means that it was spent.
 func (q *Quota) Take(ctx context.Context, customer ident.CustomerID, wait time.Duration) (fault.Reason, time.Duration) {
 	a := q.account(customer)
-	now := time.Now()
-	if q.spend(a, now, customer) {
-		return fault.None, 0
-	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	a.mu.Lock()
--- a/internal/rule/membr/view.go
+++ b/internal/rule/membr/view.go
@@ -184,9 +184,10 @@
 }
 
 func weigh(subject string, id ident.InstanceID) uint64 {
-	d := xxhash.New()
+	var d xxhash.Digest
+	d.Reset()
 	_, _ = d.WriteString(subject)
-	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString("\x00")
 	_, _ = d.WriteString(string(id))
 	return d.Sum64()
 }
@@ -194,23 +195,55 @@
 // Owners returns the instances that hold a group's connections: the first of
 // each data centre that hosts a server of the group, or the first of all where
 // none of those has an instance left.
-func Owners(group ident.GroupID, hosting []ident.CenterID, members []Member) []Member {
-	ranked := Rank(string(group), members)
+func Owners(group ident.GroupID, hosting []ident.CenterID, members Centers) []Member {
 	var owners []Member
 	for _, center := range hosting {
-		for _, m := range ranked {
-			if m.Center == center {
-				owners = append(owners, m)
-				break
-			}
+		if first, ok := First(string(group), members[center]); ok {
+			owners = append(owners, first)
 		}
 	}
-	if len(owners) == 0 && len(ranked) > 0 {
-		owners = ranked[:1]
+	if len(owners) > 0 {
+		return owners
+	}
+	var firsts []Member
+	for _, inside := range members {
+		if first, ok := First(string(group), inside); ok {
+			firsts = append(firsts, first)
+		}
+	}
+	if first, ok := First(string(group), firsts); ok {
+		owners = append(owners, first)
 	}
 	return owners
 }
 
+// Centers holds members by data centre.
+type Centers map[ident.CenterID][]Member
+
+// ByCenter sorts members by data centre.
+func ByCenter(members []Member) Centers {
+	sorted := Centers{}
+	for _, m := range members {
+		sorted[m.Center] = append(sorted[m.Center], m)
+	}
+	return sorted
+}
+
+// First returns the member that Rank would put first; false where there is none.
+func First(subject string, members []Member) (Member, bool) {
+	best, highest := -1, uint64(0)
+	for at := range members {
+		w := weigh(subject, members[at].ID)
+		if best < 0 || w > highest || w == highest && members[at].ID < members[best].ID {
+			best, highest = at, w
+		}
+	}
+	if best < 0 {
+		return Member{}, false
+	}
+	return members[best], true
+}
+
 // After returns the members in a ring that begins behind self, so that everybody has others before and behind it.
 func After(self ident.InstanceID, members []Member) []Member {
 	sorted := slices.Clone(members)
--- a/internal/rule/membr/view_test.go
+++ b/internal/rule/membr/view_test.go
@@ -35,12 +35,23 @@
 	})
 }
 
+func TestFirstIsRanksFirst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := members(rapid.IntRange(1, 30).Draw(t, "members"))
+		subject := rapid.String().Draw(t, "subject")
+		if first, _ := First(subject, all); first != Rank(subject, all)[0] {
+			t.Fatalf("First and Rank differ for %q", subject)
+		}
+	})
+}
+
 func TestOwnersSpread(t *testing.T) {
 	counts := map[ident.InstanceID]int{}
 	const groups = 1800
 	all := members(170)
+	sorted := ByCenter(all)
 	for g := range groups {
-		for _, m := range Owners(ident.GroupID(fmt.Sprint(g)), []ident.CenterID{"c0", "c1", "c2"}, all) {
+		for _, m := range Owners(ident.GroupID(fmt.Sprint(g)), []ident.CenterID{"c0", "c1", "c2"}, sorted) {
 			counts[m.ID]++
 		}
 	}
