--- a/internal/bench/faults_test.go
+++ b/internal/bench/faults_test.go
@@ -54,8 +54,11 @@
 // together; whatever happens, no promise may break and each fault is explained.
 func TestPromisesHoldUnderEachFault(t *testing.T) {
 	cases := [][]string{
-		{"kill-primary", "platform-down"}, {"cut-primary", "lose-commits"}, {"silence-connections", "lag-all"},
-		{"kill-primary", "kill-instance"}, {"freeze-primary", "platform-loses-answers"},
+		{"kill-primary", "platform-down"},
+		{"cut-primary", "lose-commits"},
+		{"silence-connections", "lag-all"},
+		{"kill-primary", "kill-instance"},
+		{"freeze-primary", "platform-loses-answers"},
 	}
 	for _, f := range Faults {
 		cases = append(cases, []string{f.Name})
--- a/internal/bench/session.go
+++ b/internal/bench/session.go
@@ -231,7 +231,7 @@
 }
 
 func (c *caller) rollback(committing bool) {
-	if committing || c.conn.IsClosed() {
+	if committing || c.conn == nil || c.conn.IsClosed() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), connectTime)
@@ -256,10 +256,13 @@
 	if err == nil {
 		c.run.checker.aged(r, text, found, asked, boardAge, acked, at)
 	}
-	if _, reset := c.conn.Exec(ctx, "RESET "+ageKey, pgx.QueryExecModeSimpleProtocol); reset != nil {
-		c.close()
+	outcome := c.judge(err, false)
+	if c.conn != nil {
+		if _, reset := c.conn.Exec(ctx, "RESET "+ageKey, pgx.QueryExecModeSimpleProtocol); reset != nil {
+			c.close()
+		}
 	}
-	return c.judge(err, false), tokensOf(err), err
+	return outcome, tokensOf(err), err
 }
 
 // judge tells from an error what the caller knows about its request.
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -24,9 +24,10 @@
 
 // Heartbeat implements peer.Handler.
 func (h *handler) Heartbeat(ident.InstanceID) peer.Heartbeat {
+	list, hash := h.members.list()
 	return peer.Heartbeat{
 		Version: h.keeper.Current().Version, Checked: h.keeper.CheckedAgo(),
-		Heard: h.members.hearing(), Leaving: h.draining.Load(),
+		Leaving: h.draining.Load(), List: list, ListHash: hash,
 	}
 }
 
@@ -37,11 +38,16 @@
 func (h *handler) News(from ident.InstanceID, m peer.Message) {
 	switch m := m.(type) {
 	case peer.Heartbeat:
-		h.members.heard(from, m.Heard, m.Leaving)
+		h.members.heard(from, m.Leaving)
 		h.keeper.Confirm(m.Version, m.Checked)
 		if m.Version > h.keeper.Current().Version {
 			h.fetchFrom(from)
 		}
+		if h.members.behind(m.List, m.ListHash) {
+			h.fetchList(from)
+		}
+	case peer.Suspect:
+		h.members.told(from, m.Suspicion)
 	case peer.Opinion:
 		if g := h.host.Group(m.Group); g != nil {
 			g.PeerView(from, m.Server, m.Answers)
@@ -54,12 +60,20 @@
 }
 
 // Answer implements peer.Handler.
-func (h *handler) Answer(_ context.Context, _ ident.InstanceID, m peer.Message) peer.Message {
+func (h *handler) Answer(ctx context.Context, _ ident.InstanceID, m peer.Message) peer.Message {
 	switch m := m.(type) {
 	case peer.TokensAsk:
 		return peer.TokensGive{Given: h.quota.Give(m.Want)}
 	case peer.ConfigAsk:
 		return h.give(m)
+	case peer.ShareAsk:
+		grant, err := h.quota.Serve(ctx, m.Ask)
+		if err != nil {
+			return nil
+		}
+		return peer.ShareGive{Grant: grant}
+	case peer.MembersAsk:
+		return h.members.give()
 	case peer.JournalAsk:
 		return peer.JournalGive{Events: h.journal.Since(m.Since)}
 	}
@@ -96,6 +110,22 @@
 	}()
 }
 
+// fetchList gets a newer list of instances from a peer.
+func (h *handler) fetchList(from ident.InstanceID) {
+	if !h.listing.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer h.listing.Store(false)
+		ctx, cancel := context.WithTimeout(h.tomb.Context(context.Background()), fetchTime)
+		defer cancel()
+		m, err := h.hub.Ask(ctx, from, peer.MembersAsk{})
+		if given, ok := m.(peer.MembersGive); err == nil && ok {
+			h.members.listed(given.Version, given.Members)
+		}
+	}()
+}
+
 func (i *Instance) fetch(ctx context.Context, from ident.InstanceID) (confs.Bundle, bool) {
 	m, err := i.hub.Ask(ctx, from, peer.ConfigAsk{Have: i.keeper.Current().Version})
 	given, ok := m.(peer.ConfigGive)
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -31,6 +31,7 @@
 	"geraniumseam.dev/internal/quota"
 	"geraniumseam.dev/internal/rule/conf"
 	"geraniumseam.dev/internal/rule/group"
+	"geraniumseam.dev/internal/rule/share"
 	"geraniumseam.dev/pkg/ident"
 )
 
@@ -88,6 +89,7 @@
 	// draining is set once shutdown has begun.
 	draining atomic.Bool
 	fetching atomic.Bool
+	listing  atomic.Bool
 	tomb     tomb.Tomb
 }
 
@@ -113,7 +115,7 @@
 	}, c.Peers)
 	i.quota = quota.New(quota.Config{
 		Self: c.Instance, Center: c.Center, Store: c.Store, Journal: i.journal, Ask: i.askTokens,
-		Peers: i.members.nearest, Members: i.members.inCenter, Snapshot: i.keeper.Current,
+		Clerks: i.members.clerks, Submit: i.submitShare, Peers: i.members.nearest, Members: i.members.inCenter, Snapshot: i.keeper.Current,
 		Random: i.random.fork(), Registry: c.Registry, Static: c.Baseline.StaticRates,
 	})
 	i.keeper.OnChange(i.configured)
@@ -285,6 +287,19 @@
 	return given.Given, nil
 }
 
+// submitShare hands a request for a part of the rates to another instance's clerk.
+func (i *Instance) submitShare(ctx context.Context, id ident.InstanceID, a share.Ask) (share.Grant, error) {
+	m, err := i.hub.Ask(ctx, id, peer.ShareAsk{Ask: a})
+	if err != nil {
+		return share.Grant{}, errors.Trace(err)
+	}
+	given, ok := m.(peer.ShareGive)
+	if !ok {
+		return share.Grant{}, &peer.Error{Cause: peer.BadMessage, Peer: id}
+	}
+	return given.Grant, nil
+}
+
 func (i *Instance) tellOpinion(g ident.GroupID, s ident.ServerID, answers bool) {
 	i.hub.TellLinked(i.tomb.Context(context.Background()), peer.Opinion{Group: g, Server: s, Answers: answers})
 }
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -3,30 +3,36 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"geraniumseam.dev/internal/peer"
 	"geraniumseam.dev/internal/rule/membr"
 	"geraniumseam.dev/pkg/ident"
 	"geraniumseam.dev/pkg/objs"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
 	// viewPause is how often the view of the fleet is looked at.
-	viewPause = 100 * time.Millisecond
+	viewPause = 250 * time.Millisecond
 	// reconcilePause is how often ownership is looked at although nothing has changed.
 	reconcilePause = time.Second
+	// clerksPerCenter is how many instances are tried as the clerk of a data centre's shares.
+	clerksPerCenter = 2
 	// listPause is how often the platform's list of instances is read.
 	listPause = 2 * time.Second
 	// memberSilence is how long an instance may go unheard by all before its work moves.
 	memberSilence = 1500 * time.Millisecond
+	// suspicionPause is how often a suspicion that lasts is told anew.
+	suspicionPause = 4 * time.Second
 	// meshSize is how many instances may all be linked with each other.
 	meshSize = 12
-	// neighbours is how many instances of its own data centre each one listens to beyond that size.
-	neighbours = 4
 	// settleTime is how long a leaving instance waits for the others to see that it leaves.
 	settleTime = 300 * time.Millisecond
 )
@@ -55,12 +61,15 @@
 	mu      sync.Mutex
 	view    *membr.View
 	targets []ident.InstanceID
+	// listVersion and listHash identify the platform's list that the view is made of.
+	listVersion ident.Version
+	listHash    uint64
 }
 
 func newMembers(i *Instance) *members {
 	m := &members{
 		instance: i, poke: make(chan struct{}, 1),
-		view: membr.NewView(membr.Config{Self: i.conf.Instance, Silence: memberSilence}),
+		view: membr.NewView(membr.Config{Self: i.conf.Instance, Silence: memberSilence, Refresh: suspicionPause}, uint64(time.Now().UnixNano())),
 	}
 	m.current.Store(&crowd{all: map[ident.InstanceID]membr.Member{}})
 	return m
@@ -73,7 +82,7 @@
 	ctx := m.instance.tomb.Context(context.Background())
 	var read time.Time
 	for {
-		if time.Since(read) > listPause/2+m.instance.random.duration(listPause) {
+		if time.Since(read) > m.listWait() {
 			m.readList(ctx)
 			read = time.Now()
 		}
@@ -104,35 +113,100 @@
 			ID: ident.InstanceID(o.Metadata.Name), Center: machine.Center, Address: machine.Address, Leaving: machine.State == objs.Leaving,
 		})
 	}
+	m.listed(list.Version(), found)
+}
+
+// listWait is how long a read of the list is good for: relays read it for their
+// data centre, the others only now and then, in case that no relay reaches them.
+func (m *members) listWait() time.Duration {
+	m.mu.Lock()
+	known := m.listVersion
+	m.mu.Unlock()
+	if known == 0 || m.relays(relaysPerCenter) {
+		return listPause/2 + m.instance.random.duration(listPause)
+	}
+	return lookPause/2 + m.instance.random.duration(lookPause)
+}
+
+// listed takes in the platform's list if it is newer than the one known.
+func (m *members) listed(version ident.Version, found []membr.Member) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if version < m.listVersion {
+		return
+	}
+	m.listVersion = version
+	hash := hashOf(found)
+	if hash == m.listHash {
+		return
+	}
+	m.listHash = hash
 	m.view.Listed(time.Now(), found)
-	m.targets = listenTo(m.instance.conf.Instance, m.instance.conf.Center, m.view.All())
+	m.targets = linkTo(m.instance.conf.Instance, m.view.Targets(), m.view.All())
 }
 
-// listenTo chooses whom an instance keeps a link to: everybody in a small fleet,
-// else the next few of its data centre and one of each other.
-func listenTo(self ident.InstanceID, center ident.CenterID, all []membr.Member) []ident.InstanceID {
-	var targets []ident.InstanceID
-	if len(all) <= meshSize {
-		for _, m := range all {
-			if m.ID != self {
-				targets = append(targets, m.ID)
-			}
+// hashOf identifies a list whatever version it was read at.
+func hashOf(list []membr.Member) uint64 {
+	d := xxhash.New()
+	for _, m := range list {
+		_, _ = fmt.Fprintf(d, "%s|%s|%s|%t\n", m.ID, m.Center, m.Address, m.Leaving)
+	}
+	return d.Sum64()
+}
+
+// list returns the version and the hash of the list that is known.
+func (m *members) list() (ident.Version, uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.listVersion, m.listHash
+}
+
+// behind reports whether a peer's list is newer and another; one that is only newer is noted.
+func (m *members) behind(version ident.Version, hash uint64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if version <= m.listVersion {
+		return false
+	}
+	if hash == m.listHash {
+		m.listVersion = version
+		return false
+	}
+	return true
+}
+
+// give returns the list that is known.
+func (m *members) give() peer.Message {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return peer.MembersGive{Version: m.listVersion, Members: m.view.All()}
+}
+
+// clerks returns the first few instances of the data centre for its shares of the rates.
+func (m *members) clerks() []ident.InstanceID {
+	var ids []ident.InstanceID
+	c := m.current.Load()
+	for _, member := range membr.Rank("shares", c.placed[m.instance.conf.Center]) {
+		if len(ids) < clerksPerCenter {
+			ids = append(ids, member.ID)
 		}
-		return targets
 	}
-	taken := map[ident.CenterID]int{}
+	return ids
+}
+
+// linkTo chooses whom an instance keeps a link to: everybody in a small fleet,
+// else those it listens to and the next one of each data centre, so that news get round.
+func linkTo(self ident.InstanceID, listen []ident.InstanceID, all []membr.Member) []ident.InstanceID {
+	targets := slices.Clone(listen)
+	taken := map[ident.CenterID]bool{}
 	for _, m := range membr.After(self, all) {
-		most := 1
-		if m.Center == center {
-			most = neighbours
-		}
-		if m.ID == self || taken[m.Center] >= most {
+		if m.ID == self || slices.Contains(targets, m.ID) {
 			continue
 		}
-		taken[m.Center]++
-		targets = append(targets, m.ID)
+		if len(all) <= meshSize || !taken[m.Center] {
+			taken[m.Center] = true
+			targets = append(targets, m.ID)
+		}
 	}
 	return targets
 }
@@ -142,6 +216,7 @@
 	now := time.Now()
 	m.mu.Lock()
 	targets := m.targets
+	suspicions := m.view.Tick(now)
 	working := m.view.Working(now)
 	next := &crowd{working: working, all: map[ident.InstanceID]membr.Member{}, reach: map[ident.InstanceID]bool{}}
 	for _, member := range m.view.All() {
@@ -150,6 +225,9 @@
 	}
 	m.mu.Unlock()
 	m.link(ctx, targets)
+	for _, n := range suspicions {
+		m.instance.hub.TellLinked(ctx, peer.Suspect{Suspicion: n})
+	}
 	next.placed = membr.ByCenter(m.placed(working))
 	old := m.current.Load()
 	snapshot := m.instance.keeper.Current()
@@ -204,32 +282,25 @@
 	}
 }
 
-func (m *members) heard(id ident.InstanceID, heard map[ident.InstanceID]int64, leaving bool) {
+func (m *members) heard(id ident.InstanceID, leaving bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := time.Now()
-	m.view.Heard(now, id)
-	for about, ago := range heard {
-		m.view.Told(now, id, about, time.Duration(ago)*time.Millisecond)
-	}
+	m.view.Heard(time.Now(), id)
 	if leaving {
 		m.view.Leaving(id)
 		m.changed()
 	}
 }
 
-// hearing returns how long ago this instance heard those it listens to, in milliseconds.
-func (m *members) hearing() map[ident.InstanceID]int64 {
+// told takes in a peer's suspicion and passes it on once.
+func (m *members) told(from ident.InstanceID, n membr.Suspicion) {
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	now := time.Now()
-	heard := map[ident.InstanceID]int64{}
-	for _, id := range m.targets {
-		if ago := m.view.HeardAgo(now, id); ago < memberSilence {
-			heard[id] = ago.Milliseconds()
-		}
+	news := m.view.Told(time.Now(), n)
+	m.mu.Unlock()
+	if news {
+		m.instance.hub.TellOthers(m.instance.tomb.Context(context.Background()), from, peer.Suspect{Suspicion: n})
+		m.changed()
 	}
-	return heard
 }
 
 // relays reports whether this instance is among the first few of its data centre for the configuration.
--- /dev/null
+++ b/internal/fleet/control_test.go
@@ -0,0 +1,102 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"geraniumseam.dev/internal/rule/conf"
+	"geraniumseam.dev/pkg/ident"
+)
+
+// spread is a deployment of so many instances and groups over three data centres.
+func spread(instances, groups int) *Deployment {
+	c := conf.New()
+	centers := []ident.CenterID{"a", "b", "c"}
+	counts := map[ident.CenterID]int{}
+	for at, id := range centers {
+		c.Centers[id] = conf.Center{Part: 1}
+		counts[id] = (instances + 2 - at) / 3
+	}
+	c.Customers["load"] = conf.Customer{Rate: 1e6, Burst: 1e6, Weight: 1}
+	for at := range groups {
+		name := fmt.Sprintf("g%03d", at)
+		g := conf.Group{Connections: 24, Slots: 8}
+		for n, center := range centers {
+			g.Servers = append(g.Servers, conf.Server{ID: ident.ServerID(fmt.Sprintf("%s-%d", name, n)), Center: center, Address: loopback})
+		}
+		c.Groups[ident.GroupID(name)] = g
+		c.Services[ident.ServiceID(name)] = conf.Service{Group: ident.GroupID(name)}
+	}
+	return &Deployment{Name: "spread", Config: c, Instances: counts}
+}
+
+// BenchmarkControl measures what an idle fleet costs: processor, bytes between
+// peers, platform calls and memory. The stand-ins' own cost is measured first and taken off.
+func BenchmarkControl(b *testing.B) {
+	for _, size := range []struct{ instances, groups int }{{6, 3}, {12, 3}, {24, 3}, {48, 3}, {96, 3}, {6, 12}, {6, 24}} {
+		b.Run(fmt.Sprintf("%d-instances-%d-groups", size.instances, size.groups), func(b *testing.B) {
+			for b.Loop() {
+				alone := idleCost(b, size.instances, size.groups, true)
+				whole := idleCost(b, size.instances, size.groups, false)
+				n := float64(size.instances)
+				b.ReportMetric((whole.cpu-alone.cpu)*100/n, "cpu%/instance")
+				b.ReportMetric(whole.bytes/n, "peer-B/s/instance")
+				b.ReportMetric(whole.reads, "platform-reads/s")
+				b.ReportMetric(whole.writes, "platform-writes/s")
+				b.ReportMetric((whole.memory-alone.memory)/n/1024, "KiB/instance")
+			}
+		})
+	}
+}
+
+// cost is what a fleet used, a second; memory in bytes.
+type cost struct{ cpu, bytes, reads, writes, memory float64 }
+
+const idleTime = 4 * time.Second
+
+func idleCost(b *testing.B, instances, groups int, bare bool) cost {
+	b.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	d := spread(instances, groups)
+	if bare {
+		d.Instances = nil
+	}
+	before := inUse()
+	f, err := Start(ctx, Config{Deployment: d, Seed: 1, Raw: true, Bare: bare})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer f.Stop()
+	time.Sleep(3 * time.Second)
+	calls, used, sent := f.Platform.Calls(), cpu(), peerBytes(b, f)
+	time.Sleep(idleTime)
+	after := f.Platform.Calls()
+	seconds := idleTime.Seconds()
+	runtime.GC()
+	return cost{
+		cpu: (cpu() - used).Seconds() / seconds, bytes: (peerBytes(b, f) - sent) / seconds,
+		reads:  float64(after.Reads-calls.Reads+after.Watches-calls.Watches) / seconds,
+		writes: float64(after.Writes-calls.Writes) / seconds, memory: float64(inUse() - before),
+	}
+}
+
+func peerBytes(b *testing.B, f *Fleet) float64 {
+	b.Helper()
+	sum := 0.0
+	for _, m := range f.Members() {
+		families, err := m.Registry.Gather()
+		if err != nil {
+			b.Fatal(err)
+		}
+		for _, family := range families {
+			if family.GetName() == "geraniumseam_peer_bytes_out_total" {
+				sum += family.GetMetric()[0].GetCounter().GetValue()
+			}
+		}
+	}
+	return sum
+}
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -69,6 +69,8 @@
 	board   *board
 	events  chan group.Event
 	waiting atomic.Int64
+	// used is when the group last ran a request, in nanoseconds.
+	used    atomic.Int64
 	limits  atomic.Pointer[conf.Defaults]
 	leaving atomic.Pointer[map[ident.ServerID]bool]
 	rank    atomic.Int64
--- a/internal/owner/mind.go
+++ b/internal/owner/mind.go
@@ -15,7 +15,7 @@
 )
 
 // tickPause is how often the machine looks at the clock.
-const tickPause = 20 * time.Millisecond
+const tickPause = 40 * time.Millisecond
 
 // mind runs the group's machine and carries out what it decides.
 func (g *Group) mind() error {
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -30,6 +30,7 @@
 		defer cancel()
 	}
 	g.conf.Budget.Earn()
+	g.used.Store(time.Now().UnixNano())
 	if w.Tx != 0 {
 		return g.runInTx(ctx, w, sink)
 	}
--- a/internal/owner/watch.go
+++ b/internal/owner/watch.go
@@ -14,6 +14,10 @@
 const (
 	// hurryPause is the time between two polls while somebody waits for one.
 	hurryPause = time.Millisecond
+	// usedTime is how long a group counts as used after a request.
+	usedTime = time.Second
+	// idlePolls is how often an unused group's server is asked before its silence is noted.
+	idlePolls = 3
 	// pollTime bounds one poll.
 	pollTime = 200 * time.Millisecond
 	// opinionPause is how often this instance's view of a server is told to peers.
@@ -57,11 +61,21 @@
 		case <-timer.C:
 		}
 		w.poll()
-		pause := g.limits.Load().Poll
-		if g.waiting.Load() > 0 {
-			pause = hurryPause
-		}
-		timer.Reset(pause)
+		timer.Reset(g.pollPause())
+	}
+}
+
+// pollPause is the time to the next poll: none to speak of while somebody waits
+// for one, short while the group is used, and longer while nobody asks for it.
+func (g *Group) pollPause() time.Duration {
+	d := g.limits.Load()
+	switch {
+	case g.waiting.Load() > 0:
+		return hurryPause
+	case time.Since(time.Unix(0, g.used.Load())) < usedTime:
+		return d.Poll
+	default:
+		return max(d.Poll, d.Silence/idlePolls)
 	}
 }
 
--- a/internal/peer/hub.go
+++ b/internal/peer/hub.go
@@ -292,6 +292,15 @@
 	}
 }
 
+// TellOthers sends news to every linked instance but one.
+func (h *Hub) TellOthers(ctx context.Context, but ident.InstanceID, m Message) {
+	for _, l := range h.linked() {
+		if l.peer != but {
+			_ = l.send(ctx, kindOf(m), 0, m)
+		}
+	}
+}
+
 func (h *Hub) linked() []*link {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -8,6 +8,8 @@
 	"geraniumseam.dev/internal/jrnl"
 	"geraniumseam.dev/internal/owner"
 	"geraniumseam.dev/internal/rule/conf"
+	"geraniumseam.dev/internal/rule/membr"
+	"geraniumseam.dev/internal/rule/share"
 	"geraniumseam.dev/pkg/ident"
 )
 
@@ -34,9 +36,10 @@
 	Version ident.Version `cbor:"1,keyasint"`
 	// Checked is how long ago the sender knew this to be the platform's latest.
 	Checked time.Duration `cbor:"2,keyasint"`
-	// Heard is how long ago the sender heard each of those it listens to, in milliseconds.
-	Heard   map[ident.InstanceID]int64 `cbor:"3,keyasint,omitempty"`
-	Leaving bool                       `cbor:"4,keyasint,omitempty"`
+	Leaving bool          `cbor:"4,keyasint,omitempty"`
+	// List is the version of the sender's list of instances, ListHash its content's hash.
+	List     ident.Version `cbor:"5,keyasint,omitempty"`
+	ListHash uint64        `cbor:"6,keyasint,omitempty"`
 }
 
 // Opinion says whether a backend server answers the sender.
@@ -69,6 +72,30 @@
 	Pages   map[conf.PageName][]byte `cbor:"3,keyasint,omitempty"`
 }
 
+// ShareAsk hands a request for renewal to a clerk; ShareGive answers.
+type ShareAsk struct {
+	Ask share.Ask `cbor:"1,keyasint"`
+}
+
+// ShareGive carries what was granted.
+type ShareGive struct {
+	Grant share.Grant `cbor:"1,keyasint"`
+}
+
+// MembersAsk asks for the platform's list of instances; MembersGive answers.
+type MembersAsk struct{}
+
+// MembersGive carries the list as of a version.
+type MembersGive struct {
+	Version ident.Version  `cbor:"1,keyasint"`
+	Members []membr.Member `cbor:"2,keyasint"`
+}
+
+// Suspect passes on that an instance does not hear another one, or hears it again.
+type Suspect struct {
+	Suspicion membr.Suspicion `cbor:"1,keyasint"`
+}
+
 // CancelAsk hands a caller's cancel request to the instance that gave out its number.
 type CancelAsk struct {
 	Process uint32 `cbor:"1,keyasint"`
@@ -102,6 +129,11 @@
 func (JournalAsk) isMessage()  {}
 func (JournalGive) isMessage() {}
 func (TxEnd) isMessage()       {}
+func (ShareAsk) isMessage()    {}
+func (Suspect) isMessage()     {}
+func (ShareGive) isMessage()   {}
+func (MembersAsk) isMessage()  {}
+func (MembersGive) isMessage() {}
 
 // kind is a frame's type on the wire; numbers are never used anew.
 type kind uint8
@@ -118,6 +150,11 @@
 	kindJournalAsk  kind = 9
 	kindJournalGive kind = 10
 	kindTxEnd       kind = 11
+	kindShareAsk    kind = 12
+	kindShareGive   kind = 13
+	kindMembersAsk  kind = 14
+	kindMembersGive kind = 15
+	kindSuspect     kind = 16
 	kindWork        kind = 20
 	kindChunk       kind = 21
 	kindResult      kind = 22
@@ -166,6 +203,16 @@
 		return kindJournalGive
 	case TxEnd:
 		return kindTxEnd
+	case Suspect:
+		return kindSuspect
+	case ShareAsk:
+		return kindShareAsk
+	case ShareGive:
+		return kindShareGive
+	case MembersAsk:
+		return kindMembersAsk
+	case MembersGive:
+		return kindMembersGive
 	}
 	return 0
 }
@@ -195,6 +242,16 @@
 		return into[JournalGive](body)
 	case kindTxEnd:
 		return into[TxEnd](body)
+	case kindSuspect:
+		return into[Suspect](body)
+	case kindShareAsk:
+		return into[ShareAsk](body)
+	case kindShareGive:
+		return into[ShareGive](body)
+	case kindMembersAsk:
+		return into[MembersAsk](body)
+	case kindMembersGive:
+		return into[MembersGive](body)
 	}
 	return nil, nil
 }
--- /dev/null
+++ b/internal/quota/clerk.go
@@ -0,0 +1,164 @@
+package quota
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"gopkg.in/tomb.v2"
+
+	"geraniumseam.dev/internal/plat"
+	"geraniumseam.dev/internal/rule/share"
+	"geraniumseam.dev/pkg/ident"
+	"geraniumseam.dev/pkg/objs"
+)
+
+const (
+	// gatherTime is how long a clerk waits for further requests before it writes.
+	gatherTime = 40 * time.Millisecond
+	// enterAttempts is how often a clerk tries a write that another one got ahead of.
+	enterAttempts = 4
+	// enterTime bounds one attempt.
+	enterTime = 2 * time.Second
+	// conflictPause spaces attempts.
+	conflictPause = 60 * time.Millisecond
+	// askQueue is how many requests may wait for the clerk.
+	askQueue = 1024
+)
+
+// request is an instance's request on its way through a clerk.
+type request struct {
+	ask  share.Ask
+	done chan result
+}
+
+type result struct {
+	grant share.Grant
+	err   error
+}
+
+// clerk writes the data centre's table, one write for all the requests that came together.
+type clerk struct {
+	store  plat.Store
+	center ident.CenterID
+	terms  func() (share.Part, share.Terms)
+	asks   chan *request
+	tomb   *tomb.Tomb
+
+	mu     sync.Mutex
+	rules  *share.Clerk
+	random *rand.Rand
+}
+
+// submit hands a request to the clerk and waits for its grant.
+func (c *clerk) submit(ctx context.Context, a share.Ask) (share.Grant, error) {
+	r := &request{ask: a, done: make(chan result, 1)}
+	select {
+	case c.asks <- r:
+	case <-ctx.Done():
+		return share.Grant{}, ctx.Err()
+	case <-c.tomb.Dying():
+		return share.Grant{}, tomb.ErrDying
+	}
+	select {
+	case got := <-r.done:
+		return got.grant, got.err
+	case <-ctx.Done():
+		return share.Grant{}, ctx.Err()
+	case <-c.tomb.Dying():
+		return share.Grant{}, tomb.ErrDying
+	}
+}
+
+// run serves requests until the instance ends.
+func (c *clerk) run() error {
+	for {
+		select {
+		case <-c.tomb.Dying():
+			return nil
+		case first := <-c.asks:
+			c.enter(c.gather(first))
+		}
+	}
+}
+
+func (c *clerk) gather(first *request) []*request {
+	all := []*request{first}
+	timer := time.NewTimer(gatherTime)
+	defer timer.Stop()
+	for {
+		select {
+		case r := <-c.asks:
+			all = append(all, r)
+		case <-timer.C:
+			return all
+		case <-c.tomb.Dying():
+			return all
+		}
+	}
+}
+
+// enter writes the requests into the table and answers them.
+func (c *clerk) enter(all []*request) {
+	asks := make([]share.Ask, 0, len(all))
+	for _, r := range all {
+		asks = append(asks, r.ask)
+	}
+	var grants map[ident.InstanceID]share.Grant
+	var err error
+	for range enterAttempts {
+		ctx, cancel := context.WithTimeout(c.tomb.Context(context.Background()), enterTime)
+		grants, err = c.once(ctx, asks)
+		cancel()
+		if !plat.Is(err, plat.Conflict) {
+			break
+		}
+		time.Sleep(c.pause())
+	}
+	for _, r := range all {
+		r.done <- result{grant: grants[r.ask.Instance], err: err}
+	}
+}
+
+func (c *clerk) pause() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Duration(c.random.Int64N(int64(conflictPause)))
+}
+
+func (c *clerk) once(ctx context.Context, asks []share.Ask) (map[ident.InstanceID]share.Grant, error) {
+	table, object, err := c.read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	center, terms := c.terms()
+	c.mu.Lock()
+	next, grants := c.rules.Renew(time.Now(), table, center, terms, asks)
+	c.mu.Unlock()
+	return grants, c.write(ctx, object, next)
+}
+
+func (c *clerk) read(ctx context.Context) (share.Table, objs.Object, error) {
+	var table share.Table
+	o, err := c.store.Get(ctx, objs.Shares, string(c.center))
+	if plat.Is(err, plat.NotFound) {
+		return table, objs.Object{Kind: objs.Shares, Metadata: objs.Metadata{Name: string(c.center)}}, nil
+	}
+	if err != nil {
+		return table, o, errors.Trace(err)
+	}
+	return table, o, errors.Trace(json.Unmarshal(o.Spec, &table))
+}
+
+func (c *clerk) write(ctx context.Context, o objs.Object, table share.Table) error {
+	spec, err := json.Marshal(table)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	o.Spec = spec
+	_, err = c.store.Put(ctx, o)
+	return err
+}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"gopkg.in/tomb.v2"
 
@@ -19,7 +17,6 @@
 	"geraniumseam.dev/internal/rule/conf"
 	"geraniumseam.dev/internal/rule/share"
 	"geraniumseam.dev/pkg/ident"
-	"geraniumseam.dev/pkg/objs"
 )
 
 const (
@@ -47,6 +44,10 @@
 	Journal *jrnl.Journal
 	// Ask asks a peer for tokens.
 	Ask func(ctx context.Context, peer ident.InstanceID, want map[ident.CustomerID]float64) (map[ident.CustomerID]float64, error)
+	// Clerks returns the instances that write the data centre's table, the best first; it may name this one.
+	Clerks func() []ident.InstanceID
+	// Submit hands a request for renewal to another instance's clerk.
+	Submit func(ctx context.Context, clerk ident.InstanceID, a share.Ask) (share.Grant, error)
 	// Peers returns whom to ask, nearest first.
 	Peers func() []ident.InstanceID
 	// Members returns how many instances work in this data centre.
@@ -81,8 +82,10 @@
 	borrowed prometheus.Counter
 	given    prometheus.Counter
 
+	clerk *clerk
+
 	mu     sync.Mutex
-	keeper *share.Keeper
+	holder *share.Holder
 	random *rand.Rand
 	next   int
 }
@@ -91,32 +94,69 @@
 func New(c Config) *Quota {
 	q := &Quota{
 		conf: c, hungry: make(chan struct{}, 1), renew: make(chan struct{}, 1), random: c.Random,
-		keeper:   share.NewKeeper(c.Self, 0, share.Terms{}),
+		holder:   share.NewHolder(c.Self, uint64(time.Now().UnixNano())),
 		borrowed: prometheus.NewCounter(prometheus.CounterOpts{Name: "geraniumseam_tokens_borrowed_total", Help: "Tokens received from peers."}),
 		given:    prometheus.NewCounter(prometheus.CounterOpts{Name: "geraniumseam_tokens_given_total", Help: "Tokens handed to peers."}),
 	}
 	if c.Registry != nil {
 		c.Registry.MustRegister(q.borrowed, q.given)
 	}
+	q.clerk = &clerk{
+		store: c.Store, center: c.Center, terms: q.terms, asks: make(chan *request, askQueue), tomb: &q.tomb,
+		rules: share.NewClerk(), random: rand.New(rand.NewPCG(c.Random.Uint64(), 1)),
+	}
+	q.tomb.Go(q.clerk.run)
 	q.tomb.Go(q.keep)
 	q.tomb.Go(q.borrow)
 	return q
 }
 
-// Stop hands the part back to the platform and spends nothing more.
+// Stop hands the part back and spends nothing more.
 func (q *Quota) Stop(ctx context.Context) {
+	q.mu.Lock()
+	leave := q.holder.Leave()
+	q.mu.Unlock()
+	q.measure()
+	if ctx.Err() == nil {
+		_, _ = q.submit(ctx, leave)
+	}
 	q.tomb.Kill(nil)
 	_ = q.tomb.Wait()
-	table, object, err := q.read(ctx)
-	if err != nil {
-		return
+}
+
+// Serve enters another instance's request into the data centre's table.
+func (q *Quota) Serve(ctx context.Context, a share.Ask) (share.Grant, error) {
+	return q.clerk.submit(ctx, a)
+}
+
+// submitTime bounds the way of a request through one clerk.
+const submitTime = 3 * time.Second
+
+// submit hands a request to the first clerk that answers; this instance is one itself if no other does.
+func (q *Quota) submit(ctx context.Context, a share.Ask) (share.Grant, error) {
+	for _, id := range q.conf.Clerks() {
+		if id == q.conf.Self {
+			break
+		}
+		asked, cancel := context.WithTimeout(ctx, submitTime)
+		grant, err := q.conf.Submit(asked, id, a)
+		cancel()
+		if err == nil {
+			return grant, nil
+		}
+	}
+	asked, cancel := context.WithTimeout(ctx, submitTime)
+	defer cancel()
+	return q.clerk.submit(asked, a)
+}
+
+// terms returns the data centre's part of all rates and the conditions in force.
+func (q *Quota) terms() (share.Part, share.Terms) {
+	s := q.conf.Snapshot()
+	d := s.Defaults
+	return share.Part(s.CenterPart(q.conf.Center)), share.Terms{
+		Lease: d.ShareLease, Grace: d.ShareGrace, Reserve: share.Part(d.ShareReserve * float64(share.Whole)), Drift: driftPart,
 	}
-	q.mu.Lock()
-	next := q.keeper.Release(table)
-	q.mu.Unlock()
-	q.part.Store(0)
-	q.sizes.Add(1)
-	_ = q.write(ctx, object, next)
 }
 
 // Part returns the part of all rates that this instance may spend now, in millionths.
@@ -384,56 +424,42 @@
 const (
 	// notReadyPause is how long an instance without configuration waits before it asks for its part.
 	notReadyPause = 100 * time.Millisecond
+	// shortPause is how soon an instance asks again that got less than an equal part.
+	shortPause = 2 * time.Second
 	// failedPause is how long it waits after the platform did not answer.
 	failedPause = 500 * time.Millisecond
 )
 
 // renewal asks for the part once and returns how long to wait for the next time.
 func (q *Quota) renewal() time.Duration {
-	s := q.conf.Snapshot()
-	if s.Version == 0 {
+	if q.conf.Snapshot().Version == 0 {
 		return notReadyPause
 	}
-	d := s.Defaults
-	terms := share.Terms{Lease: d.ShareLease, Grace: d.ShareGrace, Reserve: share.Part(d.ShareReserve * float64(share.Whole)), Drift: driftPart}
-	ctx, cancel := context.WithTimeout(q.tomb.Context(context.Background()), d.ShareLease/renewalsPerLease)
-	defer cancel()
-	again, err := q.renewOnce(ctx, share.Part(s.CenterPart(q.conf.Center)), terms)
+	center, terms := q.terms()
+	want := center / share.Part(max(q.conf.Members(), 1))
+	q.mu.Lock()
+	ask := q.holder.Ask(time.Now(), want, terms)
+	q.mu.Unlock()
 	q.measure()
-	switch {
-	case err != nil && plat.Is(err, plat.Conflict):
-		return q.jitter(50 * time.Millisecond)
-	case err != nil || again:
-		return failedPause + q.jitter(failedPause)
-	}
-	interval := d.ShareLease / renewalsPerLease
-	return interval/2 + q.jitter(interval/2)
-}
-
-// renewOnce renews, and reports whether less than an equal part could be had for now.
-func (q *Quota) renewOnce(ctx context.Context, center share.Part, terms share.Terms) (bool, error) {
-	table, object, err := q.read(ctx)
+	grant, err := q.submit(q.tomb.Context(context.Background()), ask)
 	if err != nil {
-		return false, err
+		return failedPause + q.jitter(failedPause)
 	}
-	members := max(q.conf.Members(), 1)
 	q.mu.Lock()
-	q.keeper.SetTerms(center, terms)
-	next := q.keeper.Renew(time.Now(), table, members)
+	q.holder.Granted(grant)
 	q.mu.Unlock()
-	if err := q.write(ctx, object, next); err != nil {
-		return false, err
+	q.measure()
+	interval := terms.Lease / renewalsPerLease
+	if grant.Part < want {
+		interval = min(interval, shortPause)
 	}
-	q.mu.Lock()
-	q.keeper.Stored()
-	q.mu.Unlock()
-	return next.Entries[q.conf.Self].Part < center/share.Part(members), nil
+	return interval/2 + q.jitter(interval/2)
 }
 
 // measure brings the part that may be spent up to date.
 func (q *Quota) measure() {
 	q.mu.Lock()
-	usable := q.keeper.Usable(time.Now())
+	usable := q.holder.Usable(time.Now())
 	q.mu.Unlock()
 	old := q.part.Swap(int64(usable))
 	if old == int64(usable) {
@@ -453,31 +479,6 @@
 	return "the part of all rates rose from " + percent(old) + " to " + percent(now)
 }
 
-func (q *Quota) read(ctx context.Context) (share.Table, objs.Object, error) {
-	var table share.Table
-	o, err := q.conf.Store.Get(ctx, objs.Shares, string(q.conf.Center))
-	if plat.Is(err, plat.NotFound) {
-		return table, objs.Object{Kind: objs.Shares, Metadata: objs.Metadata{Name: string(q.conf.Center)}}, nil
-	}
-	if err != nil {
-		return table, o, errors.Trace(err)
-	}
-	if err := json.Unmarshal(o.Spec, &table); err != nil {
-		return table, o, errors.Trace(err)
-	}
-	return table, o, nil
-}
-
-func (q *Quota) write(ctx context.Context, o objs.Object, table share.Table) error {
-	spec, err := json.Marshal(table)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	o.Spec = spec
-	_, err = q.conf.Store.Put(ctx, o)
-	return err
-}
-
 func (q *Quota) jitter(most time.Duration) time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/internal/rule/membr/view.go
+++ b/internal/rule/membr/view.go
@@ -20,28 +20,62 @@
 // Config makes a View.
 type Config struct {
 	Self ident.InstanceID
-	// Silence is how long an instance may go unheard by everyone before work moves away from it.
+	// Silence is how long an instance that is listened to may go unheard before it is suspected.
 	Silence time.Duration
+	// Refresh is how often a suspicion that lasts is told anew; it lapses after three times as long.
+	Refresh time.Duration
+}
+
+const (
+	// localListeners is how many instances of its own data centre listen to each instance.
+	localListeners = 4
+	// leastListeners is how many listen at least; the rest come from other data centres.
+	leastListeners = 3
+	// lapseAfter is after how many refreshes without news a suspicion lapses.
+	lapseAfter = 3
+)
+
+// Suspicion says that an instance does not hear another one that it listens to, or hears it again.
+type Suspicion struct {
+	By    ident.InstanceID `cbor:"1,keyasint"`
+	About ident.InstanceID `cbor:"2,keyasint"`
+	// Sequence rises with each statement of By about About.
+	Sequence uint64 `cbor:"3,keyasint"`
+	Silent   bool   `cbor:"4,keyasint,omitempty"`
+}
+
+type vote struct {
+	sequence uint64
+	silent   bool
+	at       time.Time
 }
 
 type seen struct {
-	listedAt time.Time
-	heard    time.Time
-	opinions map[ident.InstanceID]time.Time
-	leaving  bool
+	listedAt  time.Time
+	heard     time.Time
+	leaving   bool
+	told      time.Time
+	silent    bool
+	votes     map[ident.InstanceID]vote
+	listeners []ident.InstanceID
 }
 
-// View joins the platform's lagging list with what this instance and its peers
-// have heard themselves; it is not safe for concurrent use.
+// View joins the platform's lagging list with what instances hear of each other.
+//
+// A few instances listen to each one. Who is listed counts as there until more
+// than half of its listeners do not hear it; so one bad path removes nobody,
+// and in calm nothing has to be told. It is not safe for concurrent use.
 type View struct {
-	conf    Config
-	members map[ident.InstanceID]Member
-	seen    map[ident.InstanceID]*seen
+	conf     Config
+	members  map[ident.InstanceID]Member
+	seen     map[ident.InstanceID]*seen
+	targets  []ident.InstanceID
+	sequence uint64
 }
 
-// NewView returns an empty view.
-func NewView(c Config) *View {
-	return &View{conf: c, members: map[ident.InstanceID]Member{}, seen: map[ident.InstanceID]*seen{}}
+// NewView returns an empty view; the sequence of its suspicions begins behind first.
+func NewView(c Config, first uint64) *View {
+	return &View{conf: c, members: map[ident.InstanceID]Member{}, seen: map[ident.InstanceID]*seen{}, sequence: first}
 }
 
 // Listed takes in the platform's list.
@@ -50,7 +84,7 @@
 	for _, m := range list {
 		listed[m.ID] = m
 		if v.seen[m.ID] == nil {
-			v.seen[m.ID] = &seen{listedAt: now, opinions: map[ident.InstanceID]time.Time{}}
+			v.seen[m.ID] = &seen{listedAt: now, votes: map[ident.InstanceID]vote{}}
 		}
 	}
 	for id := range v.seen {
@@ -59,8 +93,44 @@
 		}
 	}
 	v.members = listed
+	v.assign()
 }
 
+// assign decides who listens to whom; everybody with the same list decides alike.
+func (v *View) assign() {
+	ring := Ring(v.All())
+	v.targets = nil
+	for at, m := range ring {
+		s := v.seen[m.ID]
+		s.listeners = listenersOf(ring, at)
+		if slices.Contains(s.listeners, v.conf.Self) {
+			v.targets = append(v.targets, m.ID)
+		}
+	}
+}
+
+// listenersOf returns the members before a place in the ring that listen to the member there.
+func listenersOf(ring []Member, at int) []ident.InstanceID {
+	var local, other []ident.InstanceID
+	for back := 1; back < len(ring); back++ {
+		m := ring[(at-back+len(ring))%len(ring)]
+		switch {
+		case m.Center == ring[at].Center && len(local) < localListeners:
+			local = append(local, m.ID)
+		case m.Center != ring[at].Center && len(other) < leastListeners:
+			other = append(other, m.ID)
+		}
+		if len(local) == localListeners {
+			break
+		}
+	}
+	missing := max(0, min(leastListeners-len(local), len(other)))
+	return append(local, other[:missing]...)
+}
+
+// Targets returns whom this instance listens to.
+func (v *View) Targets() []ident.InstanceID { return v.targets }
+
 // Heard says that an instance answered this one directly.
 func (v *View) Heard(now time.Time, id ident.InstanceID) {
 	if s := v.seen[id]; s != nil {
@@ -75,17 +145,45 @@
 	}
 }
 
-// Told takes in how long ago a peer heard an instance.
-func (v *View) Told(now time.Time, by, about ident.InstanceID, ago time.Duration) {
-	s := v.seen[about]
-	if s == nil || by == about {
-		return
+// Tick returns what this instance has to tell the others by now.
+func (v *View) Tick(now time.Time) []Suspicion {
+	var news []Suspicion
+	for _, id := range v.targets {
+		s := v.seen[id]
+		silent := v.silent(now, s)
+		if silent == s.silent && (!silent || now.Sub(s.told) < v.conf.Refresh) {
+			continue
+		}
+		s.silent, s.told = silent, now
+		v.sequence++
+		s.votes[v.conf.Self] = vote{sequence: v.sequence, silent: silent, at: now}
+		news = append(news, Suspicion{By: v.conf.Self, About: id, Sequence: v.sequence, Silent: silent})
+	}
+	return news
+}
+
+func (v *View) silent(now time.Time, s *seen) bool {
+	last := s.heard
+	if last.Before(s.listedAt) {
+		last = s.listedAt
 	}
-	s.opinions[by] = now.Add(-ago)
+	return now.Sub(last) >= v.conf.Silence
 }
 
-// Alive reports whether this instance or any peer has heard the instance of
-// late; one bad path alone therefore removes nobody.
+// Told takes in a suspicion and reports whether it is news that others should hear.
+func (v *View) Told(now time.Time, n Suspicion) bool {
+	s := v.seen[n.About]
+	if s == nil || n.By == v.conf.Self || !slices.Contains(s.listeners, n.By) {
+		return false
+	}
+	if n.Sequence <= s.votes[n.By].sequence {
+		return false
+	}
+	s.votes[n.By] = vote{sequence: n.Sequence, silent: n.Silent, at: now}
+	return true
+}
+
+// Alive reports whether a listed instance counts as there.
 func (v *View) Alive(now time.Time, id ident.InstanceID) bool {
 	s := v.seen[id]
 	if id == v.conf.Self {
@@ -94,41 +192,40 @@
 	if s == nil {
 		return false
 	}
-	if v.recent(now, s.heard) || v.recent(now, s.listedAt) {
-		return true
-	}
-	for _, at := range s.opinions {
-		if v.recent(now, at) {
-			return true
+	electors, against := 0, 0
+	for _, by := range s.listeners {
+		if v.unheard(now, by) {
+			continue
+		}
+		electors++
+		if vote := s.votes[by]; vote.silent && now.Sub(vote.at) < lapseAfter*v.conf.Refresh {
+			against++
 		}
 	}
-	return false
+	return against*2 <= electors || electors == 0 && !v.unheard(now, id)
 }
 
-// Reaches reports whether this instance itself has heard the other of late.
-func (v *View) Reaches(now time.Time, id ident.InstanceID) bool {
+// unheard reports whether this instance itself listens to another one and does not hear it.
+func (v *View) unheard(now time.Time, id ident.InstanceID) bool {
 	s := v.seen[id]
-	return id == v.conf.Self || s != nil && v.recent(now, s.heard)
+	return s != nil && id != v.conf.Self && s.silent && slices.Contains(s.listeners, v.conf.Self) && v.silent(now, s)
 }
 
-// HeardAgo returns how long ago this instance heard the other.
-func (v *View) HeardAgo(now time.Time, id ident.InstanceID) time.Duration {
+// Reaches reports whether nothing speaks against reaching an instance directly:
+// it was heard of late, or this instance does not listen to it.
+func (v *View) Reaches(now time.Time, id ident.InstanceID) bool {
 	s := v.seen[id]
-	if s == nil {
-		return time.Hour
+	if s == nil || id == v.conf.Self {
+		return id == v.conf.Self
 	}
-	return now.Sub(s.heard)
-}
-
-func (v *View) recent(now, at time.Time) bool {
-	return !at.IsZero() && now.Sub(at) < v.conf.Silence
+	return now.Sub(s.heard) < v.conf.Silence || s.heard.IsZero() && !v.unheard(now, id)
 }
 
 // Working returns the members that may be given work, in the order of their names.
 func (v *View) Working(now time.Time) []Member {
 	var working []Member
 	for id, m := range v.members {
-		if v.Alive(now, id) && !m.Leaving && !v.seen[id].leaving {
+		if !m.Leaving && !v.seen[id].leaving && v.Alive(now, id) {
 			working = append(working, m)
 		}
 	}
@@ -244,19 +341,38 @@
 	return members[best], true
 }
 
-// After returns the members in a ring that begins behind self, so that everybody has others before and behind it.
-func After(self ident.InstanceID, members []Member) []Member {
-	sorted := slices.Clone(members)
-	slices.SortFunc(sorted, func(a, b Member) int {
-		wa, wb := weigh("ring", a.ID), weigh("ring", b.ID)
+// Ring orders members in a circle that is the same for everybody.
+func Ring(members []Member) []Member {
+	type placed struct {
+		member Member
+		weight uint64
+	}
+	all := make([]placed, 0, len(members))
+	for _, m := range members {
+		all = append(all, placed{m, weigh("ring", m.ID)})
+	}
+	slices.SortFunc(all, func(a, b placed) int {
 		switch {
-		case wa < wb:
+		case a.weight < b.weight:
 			return -1
-		case wa > wb:
+		case a.weight > b.weight:
 			return 1
 		}
-		return compare(a.ID, b.ID)
+		return compare(a.member.ID, b.member.ID)
 	})
-	at := slices.IndexFunc(sorted, func(m Member) bool { return m.ID == self })
-	return append(slices.Clone(sorted[at+1:]), sorted[:at+1]...)
+	ring := make([]Member, 0, len(all))
+	for _, p := range all {
+		ring = append(ring, p.member)
+	}
+	return ring
+}
+
+// After returns the other members in the order of the ring, beginning behind self.
+func After(self ident.InstanceID, members []Member) []Member {
+	ring := Ring(members)
+	at := slices.IndexFunc(ring, func(m Member) bool { return m.ID == self })
+	if at < 0 {
+		return ring
+	}
+	return append(slices.Clone(ring[at+1:]), ring[:at]...)
 }
--- a/internal/rule/membr/view_test.go
+++ b/internal/rule/membr/view_test.go
@@ -63,22 +63,117 @@
 	}
 }
 
-// TestOneBadPathRemovesNobody hears a member only through a peer.
+// fleetModel is a fleet whose instances hear each other over paths that can be cut,
+// and pass suspicions on.
+type fleetModel struct {
+	now   time.Time
+	all   []Member
+	views map[ident.InstanceID]*View
+	dead  map[ident.InstanceID]bool
+	cut   map[[2]ident.InstanceID]bool
+}
+
+var testConfig = Config{Silence: time.Second, Refresh: 2 * time.Second}
+
+func newFleetModel(n int) *fleetModel {
+	f := &fleetModel{now: time.Unix(0, 0), all: members(n), views: map[ident.InstanceID]*View{}, dead: map[ident.InstanceID]bool{}, cut: map[[2]ident.InstanceID]bool{}}
+	for _, m := range f.all {
+		c := testConfig
+		c.Self = m.ID
+		f.views[m.ID] = NewView(c, 0)
+		f.views[m.ID].Listed(f.now, f.all)
+	}
+	return f
+}
+
+func (f *fleetModel) reaches(a, b ident.InstanceID) bool {
+	return !f.dead[a] && !f.dead[b] && !f.cut[[2]ident.InstanceID{a, b}] && !f.cut[[2]ident.InstanceID{b, a}]
+}
+
+// run lets time pass: heartbeats arrive where the path is open, suspicions flood.
+func (f *fleetModel) run(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.now = f.now.Add(250 * time.Millisecond)
+		for _, m := range f.all {
+			v := f.views[m.ID]
+			if f.dead[m.ID] {
+				continue
+			}
+			for _, id := range v.Targets() {
+				if f.reaches(m.ID, id) {
+					v.Heard(f.now, id)
+				}
+			}
+			for _, n := range v.Tick(f.now) {
+				f.flood(m.ID, n)
+			}
+		}
+	}
+}
+
+func (f *fleetModel) flood(from ident.InstanceID, n Suspicion) {
+	for _, m := range f.all {
+		if f.reaches(from, m.ID) && f.views[m.ID].Told(f.now, n) {
+			f.flood(m.ID, n)
+		}
+	}
+}
+
+// TestOneBadPathRemovesNobody cuts any one path of a fleet of any size.
 func TestOneBadPathRemovesNobody(t *testing.T) {
-	now := time.Unix(0, 0)
-	v := NewView(Config{Self: "i000", Silence: time.Second})
-	v.Listed(now, members(3))
-	for range 20 {
-		now = now.Add(300 * time.Millisecond)
-		v.Heard(now, "i001")
-		v.Told(now, "i001", "i002", 100*time.Millisecond)
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleetModel(rapid.IntRange(3, 20).Draw(t, "size"))
+		a, b := rapid.SampledFrom(f.all).Draw(t, "a").ID, rapid.SampledFrom(f.all).Draw(t, "b").ID
+		f.cut[[2]ident.InstanceID{a, b}] = true
+		f.run(8 * time.Second)
+		for id, v := range f.views {
+			if working := v.Working(f.now); len(working) != len(f.all) && id != a && id != b {
+				t.Fatalf("%s gives work to %d of %d", id, len(working), len(f.all))
+			}
+		}
+	})
+}
+
+// TestTheDeadAreFoundOut kills any one instance: soon nobody gives it work, and
+// everybody else keeps it; once it is back, it gets work again.
+func TestTheDeadAreFoundOut(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleetModel(rapid.IntRange(3, 40).Draw(t, "size"))
+		f.run(time.Second)
+		dead := rapid.SampledFrom(f.all).Draw(t, "dead").ID
+		f.dead[dead] = true
+		f.run(2 * time.Second)
+		f.expect(t, len(f.all)-1, dead)
+		f.dead[dead] = false
+		f.run(2 * time.Second)
+		f.expect(t, len(f.all), dead)
+	})
+}
+
+func (f *fleetModel) expect(t *rapid.T, want int, except ident.InstanceID) {
+	for id, v := range f.views {
+		if working := v.Working(f.now); len(working) != want && id != except {
+			t.Fatalf("%s gives work to %d, want %d", id, len(working), want)
+		}
+	}
+}
+
+// TestACutCenterGoesOnAlone cuts a data centre off and kills one of its instances.
+func TestACutCenterGoesOnAlone(t *testing.T) {
+	f := newFleetModel(7)
+	for _, a := range f.all {
+		for _, b := range f.all {
+			if (a.Center == "c0") != (b.Center == "c0") {
+				f.cut[[2]ident.InstanceID{a.ID, b.ID}] = true
+			}
+		}
 	}
-	if !v.Alive(now, "i002") || v.Reaches(now, "i002") {
-		t.Fatal("a member that a peer hears must count as alive, and as out of this instance's reach")
+	f.dead["i003"] = true
+	f.run(4 * time.Second)
+	if f.views["i000"].Alive(f.now, "i003") {
+		t.Fatal("the cut data centre still gives work to its dead instance")
 	}
-	now = now.Add(2 * time.Second)
-	v.Heard(now, "i001")
-	if v.Alive(now, "i002") {
-		t.Fatal("a member that nobody hears must not be given work")
+	if !f.views["i000"].Alive(f.now, "i006") {
+		t.Fatal("the cut data centre gave up its live instance")
 	}
 }
--- a/internal/rule/share/bucket.go
+++ b/internal/rule/share/bucket.go
@@ -1,6 +1,9 @@
 package share
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Rate is tokens a second; Tokens counts requests.
 type (
@@ -35,13 +38,22 @@
 	b.clip()
 }
 
+// refill adds what came since the last look. Tokens that came while the room of
+// lent ones was kept empty are clipped before that room is free again.
 func (b *Bucket) refill(now time.Time) {
+	for len(b.lent) > 0 && !now.Before(b.lent[0].until) {
+		b.grow(b.lent[0].until)
+		b.lent = b.lent[1:]
+	}
+	b.grow(now)
+	b.borrowed = current(b.borrowed, now)
+}
+
+func (b *Bucket) grow(now time.Time) {
 	if elapsed := now.Sub(b.at); elapsed > 0 {
 		b.tokens += Tokens(float64(b.rate) * elapsed.Seconds())
 		b.at = now
 	}
-	b.lent = current(b.lent, now)
-	b.borrowed = current(b.borrowed, now)
 	b.clip()
 }
 
@@ -80,6 +92,7 @@
 	}
 	b.tokens -= given
 	b.lent = append(b.lent, reservation{amount: given, until: now.Add(ttl)})
+	slices.SortFunc(b.lent, func(x, y reservation) int { return x.until.Compare(y.until) })
 	return given
 }
 
--- a/internal/rule/share/share_test.go
+++ b/internal/rule/share/share_test.go
@@ -144,66 +144,123 @@
 	}
 }
 
-// keeperModel is a data centre's table with keepers that pause, and whose writes or answers get lost.
-type keeperModel struct {
+// tableModel is a data centre's table with clerks and holders that pause, whose
+// requests come late or twice, and whose writes or answers get lost.
+type tableModel struct {
 	t       *rapid.T
 	now     time.Time
 	table   Table
 	version int
-	keepers map[ident.InstanceID]*Keeper
-	flight  map[ident.InstanceID]func()
+	life    uint64
+	holders map[ident.InstanceID]*Holder
+	clerks  [2]*Clerk
+	asks    []Ask
+	writes  []func()
+	answers []func()
 }
 
 var testTerms = Terms{Lease: 2 * time.Second, Grace: 6 * time.Second, Reserve: 300_000, Drift: 10_000}
 
-func (m *keeperModel) step() {
-	id := ident.InstanceID(fmt.Sprintf("i%d", rapid.IntRange(0, 3).Draw(m.t, "instance")))
-	switch rapid.IntRange(0, 5).Draw(m.t, "what") {
+func (m *tableModel) step() {
+	id := ident.InstanceID(fmt.Sprintf("i%d", rapid.IntRange(0, 2).Draw(m.t, "instance")))
+	switch rapid.IntRange(0, 9).Draw(m.t, "what") {
 	case 0, 1:
-		m.now = m.now.Add(time.Duration(rapid.IntRange(10, 3000).Draw(m.t, "millis")) * time.Millisecond)
+		m.now = m.now.Add(time.Duration(rapid.SampledFrom([]int{100, 900, 2100, 6100}).Draw(m.t, "millis")) * time.Millisecond)
 	case 2:
-		if f := m.flight[id]; f != nil {
-			delete(m.flight, id)
-			f()
-		}
+		delete(m.holders, id)
 	case 3:
-		delete(m.keepers, id)
-		delete(m.flight, id)
-	default:
-		m.renew(id)
+		m.clerks[rapid.IntRange(0, 1).Draw(m.t, "restarted")] = NewClerk()
+	case 4, 5, 6:
+		m.cycle(id)
+	case 7:
+		if len(m.asks) > 0 {
+			m.enter(rapid.SampledFrom(m.asks).Draw(m.t, "late"))
+		}
+	case 8:
+		m.writes = m.one(m.writes)
+	case 9:
+		m.answers = m.one(m.answers)
 	}
 }
 
-// renew reads the table now and writes it, conditionally, at some later step.
-func (m *keeperModel) renew(id ident.InstanceID) {
-	k := m.keepers[id]
-	if k == nil {
-		k = NewKeeper(id, Whole, testTerms)
-		m.keepers[id] = k
+// cycle lets an instance ask and mostly carries its request through.
+func (m *tableModel) cycle(id ident.InstanceID) {
+	m.enter(m.ask(id))
+	if rapid.IntRange(0, 3).Draw(m.t, "stuck-before-write") == 0 {
+		return
+	}
+	last := len(m.writes) - 1
+	m.writes[last]()
+	m.writes = m.writes[:last]
+	if len(m.answers) == 0 || rapid.IntRange(0, 3).Draw(m.t, "stuck-before-answer") == 0 {
+		return
 	}
+	last = len(m.answers) - 1
+	m.answers[last]()
+	m.answers = m.answers[:last]
+}
+
+// one carries out one of several things on their way; it may be lost.
+func (m *tableModel) one(list []func()) []func() {
+	if len(list) == 0 {
+		return list
+	}
+	at := rapid.IntRange(0, len(list)-1).Draw(m.t, "which")
+	if rapid.IntRange(0, 4).Draw(m.t, "lost") > 0 {
+		list[at]()
+	}
+	return append(list[:at:at], list[at+1:]...)
+}
+
+func (m *tableModel) ask(id ident.InstanceID) Ask {
+	h := m.holders[id]
+	if h == nil {
+		m.life += 1000
+		h = NewHolder(id, m.life)
+		m.holders[id] = h
+	}
+	var a Ask
+	if rapid.IntRange(0, 9).Draw(m.t, "leaves") == 0 {
+		a = h.Leave()
+	} else {
+		a = h.Ask(m.now, Whole/Part(rapid.IntRange(1, 3).Draw(m.t, "members")), testTerms)
+	}
+	m.asks = append(m.asks, a)
+	return a
+}
+
+// enter lets a clerk read the table now and write it, conditionally, at a later step.
+func (m *tableModel) enter(asks ...Ask) {
+	clerk := m.clerks[rapid.IntRange(0, 1).Draw(m.t, "clerk")]
 	version := m.version
-	next := k.Renew(m.now, m.table, rapid.IntRange(1, 4).Draw(m.t, "members"))
-	lost := rapid.IntRange(0, 4).Draw(m.t, "lost") == 0
-	m.flight[id] = func() {
+	next, grants := clerk.Renew(m.now, m.table, Whole, testTerms, asks)
+	holders := map[ident.InstanceID]*Holder{}
+	for id, h := range m.holders {
+		holders[id] = h
+	}
+	m.writes = append(m.writes, func() {
 		if m.version != version {
 			return
 		}
 		m.version++
 		m.table = next
-		if !lost {
-			k.Stored()
+		for _, a := range asks {
+			g, granted := grants[a.Instance]
+			if h := holders[a.Instance]; h != nil && granted {
+				m.answers = append(m.answers, func() { h.Granted(g) })
+			}
 		}
-	}
+	})
 }
 
 func TestPartsNeverExceedTheWhole(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := &keeperModel{t: t, now: time.Unix(0, 0), keepers: map[ident.InstanceID]*Keeper{}, flight: map[ident.InstanceID]func(){}}
-		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+		m := &tableModel{t: t, now: time.Unix(0, 0), holders: map[ident.InstanceID]*Holder{}, clerks: [2]*Clerk{NewClerk(), NewClerk()}}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
 			m.step()
 			sum := Part(0)
-			for _, k := range m.keepers {
-				sum += k.Usable(m.now)
+			for _, h := range m.holders {
+				sum += h.Usable(m.now)
 			}
 			if sum > Whole {
 				t.Fatalf("parts add up to %d of %d", sum, Whole)
@@ -211,3 +268,90 @@
 		}
 	})
 }
+
+// TestPartsSettle lets a few instances share without trouble: each gets an equal part soon.
+func TestPartsSettle(t *testing.T) {
+	now := time.Unix(0, 0)
+	clerk, table := NewClerk(), Table{}
+	var holders []*Holder
+	for at := range 4 {
+		holders = append(holders, NewHolder(ident.InstanceID(fmt.Sprintf("i%d", at)), 0))
+		for range 2 {
+			now = now.Add(100 * time.Millisecond)
+			var asks []Ask
+			for _, h := range holders {
+				asks = append(asks, h.Ask(now, Whole/Part(len(holders)), testTerms))
+			}
+			next, grants := clerk.Renew(now, table, Whole, testTerms, asks)
+			table = next
+			for n, h := range holders {
+				h.Granted(grants[asks[n].Instance])
+			}
+		}
+	}
+	for _, h := range holders {
+		if got := h.Usable(now); got != Whole/4 {
+			t.Errorf("holds %d, want a quarter", got)
+		}
+	}
+}
+
+// The next tests replay what the models above found.
+
+// TestMissedAnswerStaysCounted grants less than is held and loses the answer:
+// what is still held must not be given to another.
+func TestMissedAnswerStaysCounted(t *testing.T) {
+	now := time.Unix(0, 0)
+	table := Table{}
+	grant := func(c *Clerk, a Ask) Part {
+		next, grants := c.Renew(now, table, Whole, testTerms, []Ask{a})
+		table = next
+		return grants[a.Instance].Part
+	}
+	first, second := NewHolder("i0", 0), NewHolder("i1", 0)
+	early := NewClerk()
+	grant(early, first.Ask(now, Whole, testTerms))
+	now = now.Add(2100 * time.Millisecond)
+	a := second.Ask(now, Whole, testTerms)
+	second.Granted(Grant{Renewal: a.Renewal, Part: grant(early, a)})
+	grant(NewClerk(), second.Ask(now, Whole, testTerms))
+	a = first.Ask(now, Whole, testTerms)
+	first.Granted(Grant{Renewal: a.Renewal, Part: grant(NewClerk(), a)})
+	if sum := first.Usable(now) + second.Usable(now); sum > Whole {
+		t.Fatalf("parts add up to %d", sum)
+	}
+}
+
+// TestReserveOutlastsUnansweredAsk asks anew after the lease has lapsed and misses
+// the answer: the reserve that is still spent must stay counted.
+func TestReserveOutlastsUnansweredAsk(t *testing.T) {
+	now := time.Unix(0, 0)
+	clerk := NewClerk()
+	first, second := NewHolder("i0", 0), NewHolder("i1", 0)
+	a := first.Ask(now, Whole, testTerms)
+	table, grants := clerk.Renew(now, Table{}, Whole, testTerms, []Ask{a})
+	first.Granted(grants["i0"])
+	for range 2 {
+		now = now.Add(2100 * time.Millisecond)
+		table, grants = clerk.Renew(now, table, Whole, testTerms, []Ask{first.Ask(now, Whole, testTerms), second.Ask(now, Whole, testTerms)})
+		second.Granted(grants["i1"])
+		if sum := first.Usable(now) + second.Usable(now); sum > Whole {
+			t.Fatalf("parts add up to %d", sum)
+		}
+	}
+}
+
+// TestLentRoomIsClippedUntilItIsFree fills a bucket while part of its room is
+// lent: what came before the room was free must not be kept.
+func TestLentRoomIsClippedUntilItIsFree(t *testing.T) {
+	now := time.Unix(0, 0)
+	b := NewBucket(now, 10, 10)
+	now = now.Add(time.Second)
+	if got := b.Give(now, 5, modelTTL); got != 5 {
+		t.Fatalf("gave %v", got)
+	}
+	now = now.Add(modelTTL)
+	if got := b.Available(now); got > 5 {
+		t.Fatalf("%v tokens beside 5 that were lent until now", got)
+	}
+}
--- a/internal/rule/share/table.go
+++ b/internal/rule/share/table.go
@@ -1,7 +1,6 @@
 package share
 
 import (
-	"maps"
 	"time"
 
 	"geraniumseam.dev/pkg/ident"
@@ -16,6 +15,8 @@
 // Entry is one instance's part of its data centre's rates.
 type Entry struct {
 	Part Part `json:"part"`
+	// Reserve is what may still be spent between the end of the lease and that of the grace.
+	Reserve Part `json:"reserve"`
 	// Renewal rises with each renewal, so that readers need no common clock.
 	Renewal uint64 `json:"renewal"`
 }
@@ -43,108 +44,167 @@
 	case since < t.Lease:
 		return part
 	case since < t.Grace:
-		return part * t.Reserve / Whole
+		return t.reserved(part)
 	default:
 		return 0
 	}
 }
 
+// reserved returns what of a part outlasts the lease.
+func (t Terms) reserved(part Part) Part { return part * t.Reserve / Whole }
+
 // bound returns what a reader must still count as held so long after it saw the last renewal.
-func (t Terms) bound(part Part, since time.Duration) Part {
+func (t Terms) bound(e Entry, since time.Duration) Part {
 	slowed := since - since*time.Duration(t.Drift)/time.Duration(Whole)
-	return t.usable(part, slowed)
+	switch {
+	case slowed < t.Lease:
+		return max(e.Part, e.Reserve)
+	case slowed < t.Grace:
+		return e.Reserve
+	default:
+		return 0
+	}
 }
 
-type seen struct {
-	renewal uint64
-	part    Part
-	at      time.Time
+// Ask is an instance's request for renewal. By asking, the instance has already
+// bound itself to spend no more than it wants.
+type Ask struct {
+	Instance ident.InstanceID `cbor:"1,keyasint"`
+	Want     Part             `cbor:"2,keyasint"`
+	// Held is the part that the instance goes on holding until it is answered.
+	Held    Part   `cbor:"5,keyasint,omitempty"`
+	Renewal uint64 `cbor:"3,keyasint"`
+	// Leave asks for the entry to be dropped.
+	Leave bool `cbor:"4,keyasint,omitempty"`
 }
 
-// Keeper decides what one instance writes into its data centre's table and what
-// it may spend; it is not safe for concurrent use.
-type Keeper struct {
-	self   ident.InstanceID
-	terms  Terms
-	center Part
+// Holder is what one instance holds; it is not safe for concurrent use.
+type Holder struct {
+	self    ident.InstanceID
+	terms   Terms
+	held    Part
+	asked   time.Time
+	pending Ask
+	pended  time.Time
+}
 
-	held     Part
-	asked    time.Time
-	renewal  uint64
-	pending  Part
-	pendedAt time.Time
-	seen     map[ident.InstanceID]seen
+// NewHolder returns a holder of nothing. Renewals count on from first, which
+// must be above those of earlier lives of the instance, as a clock is.
+func NewHolder(self ident.InstanceID, first uint64) *Holder {
+	return &Holder{self: self, pending: Ask{Instance: self, Renewal: first}}
 }
 
-// NewKeeper returns a keeper that holds nothing; center is the data centre's part of all rates.
-func NewKeeper(self ident.InstanceID, center Part, terms Terms) *Keeper {
-	return &Keeper{self: self, terms: terms, center: center, seen: map[ident.InstanceID]seen{}}
+// Usable returns the part of all rates that may be spent now.
+func (h *Holder) Usable(now time.Time) Part { return h.terms.usable(h.held, now.Sub(h.asked)) }
+
+// Ask binds the holder to no more than want and returns the request to make.
+func (h *Holder) Ask(now time.Time, want Part, terms Terms) Ask {
+	if h.Usable(now) == 0 {
+		h.held = 0
+	}
+	h.terms = terms
+	h.held = min(h.held, want)
+	h.pending = Ask{Instance: h.self, Want: want, Held: h.held, Renewal: h.pending.Renewal + 1}
+	h.pended = now
+	return h.pending
 }
 
-// SetTerms changes the data centre's part and the conditions; a smaller part binds at once.
-func (k *Keeper) SetTerms(center Part, terms Terms) {
-	k.center, k.terms = center, terms
-	k.held = min(k.held, center)
+// Granted takes in the answer to a request; only the latest one's counts. The
+// lease counts from before it was asked for.
+func (h *Holder) Granted(g Grant) {
+	if g.Renewal != h.pending.Renewal {
+		return
+	}
+	h.held, h.asked = min(g.Part, h.pending.Want), h.pended
 }
 
-// Usable returns the part of all rates that this instance may spend now.
-func (k *Keeper) Usable(now time.Time) Part {
-	return k.terms.usable(k.held, now.Sub(k.asked))
+// Leave spends nothing from now on and returns the request that frees the part.
+func (h *Holder) Leave() Ask {
+	h.held = 0
+	h.pending = Ask{Instance: h.self, Renewal: h.pending.Renewal + 1, Leave: true}
+	return h.pending
 }
 
-// Renew reads the kept table and returns the one to write, if this instance is
-// to hold an equal part among the live members; the caller writes it
-// conditionally and reports the end with Stored. A part that shrinks binds from now on.
-func (k *Keeper) Renew(now time.Time, kept Table, members int) Table {
-	others := k.observe(now, kept)
-	wanted := k.center / Part(max(members, 1))
-	granted := max(0, min(wanted, k.center-others))
-	k.held = min(k.held, granted)
-	if own, ok := kept.Entries[k.self]; ok {
-		k.renewal = max(k.renewal, own.Renewal)
-	}
-	k.renewal++
-	k.pending, k.pendedAt = granted, now
+type seen struct {
+	renewal uint64
+	at      time.Time
+}
+
+// Clerk writes a data centre's table on behalf of its instances; any instance may
+// be one, even several at once, since the platform takes only conditional
+// updates. It is not safe for concurrent use.
+type Clerk struct {
+	seen map[ident.InstanceID]seen
+}
+
+// NewClerk returns a clerk that has seen nothing.
+func NewClerk() *Clerk { return &Clerk{seen: map[ident.InstanceID]seen{}} }
+
+// Renew reads the kept table and returns the one to write, and what each request
+// is granted once that table is the kept one. Nothing is granted that somebody
+// else may still hold, whatever was granted before.
+func (c *Clerk) Renew(now time.Time, kept Table, center Part, terms Terms, asks []Ask) (Table, map[ident.InstanceID]Grant) {
+	c.observe(now, kept)
 	next := Table{Entries: map[ident.InstanceID]Entry{}}
+	bounds := map[ident.InstanceID]Part{}
+	total := Part(0)
 	for id, entry := range kept.Entries {
-		if k.terms.bound(entry.Part, now.Sub(k.seen[id].at)) > 0 || now.Sub(k.seen[id].at) < k.terms.Lease {
-			next.Entries[id] = entry
+		since := now.Sub(c.seen[id].at)
+		bound := terms.bound(entry, since)
+		if bound == 0 && since >= terms.Lease {
+			continue
 		}
+		next.Entries[id], bounds[id] = entry, bound
+		total += bound
 	}
-	next.Entries[k.self] = Entry{Part: granted, Renewal: k.renewal}
-	return next
-}
-
-// observe notes which entries were renewed and returns what the others may still hold.
-func (k *Keeper) observe(now time.Time, kept Table) Part {
-	others := Part(0)
-	for id, entry := range kept.Entries {
-		if id == k.self {
+	grants := map[ident.InstanceID]Grant{}
+	for _, a := range asks {
+		old, known := next.Entries[a.Instance]
+		if known && a.Renewal <= old.Renewal {
 			continue
 		}
-		last, known := k.seen[id]
-		if !known || last.renewal != entry.Renewal {
-			last = seen{renewal: entry.Renewal, part: entry.Part, at: now}
-			k.seen[id] = last
+		others := total - bounds[a.Instance]
+		entry, part := terms.enter(a, center-others)
+		if a.Leave {
+			delete(next.Entries, a.Instance)
+		} else {
+			next.Entries[a.Instance] = entry
+			grants[a.Instance] = Grant{Renewal: a.Renewal, Part: part}
+			c.seen[a.Instance] = seen{renewal: a.Renewal, at: now}
 		}
-		others += k.terms.bound(entry.Part, now.Sub(last.at))
+		bounds[a.Instance] = terms.bound(entry, 0)
+		total = others + bounds[a.Instance]
 	}
-	maps.DeleteFunc(k.seen, func(id ident.InstanceID, _ seen) bool {
-		_, listed := kept.Entries[id]
-		return !listed
-	})
-	return others
+	return next, grants
 }
 
-// Stored says that the table of the last Renew is the one kept; the lease counts from before it was asked for.
-func (k *Keeper) Stored() {
-	k.held, k.asked = k.pending, k.pendedAt
+// Grant answers a request.
+type Grant struct {
+	Renewal uint64 `cbor:"1,keyasint"`
+	Part    Part   `cbor:"2,keyasint"`
 }
 
-// Release returns the table to write when this instance leaves: it spends nothing from now on.
-func (k *Keeper) Release(kept Table) Table {
-	k.held, k.pending = 0, 0
-	next := Table{Entries: maps.Clone(kept.Entries)}
-	delete(next.Entries, k.self)
-	return next
+// enter returns the entry for a request and the part that it is granted. The
+// holder may miss the answer, so its entry never falls below what it may hold.
+func (t Terms) enter(a Ask, free Part) (Entry, Part) {
+	if a.Leave {
+		return Entry{}, 0
+	}
+	part := min(a.Want, max(0, free))
+	held := max(part, a.Held)
+	return Entry{Part: held, Reserve: t.reserved(held), Renewal: a.Renewal}, part
+}
+
+// observe notes which entries were renewed since they were last looked at.
+func (c *Clerk) observe(now time.Time, kept Table) {
+	for id, entry := range kept.Entries {
+		if last, known := c.seen[id]; !known || last.renewal != entry.Renewal {
+			c.seen[id] = seen{renewal: entry.Renewal, at: now}
+		}
+	}
+	for id := range c.seen {
+		if _, listed := kept.Entries[id]; !listed {
+			delete(c.seen, id)
+		}
+	}
 }
