Release a read only when a majority holds what it saw

A session read 14 from a primary that had been cut off, a value whose own write had ended unknown; the failover took it back and the session then read 13. The primary's data is ahead of what any majority holds, and reads there showed it.

Change: a read on the primary, or on any server of a group of more than three, asks for the server's position in the same round trip and is handed on once a majority holds it; otherwise it is run elsewhere. A commit on the primary waits too when it wrote nothing. The estimate of when a replica arrives now takes off how old its report is.

--- a/internal/owner/read.go
+++ b/internal/owner/read.go
@@ -8,6 +8,7 @@
 
 	"geraniumseam.dev/internal/fault"
 	"geraniumseam.dev/internal/pgcon"
+	"geraniumseam.dev/internal/rule/group"
 	"geraniumseam.dev/internal/rule/route"
 	"geraniumseam.dev/pkg/ident"
 	"geraniumseam.dev/pkg/stmt"
@@ -100,9 +101,11 @@
 }
 
 func (g *Group) readOn(ctx context.Context, w *Work, s *server, c *pgcon.Conn, replica bool, floor ident.Floor, sink pgcon.Sink) attempt {
-	held := &spill{sink: sink}
+	held := &spill{sink: sink, whole: g.mayReadUnheld(replica)}
+	request := w.Request
+	request.Position = held.whole
 	began := time.Now()
-	answer, err := s.pool.run(ctx, c, &w.Request, held, true)
+	answer, err := s.pool.run(ctx, c, &request, held, true)
 	if err != nil {
 		s.pool.release(c, 0)
 		return g.brokenRead(ctx, err, held)
@@ -118,12 +121,39 @@
 		c.Taint()
 	}
 	s.pool.release(c, time.Since(began))
+	if held.whole && answer.HasStatus && !g.seenHeld(ctx, w, answer.Status) {
+		return attempt{result: notRun(fault.AnswerUnconfirmed), again: true}
+	}
 	if err := held.flush(); err != nil {
 		return attempt{result: notRun(fault.PeerLost)}
 	}
 	return attempt{result: result}
 }
 
+// mayReadUnheld reports whether a read there may see what no majority holds yet,
+// and what a change of primary could therefore take back. A replica of a group of
+// three makes a majority with its primary.
+func (g *Group) mayReadUnheld(replica bool) bool {
+	const heldByTwo = 3
+	return !replica || len(g.servers) > heldByTwo
+}
+
+// seenHeld waits until a majority holds all that a read may have seen.
+func (g *Group) seenHeld(ctx context.Context, w *Work, s group.Status) bool {
+	if g.conf.Baseline.AckAtOnce || g.conf.Baseline.FirstReplica || w.MaxAge > 0 {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, w.Limits.Ack)
+	defer cancel()
+	held := false
+	g.await(ctx, func(v *view) bool {
+		position, ok := v.held(s)
+		held = ok && position >= s.Applied
+		return held || v.superseded(s.Term)
+	})
+	return held
+}
+
 // brokenRead retries a read of which nothing has been handed on.
 func (g *Group) brokenRead(ctx context.Context, err error, held *spill) attempt {
 	var failed *pgcon.RunError
@@ -212,7 +242,7 @@
 			c.Age, c.Aged = g.board.age(now, c.Term, c.Applied)
 		}
 		if wanted := r.Floor.Raise(r.Elsewhere); !c.Primary && c.Applied < wanted.Position {
-			c.Arrival = g.board.arrival(now, c.Applied)
+			c.Arrival = g.board.arrival(now, report, wanted.Position)
 		}
 	}
 	return list
--- a/internal/owner/tx.go
+++ b/internal/owner/tx.go
@@ -138,7 +138,8 @@
 		g.giveBack(t)
 		result.Tx = 0
 	}
-	if a.TxStatus != 'I' || !wrote || !a.HasStatus || w.Kind == stmt.Rollback {
+	settles := wrote || w.Kind == stmt.Commit
+	if a.TxStatus != 'I' || !settles || !a.HasStatus || w.Kind == stmt.Rollback {
 		return g.hand(result, held.bytes, sink)
 	}
 	t.mu.Lock()
--- a/internal/owner/work.go
+++ b/internal/owner/work.go
@@ -86,6 +86,8 @@
 	sink   pgcon.Sink
 	bytes  []byte
 	passed bool
+	// whole holds everything back, whatever its size.
+	whole bool
 }
 
 // spillSize is how much of a read's answer is held back, in bytes.
@@ -93,7 +95,7 @@
 
 // Emit implements pgcon.Sink.
 func (s *spill) Emit(messages []byte) error {
-	if !s.passed && len(s.bytes)+len(messages) <= spillSize {
+	if !s.passed && (s.whole || len(s.bytes)+len(messages) <= spillSize) {
 		s.bytes = append(s.bytes, messages...)
 		return nil
 	}
--- a/internal/rule/route/ages.go
+++ b/internal/rule/route/ages.go
@@ -52,13 +52,27 @@
 	return 0, false
 }
 
-// Arrival estimates how long until a replica in the given state reaches a
-// position: as long as it has been behind, once it started to move.
-func (a *Ages) Arrival(now time.Time, applied ident.Position) time.Duration {
+// Arrival estimates how long until a replica reaches the wanted position. It
+// was asked at the given time and had applied so much; it is taken to trail the
+// primary from then on as far as it did then.
+func (a *Ages) Arrival(now, asked time.Time, applied, wanted ident.Position) time.Duration {
+	trail := time.Duration(0)
+	if passed, ok := a.passed(applied + 1); ok && passed.Before(asked) {
+		trail = asked.Sub(passed)
+	}
+	reached, ok := a.passed(wanted)
+	if !ok {
+		reached = now
+	}
+	return max(0, reached.Add(trail).Sub(now))
+}
+
+// passed returns when the primary was first seen at or above a position.
+func (a *Ages) passed(p ident.Position) (time.Time, bool) {
 	for at := range a.seen {
-		if a.seen[at].position > applied {
-			return now.Sub(a.seen[at].asked)
+		if a.seen[at].position >= p {
+			return a.seen[at].asked, true
 		}
 	}
-	return 0
+	return time.Time{}, false
 }
--- a/internal/rule/route/choose.go
+++ b/internal/rule/route/choose.go
@@ -52,7 +52,8 @@
 	Primary bool
 }
 
-// Await waits for a server that is about to have reached the floor, then chooses anew.
+// Await waits for a server that is about to have reached the floor, and for the
+// poll that shows it, then chooses anew.
 type Await struct {
 	Server ident.ServerID
 	For    time.Duration
@@ -105,7 +106,7 @@
 	if r.MaxAge > 0 || s.Term < r.Floor.Term || s.Arrival > r.Wait {
 		return nil, 0, false
 	}
-	pause := max(s.Arrival, minPause)
+	pause := max(s.Arrival+s.Latency, minPause)
 	return Await{Server: s.ID, For: pause}, cost + pause, true
 }
 
