--- a/internal/owner/read.go
+++ b/internal/owner/read.go
@@ -242,7 +242,7 @@
 			c.Age, c.Aged = g.board.age(now, c.Term, c.Applied)
 		}
 		if wanted := r.Floor.Raise(r.Elsewhere); !c.Primary && c.Applied < wanted.Position {
-			c.Arrival = g.board.arrival(now, report, wanted.Position)
+			c.Arrival = g.board.arrival(report)
 		}
 	}
 	return list
--- a/internal/owner/view.go
+++ b/internal/owner/view.go
@@ -155,8 +155,8 @@
 }
 
 // arrival estimates how long until a replica in the given state has caught up.
-func (b *board) arrival(now time.Time, r *report, wanted ident.Position) time.Duration {
+func (b *board) arrival(r *report) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.ages.Arrival(now, r.asked, r.status.Applied, wanted)
+	return b.ages.Arrival(r.asked, r.status.Applied)
 }
--- a/internal/rule/route/ages.go
+++ b/internal/rule/route/ages.go
@@ -52,19 +52,15 @@
 	return 0, false
 }
 
-// Arrival estimates how long until a replica reaches the wanted position. It
-// was asked at the given time and had applied so much; it is taken to trail the
-// primary from then on as far as it did then.
-func (a *Ages) Arrival(now, asked time.Time, applied, wanted ident.Position) time.Duration {
-	trail := time.Duration(0)
-	if passed, ok := a.passed(applied + 1); ok && passed.Before(asked) {
-		trail = asked.Sub(passed)
-	}
-	reached, ok := a.passed(wanted)
+// Arrival estimates how long until a replica has caught up. It was asked at the
+// given time and had applied so much; it is expected to take as long again as it
+// had then been without the next position.
+func (a *Ages) Arrival(asked time.Time, applied ident.Position) time.Duration {
+	passed, ok := a.passed(applied + 1)
 	if !ok {
-		reached = now
+		return 0
 	}
-	return max(0, reached.Add(trail).Sub(now))
+	return max(0, asked.Sub(passed))
 }
 
 // passed returns when the primary was first seen at or above a position.
--- a/internal/rule/route/choose_test.go
+++ b/internal/rule/route/choose_test.go
@@ -117,3 +117,21 @@
 		}
 	})
 }
+
+// TestArrivalOfAStuckReplicaGrows asks a replica that applies nothing again and
+// again: it must soon not be worth a wait.
+func TestArrivalOfAStuckReplicaGrows(t *testing.T) {
+	var ages Ages
+	began := time.Unix(0, 0)
+	ages.Saw(began, 1, 10)
+	last := time.Duration(0)
+	for millis := 10; millis <= 100; millis += 10 {
+		now := began.Add(time.Duration(millis) * time.Millisecond)
+		ages.Saw(now, 1, 20)
+		got := ages.Arrival(now, 10)
+		if millis > 10 && got <= last {
+			t.Fatalf("after %d ms it is expected in %v, before in %v", millis, got, last)
+		}
+		last = got
+	}
+}
--- a/stand/dbase/listen.go
+++ b/stand/dbase/listen.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +16,7 @@
 	statements atomic.Int64
 
 	mu       sync.Mutex
+	heard    []string
 	listener net.Listener
 	conns    map[uint64]net.Conn
 	slots    chan struct{}
@@ -106,6 +108,25 @@
 	return len(s.conns)
 }
 
+// heardMost bounds what a server remembers of what it was told.
+const heardMost = 1000
+
+// hear remembers a start-up or a statement.
+func (s *Server) hear(text string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.heard) < heardMost {
+		s.heard = append(s.heard, text)
+	}
+}
+
+// Heard returns the start-ups and statements that the server was told, the first few of them.
+func (s *Server) Heard() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.heard)
+}
+
 // Statements returns how many statements the server has run.
 func (s *Server) Statements() int64 { return s.statements.Load() }
 
--- a/stand/dbase/session.go
+++ b/stand/dbase/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net"
 	"sort"
 	"strings"
@@ -133,6 +134,7 @@
 		return false
 	}
 	password, ok := message.(*pgproto3.PasswordMessage)
+	s.server.hear(fmt.Sprint(m.Parameters, password))
 	c := s.server.group.conf
 	if !ok || password.Password != c.Password || m.Parameters["user"] != c.User {
 		return s.fatal(errPassword)
@@ -240,6 +242,7 @@
 func (s *session) extended(message pgproto3.FrontendMessage) (bool, error) {
 	switch m := message.(type) {
 	case *pgproto3.Parse:
+		s.server.hear(m.Query)
 		c, err := lookUp(m.Query)
 		if err != nil {
 			return true, err
