--- a/internal/cmds/options.go
+++ b/internal/cmds/options.go
@@ -206,6 +206,7 @@
 		Name: "review", Usage: "explain what the fleet did and why, in order",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "instance", Usage: "operator `ADDRESS` of any instance; it asks the others"},
+			&cli.StringFlag{Name: "platform", Usage: "`URL` of the object API: the incidents that outlived the instances which saw them"},
 			&cli.StringFlag{Name: "file", Usage: "`FILE` with a journal that was saved as JSON"},
 			&cli.DurationFlag{Name: "since", Value: time.Hour, Usage: "how far back"},
 			&cli.StringFlag{Name: "trace", Usage: "only what belongs to this trace `ID`"},
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -38,7 +38,7 @@
 func (h *handler) News(from ident.InstanceID, m peer.Message) {
 	switch m := m.(type) {
 	case peer.Heartbeat:
-		h.members.heard(from, m.Leaving)
+		h.members.heard(from, m.Version, m.Leaving)
 		h.keeper.Confirm(m.Version, m.Checked)
 		if m.Version > h.keeper.Current().Version {
 			h.fetchFrom(from)
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -119,6 +119,7 @@
 		Random: i.random.fork(), Registry: c.Registry, Static: c.Baseline.StaticRates,
 	})
 	i.keeper.OnChange(i.configured)
+	i.watchIncidents()
 	i.tomb.Go(i.members.run)
 	i.tomb.Go(i.relay)
 	i.tomb.Go(i.callers.accept)
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"geraniumseam.dev/internal/confs"
 	"geraniumseam.dev/internal/peer"
 	"geraniumseam.dev/internal/rule/membr"
 	"geraniumseam.dev/pkg/ident"
@@ -25,6 +26,8 @@
 	reconcilePause = time.Second
 	// clerksPerCenter is how many instances are tried as the clerk of a data centre's shares.
 	clerksPerCenter = 2
+	// reportPause spaces the reports of what is in force in a data centre.
+	reportPause = time.Second
 	// listPause is how often the platform's list of instances is read.
 	listPause = 2 * time.Second
 	// memberSilence is how long an instance may go unheard by all before its work moves.
@@ -64,11 +67,14 @@
 	// listVersion and listHash identify the platform's list that the view is made of.
 	listVersion ident.Version
 	listHash    uint64
+	// versions are the configurations that the others said to have in force.
+	versions map[ident.InstanceID]ident.Version
+	reported confs.CenterStatus
 }
 
 func newMembers(i *Instance) *members {
 	m := &members{
-		instance: i, poke: make(chan struct{}, 1),
+		instance: i, poke: make(chan struct{}, 1), versions: map[ident.InstanceID]ident.Version{},
 		view: membr.NewView(membr.Config{Self: i.conf.Instance, Silence: memberSilence, Refresh: suspicionPause}, uint64(time.Now().UnixNano())),
 	}
 	m.current.Store(&crowd{all: map[ident.InstanceID]membr.Member{}})
@@ -87,6 +93,7 @@
 			read = time.Now()
 		}
 		m.refresh(ctx)
+		m.report(ctx)
 		select {
 		case <-m.instance.tomb.Dying():
 			return nil
@@ -194,6 +201,36 @@
 	return ids
 }
 
+// report lets the data centre's first relay tell the platform what is in force
+// there: the lowest version among the instances that it hears. It writes on a change only.
+func (m *members) report(ctx context.Context) {
+	if time.Since(m.reported.At) < reportPause || !m.relays(1) {
+		return
+	}
+	status := confs.CenterStatus{
+		Center: m.instance.conf.Center, Least: m.instance.keeper.Current().Version, Instances: 1, By: m.instance.conf.Instance, At: time.Now(),
+	}
+	m.mu.Lock()
+	for _, member := range m.current.Load().placed[status.Center] {
+		version, heard := m.versions[member.ID]
+		if member.ID == status.By || !heard {
+			continue
+		}
+		status.Instances++
+		status.Least = min(status.Least, version)
+	}
+	m.mu.Unlock()
+	same := status.Least == m.reported.Least && status.Instances == m.reported.Instances
+	if same || status.Least == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportPause)
+	defer cancel()
+	if confs.Report(ctx, m.instance.conf.Store, status) == nil {
+		m.reported = status
+	}
+}
+
 // linkTo chooses whom an instance keeps a link to: everybody in a small fleet,
 // else those it listens to and the next one of each data centre, so that news get round.
 func linkTo(self ident.InstanceID, listen []ident.InstanceID, all []membr.Member) []ident.InstanceID {
@@ -282,9 +319,10 @@
 	}
 }
 
-func (m *members) heard(id ident.InstanceID, leaving bool) {
+func (m *members) heard(id ident.InstanceID, version ident.Version, leaving bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.versions[id] = version
 	m.view.Heard(time.Now(), id)
 	if leaving {
 		m.view.Leaving(id)
--- a/internal/fleet/promise_test.go
+++ b/internal/fleet/promise_test.go
@@ -15,9 +15,12 @@
 	"github.com/jackc/pgx/v5/pgconn"
 	_ "github.com/jackc/pgx/v5/stdlib"
 
+	"geraniumseam.dev/internal/confs"
 	"geraniumseam.dev/internal/entry"
+	"geraniumseam.dev/internal/jrnl"
 	"geraniumseam.dev/internal/rule/conf"
 	"geraniumseam.dev/pkg/ident"
+	"geraniumseam.dev/pkg/objs"
 	"geraniumseam.dev/stand/dbase"
 )
 
@@ -441,3 +444,45 @@
 		})
 	}
 }
+
+// TestIncidentsOutliveInstances replaces a primary and looks for the summary in the platform.
+func TestIncidentsOutliveInstances(t *testing.T) {
+	f := start(t, Config{Seed: 14})
+	f.Groups["stock"].Primary().Kill()
+	var kept objs.List
+	await(t, func() bool {
+		var err error
+		kept, err = f.operator.List(limited(t), objs.Incidents)
+		return err == nil && len(kept.Items) > 0
+	})
+	var incident entry.Incident
+	if err := json.Unmarshal(kept.Items[0].Spec, &incident); err != nil {
+		t.Fatal(err)
+	}
+	seen := map[jrnl.Kind]bool{}
+	for _, e := range incident.Events {
+		seen[e.Kind] = true
+	}
+	for _, kind := range []jrnl.Kind{jrnl.PrimarySuspect, jrnl.TermClaimed, jrnl.MajoritySealed, jrnl.ServerPromoted} {
+		if !seen[kind] {
+			t.Errorf("the incident does not tell of %s", kind)
+		}
+	}
+}
+
+// TestStatusTellsWhatIsInForce waits until every data centre has reported the version in force.
+func TestStatusTellsWhatIsInForce(t *testing.T) {
+	f := start(t, Config{Seed: 15})
+	await(t, func() bool {
+		all, err := confs.Statuses(limited(t), f.operator)
+		if err != nil || len(all) != len(f.Deployment().Instances) {
+			return false
+		}
+		for _, s := range all {
+			if s.Least != f.version {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/internal/jrnl/event.go
+++ b/internal/jrnl/event.go
@@ -14,36 +14,37 @@
 
 // The kinds of event.
 const (
-	Started          Kind = iota // instance-started
-	Stopping                     // instance-stopping
-	Refused                      // request-refused
-	Retried                      // request-retried
-	Lost                         // outcome-unknown
-	PrimarySuspect               // primary-suspected
-	PrimaryBack                  // primary-recovered
-	TermClaimed                  // term-claimed
-	ClaimLost                    // claim-lost
-	ClaimUnrecorded              // claim-without-platform
-	MajoritySealed               // majority-sealed
-	SealFailed                   // seal-failed
-	ServerPromoted               // server-promoted
-	PrimaryChanged               // primary-confirmed
-	ServerRepointed              // server-repointed
-	TailDiscarded                // tail-discarded
-	ConfigInForce                // configuration-in-force
-	ConfigRefused                // configuration-refused
-	CallersEnded                 // callers-of-withdrawn-key-ended
-	PlatformLost                 // platform-lost
-	PlatformBack                 // platform-back
-	ShareChanged                 // share-changed
-	SharesMoved                  // tokens-moved
-	PeerJoined                   // peer-joined
-	PeerLost                     // peer-lost
-	OwnerChanged                 // owner-changed
-	ServerLeaving                // server-leaving
-	SurplusAnswer                // surplus-answer
-	SessionMoved                 // session-moved
-	ConnectionSilent             // connection-silent
+	Started           Kind = iota // instance-started
+	Stopping                      // instance-stopping
+	Refused                       // request-refused
+	Retried                       // request-retried
+	Lost                          // outcome-unknown
+	PrimarySuspect                // primary-suspected
+	PrimaryBack                   // primary-recovered
+	TermClaimed                   // term-claimed
+	ClaimLost                     // claim-lost
+	ClaimUnrecorded               // claim-without-platform
+	MajoritySealed                // majority-sealed
+	SealFailed                    // seal-failed
+	ServerPromoted                // server-promoted
+	PrimaryChanged                // primary-confirmed
+	ServerRepointed               // server-repointed
+	TailDiscarded                 // tail-discarded
+	ConfigInForce                 // configuration-in-force
+	ConfigRefused                 // configuration-refused
+	CallersEnded                  // callers-of-withdrawn-key-ended
+	PlatformLost                  // platform-lost
+	PlatformBack                  // platform-back
+	ShareChanged                  // share-changed
+	SharesMoved                   // tokens-moved
+	PeerJoined                    // peer-joined
+	PeerLost                      // peer-lost
+	OwnerChanged                  // owner-changed
+	ServerLeaving                 // server-leaving
+	SurplusAnswer                 // surplus-answer
+	SessionMoved                  // session-moved
+	ConnectionSilent              // connection-silent
+	IncidentUnwritten             // incident-unwritten
 	kindCount
 )
 
--- a/internal/rule/conf/defaults.go
+++ b/internal/rule/conf/defaults.go
@@ -32,8 +32,8 @@
 // Usual returns the defaults that a new configuration starts from.
 func Usual() Defaults {
 	return Defaults{
-		ReadWait:          50 * time.Millisecond,
-		PrimaryCost:       100 * time.Millisecond,
+		ReadWait:          80 * time.Millisecond,
+		PrimaryCost:       150 * time.Millisecond,
 		StatementDeadline: 10 * time.Second,
 		QueueDeadline:     2 * time.Second,
 		QueueLength:       128,
