--- a/internal/cmds/options.go
+++ b/internal/cmds/options.go
@@ -32,12 +32,20 @@
 	root := p.root()
 	root.Writer, root.ErrWriter = out, errs
 	root.ExitErrHandler = func(context.Context, *cli.Command, error) {}
-	root.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
-		return &UsageError{Want: err.Error()}
-	}
+	typeUsage(root)
 	return exitCode(root.Run(ctx, args), errs)
 }
 
+// typeUsage gives wrong calls of a command, and of those below it, their type.
+func typeUsage(c *cli.Command) {
+	c.OnUsageError = func(_ context.Context, at *cli.Command, err error, _ bool) error {
+		return &UsageError{Want: at.FullName() + ": " + err.Error() + "; see --help"}
+	}
+	for _, below := range c.Commands {
+		typeUsage(below)
+	}
+}
+
 func (p *program) root() *cli.Command {
 	return &cli.Command{
 		Name:                  "geraniumseam",
--- a/internal/cmds/standin.go
+++ b/internal/cmds/standin.go
@@ -35,6 +35,7 @@
 		},
 		Action: p.standin,
 	}
+	typeUsage(root)
 	root.ExitErrHandler = func(context.Context, *cli.Command, error) {}
 	return exitCode(root.Run(ctx, args), errs)
 }
--- /dev/null
+++ b/internal/review/review_test.go
@@ -0,0 +1,42 @@
+package review
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"geraniumseam.dev/internal/jrnl"
+	"geraniumseam.dev/pkg/ident"
+)
+
+// story is a failover as two instances saw it, in no order, with what it cost.
+func story() []jrnl.Event {
+	at := func(millis int) time.Time {
+		return time.UnixMilli(1_796_000_000_000).Add(time.Duration(millis) * time.Millisecond)
+	}
+	incident := "stock-term-2"
+	return []jrnl.Event{
+		{At: at(520), Instance: "north-1", Sequence: 4, Kind: jrnl.ServerPromoted, Incident: incident, Group: "stock", Server: "stock-2", Term: 2, Evidence: "it had the most advanced log of a sealed majority"},
+		{At: at(400), Instance: "north-1", Sequence: 2, Kind: jrnl.PrimarySuspect, Incident: incident, Group: "stock", Server: "stock-1", Term: 1, Evidence: "no answer for 400ms"},
+		{At: at(405), Instance: "south-1", Sequence: 7, Kind: jrnl.PrimarySuspect, Incident: incident, Group: "stock", Server: "stock-1", Term: 1, Evidence: "no answer for 405ms"},
+		{At: at(480), Instance: "north-1", Sequence: 3, Kind: jrnl.MajoritySealed, Incident: incident, Group: "stock", Server: "stock-2", Term: 2, Evidence: "2 servers sealed"},
+		{At: at(450), Instance: "south-1", Sequence: 8, Kind: jrnl.Lost, Customer: "dealer", Group: "stock", Reason: "answer-lost", Trace: "south-1-x-1"},
+		{At: at(460), Instance: "south-1", Sequence: 9, Kind: jrnl.Refused, Customer: "dealer", Group: "stock", Reason: "no-primary", Trace: "south-1-x-2"},
+		{At: at(470), Instance: "south-1", Sequence: 10, Kind: jrnl.Refused, Customer: "dealer", Group: "stock", Reason: "no-primary", Trace: "south-1-x-3"},
+		{At: at(0), Instance: "south-1", Sequence: 1, Kind: jrnl.ConfigInForce, Version: 12, Evidence: "learnt from the platform"},
+	}
+}
+
+func TestText(t *testing.T) {
+	var out bytes.Buffer
+	Make(story(), []ident.InstanceID{"central-1"}, "").Text(&out)
+	goldie.New(t).Assert(t, "failover", out.Bytes())
+}
+
+func TestTrace(t *testing.T) {
+	var out bytes.Buffer
+	Make(story(), nil, "south-1-x-1").Text(&out)
+	goldie.New(t).Assert(t, "trace", out.Bytes())
+}
