Count faults down in one place; a first sight of a primary is no incident

Cause: the stand-ins counted faults down twice over; two commands read their file in the same six lines; a review of a fresh fleet listed an incident for each group although nothing had happened; key-grace = 0 would have ended every caller, since news of the platform are as old as a watch.

--- a/internal/cmds/config.go
+++ b/internal/cmds/config.go
@@ -75,12 +75,18 @@
 	return inifl.ReadConfig(f)
 }
 
-func (p *program) configDiff(ctx context.Context, c *cli.Command) error {
+// namedConfig reads the file that is the command's only argument.
+func namedConfig(c *cli.Command) (string, conf.Config, error) {
 	name, err := oneName(c, "FILE")
 	if err != nil {
-		return err
+		return "", conf.Config{}, err
 	}
 	wanted, err := readConfigFile(name)
+	return name, wanted, err
+}
+
+func (p *program) configDiff(ctx context.Context, c *cli.Command) error {
+	name, wanted, err := namedConfig(c)
 	if err != nil {
 		return err
 	}
@@ -100,11 +106,7 @@
 }
 
 func (p *program) configApply(ctx context.Context, c *cli.Command) error {
-	name, err := oneName(c, "FILE")
-	if err != nil {
-		return err
-	}
-	wanted, err := readConfigFile(name)
+	_, wanted, err := namedConfig(c)
 	if err != nil {
 		return err
 	}
--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -23,7 +23,7 @@
 
 const (
 	callTime     = 2 * time.Second
-	watchTime    = 30 * time.Second
+	watchTime    = 10 * time.Second
 	callAttempts = 3
 	firstPause   = 50 * time.Millisecond
 	mostPause    = 2 * time.Second
--- a/internal/owner/mind.go
+++ b/internal/owner/mind.go
@@ -207,11 +207,15 @@
 // noteFor writes a decision of the machine into the journal, under the incident it belongs to.
 func (g *Group) noteFor(n group.Note) {
 	g.mu.Lock()
+	changing := g.incident != ""
 	g.incident = fmt.Sprintf("%s-term-%d", g.conf.ID, n.Term)
 	if n.What == group.Suspected {
 		g.incident = fmt.Sprintf("%s-term-%d", g.conf.ID, n.Term+1)
 	}
 	incident := g.incident
+	if n.What == group.NewPrimary && !changing {
+		incident, g.incident = "", ""
+	}
 	g.mu.Unlock()
 	g.note(jrnl.Event{Kind: noteKinds[n.What], Server: n.Server, Term: n.Term, Evidence: n.Evidence, Incident: incident})
 }
--- a/internal/rule/conf/defaults.go
+++ b/internal/rule/conf/defaults.go
@@ -129,7 +129,7 @@
 	duration("share-lease", "how long an instance spends its part of the rates without renewal", 2*time.Second, time.Hour, func(d *Defaults) *time.Duration { return &d.ShareLease }),
 	duration("share-grace", "how long it spends the reserved fraction of its part", 2*time.Second, 24*time.Hour, func(d *Defaults) *time.Duration { return &d.ShareGrace }),
 	fraction("share-reserve", "fraction of a part that outlasts the lease until the grace is over", func(d *Defaults) *float64 { return &d.ShareReserve }),
-	duration("key-grace", "how long keys are accepted while neither the platform nor a peer that reaches it answers", 0, 24*time.Hour, func(d *Defaults) *time.Duration { return &d.KeyGrace }),
+	duration("key-grace", "how long keys are accepted while neither the platform nor a peer that reaches it answers", 30*time.Second, 24*time.Hour, func(d *Defaults) *time.Duration { return &d.KeyGrace }),
 	fraction("retry-ratio", "retries allowed per request", func(d *Defaults) *float64 { return &d.RetryRatio }),
 	duration("drain-time", "longest wait for callers at shutdown before their idle connections are closed", 0, time.Hour, func(d *Defaults) *time.Duration { return &d.DrainTime }),
 }
--- a/stand/dbase/fault.go
+++ b/stand/dbase/fault.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"geraniumseam.dev/pkg/ident"
+	"geraniumseam.dev/stand/trip"
 )
 
 // Faults is what a server has been told to do wrong; the zero value does nothing wrong.
@@ -19,11 +20,11 @@
 	// Freeze answers nothing on any connection.
 	Freeze atomic.Bool
 	// LoseCommits closes the connection after that many further commits, unanswered.
-	LoseCommits atomic.Int64
+	LoseCommits trip.Count
 	// CutBefore closes the connection before that many further writes run.
-	CutBefore atomic.Int64
+	CutBefore trip.Count
 	// Surplus sends one unasked answer after that many further statements.
-	Surplus atomic.Int64
+	Surplus trip.Count
 	// Split sends answers a few bytes at a time.
 	Split atomic.Bool
 
@@ -64,17 +65,4 @@
 	return conn <= s.faults.silent
 }
 
-// take counts a pending fault down and reports whether it strikes now.
-func take(n *atomic.Int64) bool {
-	for {
-		left := n.Load()
-		if left <= 0 {
-			return false
-		}
-		if n.CompareAndSwap(left, left-1) {
-			return true
-		}
-	}
-}
-
 func (f *Faults) lag() time.Duration { return time.Duration(f.Lag.Load()) }
--- a/stand/dbase/session.go
+++ b/stand/dbase/session.go
@@ -161,7 +161,7 @@
 		}
 		s.endTx()
 	}
-	if s.committed && take(&s.server.faults.LoseCommits) {
+	if s.committed && s.server.faults.LoseCommits.Take() {
 		return false
 	}
 	s.committed = false
@@ -324,7 +324,7 @@
 		return true, errAborted
 	}
 	writes := len(c.columns) == 0
-	if writes && take(&s.server.faults.CutBefore) {
+	if writes && s.server.faults.CutBefore.Take() {
 		return false, nil
 	}
 	made, err := s.inSlot(c, values)
@@ -336,7 +336,7 @@
 		s.sendColumns(c)
 	}
 	s.sendAnswer(made)
-	if take(&s.server.faults.Surplus) {
+	if s.server.faults.Surplus.Take() {
 		s.sendAnswer(answer{rows: [][]string{{"surplus"}}, tag: "SELECT 1"})
 		s.wire.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
 	}
--- a/stand/platf/server.go
+++ b/stand/platf/server.go
@@ -13,6 +13,7 @@
 
 	"geraniumseam.dev/pkg/ident"
 	"geraniumseam.dev/pkg/objs"
+	"geraniumseam.dev/stand/trip"
 )
 
 // Faults is what the platform has been told to do wrong.
@@ -24,7 +25,7 @@
 	// Slow delays each call, in nanoseconds.
 	Slow atomic.Int64
 	// LoseAnswers carries out that many further writes and loses their answers.
-	LoseAnswers atomic.Int64
+	LoseAnswers trip.Count
 	// ListLag is how long the list of instances trails the truth, in nanoseconds.
 	ListLag atomic.Int64
 	// Fill makes each further write fail with 507.
@@ -175,7 +176,7 @@
 }
 
 func (s *Platform) finish(w http.ResponseWriter, kept objs.Object, end outcome) {
-	if take(&s.faults.LoseAnswers) {
+	if s.faults.LoseAnswers.Take() {
 		panic(http.ErrAbortHandler)
 	}
 	switch end {
@@ -247,16 +248,3 @@
 	w.WriteHeader(code)
 	_ = json.NewEncoder(w).Encode(body)
 }
-
-// take counts a pending fault down and reports whether it strikes now.
-func take(n *atomic.Int64) bool {
-	for {
-		left := n.Load()
-		if left <= 0 {
-			return false
-		}
-		if n.CompareAndSwap(left, left-1) {
-			return true
-		}
-	}
-}
--- /dev/null
+++ b/stand/trip/doc.go
@@ -0,0 +1,2 @@
+// Package trip counts faults down to the moment they strike.
+package trip
