Split the files that had grown large by what they do

Change: detection apart from promotion, borrowing and keeping apart from spending, the list apart from the view, streams apart from links, the stand-in's rows apart from its sessions. Nothing else.

--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -14,9 +12,6 @@
 	"geraniumseam.dev/internal/peer"
 	"geraniumseam.dev/internal/rule/membr"
 	"geraniumseam.dev/pkg/ident"
-	"geraniumseam.dev/pkg/objs"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -103,92 +98,6 @@
 	}
 }
 
-func (m *members) readList(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, listPause)
-	defer cancel()
-	list, err := m.instance.conf.Store.List(ctx, objs.Machines)
-	if err != nil {
-		return
-	}
-	found := make([]membr.Member, 0, len(list.Items))
-	for _, o := range list.Items {
-		var machine objs.Machine
-		if json.Unmarshal(o.Spec, &machine) != nil {
-			continue
-		}
-		found = append(found, membr.Member{
-			ID: ident.InstanceID(o.Metadata.Name), Center: machine.Center, Address: machine.Address, Leaving: machine.State == objs.Leaving,
-		})
-	}
-	m.listed(list.Version(), found)
-}
-
-// listWait is how long a read of the list is good for: relays read it for their
-// data centre, the others only now and then, in case that no relay reaches them.
-func (m *members) listWait() time.Duration {
-	m.mu.Lock()
-	known := m.listVersion
-	m.mu.Unlock()
-	if known == 0 || m.relays(relaysPerCenter) {
-		return listPause/2 + m.instance.random.duration(listPause)
-	}
-	return lookPause/2 + m.instance.random.duration(lookPause)
-}
-
-// listed takes in the platform's list if it is newer than the one known.
-func (m *members) listed(version ident.Version, found []membr.Member) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if version < m.listVersion {
-		return
-	}
-	m.listVersion = version
-	hash := hashOf(found)
-	if hash == m.listHash {
-		return
-	}
-	m.listHash = hash
-	m.view.Listed(time.Now(), found)
-	m.targets = linkTo(m.instance.conf.Instance, m.view.Targets(), m.view.All())
-}
-
-// hashOf identifies a list whatever version it was read at.
-func hashOf(list []membr.Member) uint64 {
-	d := xxhash.New()
-	for _, m := range list {
-		_, _ = fmt.Fprintf(d, "%s|%s|%s|%t\n", m.ID, m.Center, m.Address, m.Leaving)
-	}
-	return d.Sum64()
-}
-
-// list returns the version and the hash of the list that is known.
-func (m *members) list() (ident.Version, uint64) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.listVersion, m.listHash
-}
-
-// behind reports whether a peer's list is newer and another; one that is only newer is noted.
-func (m *members) behind(version ident.Version, hash uint64) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if version <= m.listVersion {
-		return false
-	}
-	if hash == m.listHash {
-		m.listVersion = version
-		return false
-	}
-	return true
-}
-
-// give returns the list that is known.
-func (m *members) give() peer.Message {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return peer.MembersGive{Version: m.listVersion, Members: m.view.All()}
-}
-
 // clerks returns the first few instances of the data centre for its shares of the rates.
 func (m *members) clerks() []ident.InstanceID {
 	var ids []ident.InstanceID
@@ -231,23 +140,6 @@
 	}
 }
 
-// linkTo chooses whom an instance keeps a link to: everybody in a small fleet,
-// else those it listens to and the next one of each data centre, so that news get round.
-func linkTo(self ident.InstanceID, listen []ident.InstanceID, all []membr.Member) []ident.InstanceID {
-	targets := slices.Clone(listen)
-	taken := map[ident.CenterID]bool{}
-	for _, m := range membr.After(self, all) {
-		if m.ID == self || slices.Contains(targets, m.ID) {
-			continue
-		}
-		if len(all) <= meshSize || !taken[m.Center] {
-			taken[m.Center] = true
-			targets = append(targets, m.ID)
-		}
-	}
-	return targets
-}
-
 // refresh publishes the view and lets the owner and the quota know of changes.
 func (m *members) refresh(ctx context.Context) {
 	now := time.Now()
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -8,12 +8,8 @@
 	"time"
 
 	"github.com/coder/websocket"
-	"github.com/juju/errors"
 	"gopkg.in/tomb.v2"
 
-	"geraniumseam.dev/internal/fault"
-	"geraniumseam.dev/internal/owner"
-	"geraniumseam.dev/internal/pgcon"
 	"geraniumseam.dev/pkg/ident"
 )
 
@@ -28,38 +24,6 @@
 	maxHeld = 64 << 20
 )
 
-// stream is one request of ours that waits for its answer.
-type stream struct {
-	mu    sync.Mutex
-	queue []frame
-	held  int
-	ready chan struct{}
-}
-
-func newStream() *stream { return &stream{ready: make(chan struct{}, 1)} }
-
-// put queues a frame; it reports false when the answer has grown too large.
-func (s *stream) put(f frame) bool {
-	s.mu.Lock()
-	s.queue = append(s.queue, f)
-	s.held += len(f.Body)
-	fits := s.held <= maxHeld
-	s.mu.Unlock()
-	select {
-	case s.ready <- struct{}{}:
-	default:
-	}
-	return fits
-}
-
-func (s *stream) take() []frame {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	taken := s.queue
-	s.queue, s.held = nil, 0
-	return taken
-}
-
 // link is one open connection to another instance.
 type link struct {
 	hub    *Hub
@@ -271,39 +235,6 @@
 	return 0
 }
 
-func (l *link) openStream() (uint64, *stream, bool) {
-	s := newStream()
-	id := l.next.Add(1)*2 + l.own()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.streams == nil {
-		return 0, nil, false
-	}
-	l.streams[id] = s
-	return id, s, true
-}
-
-func (l *link) closeStream(id uint64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.streams != nil {
-		delete(l.streams, id)
-	}
-}
-
-func (l *link) deliver(f frame) {
-	l.mu.Lock()
-	s := l.streams[f.Stream]
-	l.mu.Unlock()
-	if s == nil {
-		return
-	}
-	if !s.put(f) {
-		l.closeStream(f.Stream)
-		s.put(frame{})
-	}
-}
-
 // answer replies to a question; no reply means that there is nothing to say.
 func (l *link) answer(stream uint64, m Message) error {
 	ctx := l.tomb.Context(context.Background())
@@ -337,118 +268,3 @@
 	}
 	return nil, &Error{Cause: Closed, Peer: l.peer}
 }
-
-// serve runs a peer's request and streams its answer back.
-func (l *link) serve(f frame) error {
-	var w owner.Work
-	if err := decoding.Unmarshal(f.Body, &w); err != nil {
-		return &Error{Cause: BadMessage, Peer: l.peer, Detail: err.Error()}
-	}
-	ctx, cancel := context.WithCancel(l.tomb.Context(context.Background()))
-	l.mu.Lock()
-	if l.serving == nil {
-		l.mu.Unlock()
-		cancel()
-		return nil
-	}
-	l.serving[f.Stream] = cancel
-	l.mu.Unlock()
-	l.tomb.Go(func() error {
-		defer l.stop(f.Stream)
-		back := &reply{link: l, ctx: ctx, stream: f.Stream}
-		r := l.hub.conf.Handler.Work(ctx, l.peer, &w, back)
-		if err := l.send(l.tomb.Context(context.Background()), kindResult, f.Stream, result{Result: r, Bytes: back.bytes}); err != nil && r.Tx != 0 {
-			l.hub.conf.Handler.News(l.peer, TxEnd{Group: w.Group, Tx: r.Tx})
-		}
-		return nil
-	})
-	return nil
-}
-
-func (l *link) stop(stream uint64) {
-	l.mu.Lock()
-	cancel := l.serving[stream]
-	if l.serving != nil {
-		delete(l.serving, stream)
-	}
-	l.mu.Unlock()
-	if cancel != nil {
-		cancel()
-	}
-}
-
-// reply is the Sink of a request that a peer sent.
-type reply struct {
-	link   *link
-	ctx    context.Context
-	stream uint64
-	bytes  []byte
-}
-
-// Emit implements pgcon.Sink.
-func (r *reply) Emit(messages []byte) error {
-	if len(r.bytes)+len(messages) > batchSize {
-		if err := r.link.send(r.ctx, kindChunk, r.stream, chunk{Bytes: r.bytes}); err != nil {
-			return err
-		}
-		r.bytes = nil
-	}
-	r.bytes = append(r.bytes, messages...)
-	return nil
-}
-
-// run hands a request to the peer and its answer to sink.
-func (l *link) run(ctx context.Context, w *owner.Work, sink pgcon.Sink) owner.Result {
-	id, s, ok := l.openStream()
-	if !ok {
-		return owner.Result{Outcome: fault.NotRun, Reason: fault.PeerLost}
-	}
-	defer l.closeStream(id)
-	if err := l.send(ctx, kindWork, id, w); err != nil {
-		return owner.Result{Outcome: fault.NotRun, Reason: fault.PeerLost}
-	}
-	for {
-		select {
-		case <-s.ready:
-		case <-ctx.Done():
-			_ = l.send(l.tomb.Context(context.Background()), kindStop, id, nil)
-			return owner.Result{Outcome: fault.Unknown, Reason: stopReason(ctx)}
-		}
-		for _, f := range s.take() {
-			r, ended := l.receive(f, sink)
-			if ended {
-				return r
-			}
-		}
-	}
-}
-
-func stopReason(ctx context.Context) fault.Reason {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return fault.DeadlinePassed
-	}
-	return fault.Cancelled
-}
-
-// receive takes in one frame of an answer and reports whether it ended it.
-func (l *link) receive(f frame, sink pgcon.Sink) (owner.Result, bool) {
-	lost := owner.Result{Outcome: fault.Unknown, Reason: fault.PeerLost}
-	switch f.Kind {
-	case kindChunk:
-		var c chunk
-		if decoding.Unmarshal(f.Body, &c) != nil || sink.Emit(c.Bytes) != nil {
-			return lost, true
-		}
-		return owner.Result{}, false
-	case kindResult:
-		var r result
-		if decoding.Unmarshal(f.Body, &r) != nil {
-			return lost, true
-		}
-		if len(r.Bytes) > 0 && sink.Emit(r.Bytes) != nil {
-			return lost, true
-		}
-		return r.Result, true
-	}
-	return lost, true
-}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -132,33 +131,6 @@
 // submitTime bounds the way of a request through one clerk.
 const submitTime = 3 * time.Second
 
-// submit hands a request to the first clerk that answers; this instance is one itself if no other does.
-func (q *Quota) submit(ctx context.Context, a share.Ask) (share.Grant, error) {
-	for _, id := range q.conf.Clerks() {
-		if id == q.conf.Self {
-			break
-		}
-		asked, cancel := context.WithTimeout(ctx, submitTime)
-		grant, err := q.conf.Submit(asked, id, a)
-		cancel()
-		if err == nil {
-			return grant, nil
-		}
-	}
-	asked, cancel := context.WithTimeout(ctx, submitTime)
-	defer cancel()
-	return q.clerk.submit(asked, a)
-}
-
-// terms returns the data centre's part of all rates and the conditions in force.
-func (q *Quota) terms() (share.Part, share.Terms) {
-	s := q.conf.Snapshot()
-	d := s.Defaults
-	return share.Part(s.CenterPart(q.conf.Center)), share.Terms{
-		Lease: d.ShareLease, Grace: d.ShareGrace, Reserve: share.Part(d.ShareReserve * float64(share.Whole)), Drift: driftPart,
-	}
-}
-
 // Part returns the part of all rates that this instance may spend now, in millionths.
 func (q *Quota) Part() share.Part { return share.Part(q.part.Load()) }
 
@@ -261,166 +233,6 @@
 	}
 }
 
-// borrow asks peers for tokens for as long as callers wait.
-func (q *Quota) borrow() error {
-	for {
-		select {
-		case <-q.tomb.Dying():
-			return nil
-		case <-q.hungry:
-		}
-		if want := q.wanted(); len(want) > 0 && !q.conf.Static {
-			q.round(want)
-		}
-		select {
-		case <-q.tomb.Dying():
-			return nil
-		case <-time.After(borrowPause):
-		}
-	}
-}
-
-func (q *Quota) wanted() map[ident.CustomerID]float64 {
-	want := map[ident.CustomerID]float64{}
-	q.accounts.Range(func(key, value any) bool {
-		a := value.(*account)
-		a.mu.Lock()
-		if a.waiting > 0 {
-			want[key.(ident.CustomerID)] = a.waiting + a.demand*4*aheadTime.Seconds()
-		}
-		a.mu.Unlock()
-		return true
-	})
-	return want
-}
-
-// round asks a few peers at once, each for its part of what is missing.
-func (q *Quota) round(want map[ident.CustomerID]float64) {
-	peers := q.turn()
-	if len(peers) == 0 {
-		return
-	}
-	share := map[ident.CustomerID]float64{}
-	for customer, amount := range want {
-		share[customer] = amount/float64(len(peers)) + 1
-	}
-	ctx, cancel := context.WithTimeout(q.tomb.Context(context.Background()), transferTime/2)
-	var group sync.WaitGroup
-	for _, peer := range peers {
-		group.Add(1)
-		go func() {
-			defer group.Done()
-			q.ask(ctx, peer, share)
-		}()
-	}
-	done := make(chan struct{})
-	go func() {
-		group.Wait()
-		cancel()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-time.After(borrowPause):
-	}
-}
-
-// turn returns whom to ask next: the nearest peers, and further ones round by round.
-func (q *Quota) turn() []ident.InstanceID {
-	all := q.conf.Peers()
-	if len(all) <= askAtOnce {
-		return all
-	}
-	var chosen []ident.InstanceID
-	for at := range askAtOnce {
-		chosen = append(chosen, all[(q.next+at)%len(all)])
-	}
-	q.next += askAtOnce
-	return chosen
-}
-
-func (q *Quota) ask(ctx context.Context, peer ident.InstanceID, want map[ident.CustomerID]float64) {
-	asked := time.Now()
-	given, err := q.conf.Ask(ctx, peer, want)
-	if err != nil {
-		return
-	}
-	now := time.Now()
-	for customer, amount := range given {
-		if amount <= 0 || amount > want[customer] {
-			continue
-		}
-		a := q.account(customer)
-		a.mu.Lock()
-		a.bucket.Accept(now, asked, share.Tokens(amount), transferTime)
-		close(a.wake)
-		a.wake = make(chan struct{})
-		a.mu.Unlock()
-		q.borrowed.Add(amount)
-	}
-}
-
-// Give takes tokens out for a peer; an instance with demand of its own keeps half.
-func (q *Quota) Give(want map[ident.CustomerID]float64) map[ident.CustomerID]float64 {
-	given := map[ident.CustomerID]float64{}
-	now := time.Now()
-	for customer, amount := range want {
-		if _, known := q.conf.Snapshot().Customers[customer]; !known || amount <= 0 {
-			continue
-		}
-		a := q.account(customer)
-		a.mu.Lock()
-		q.fit(a, now, customer)
-		most := float64(a.bucket.Own(now))
-		if now.Sub(a.spent) < ownTime {
-			most /= 2
-		}
-		if a.waiting > 0 {
-			most = 0
-		}
-		if got := a.bucket.Give(now, share.Tokens(min(amount, most)), transferTime); got > 0 {
-			given[customer] = float64(got)
-			q.given.Add(float64(got))
-		}
-		a.mu.Unlock()
-	}
-	return given
-}
-
-// keep renews the part before its lease lapses and whenever membership changes.
-func (q *Quota) keep() error {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	check := time.NewTicker(time.Second)
-	defer check.Stop()
-	for {
-		pause := time.Duration(0)
-		select {
-		case <-q.tomb.Dying():
-			return nil
-		case <-check.C:
-			q.measure()
-			continue
-		case <-q.renew:
-			pause = q.jitter(100 * time.Millisecond)
-		case <-timer.C:
-		}
-		if !q.pause(pause) {
-			return nil
-		}
-		timer.Reset(q.renewal())
-	}
-}
-
-func (q *Quota) pause(d time.Duration) bool {
-	select {
-	case <-q.tomb.Dying():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 const (
 	// notReadyPause is how long an instance without configuration waits before it asks for its part.
 	notReadyPause = 100 * time.Millisecond
@@ -430,67 +242,8 @@
 	failedPause = 500 * time.Millisecond
 )
 
-// renewal asks for the part once and returns how long to wait for the next time.
-func (q *Quota) renewal() time.Duration {
-	if q.conf.Snapshot().Version == 0 {
-		return notReadyPause
-	}
-	center, terms := q.terms()
-	want := center / share.Part(max(q.conf.Members(), 1))
-	q.mu.Lock()
-	ask := q.holder.Ask(time.Now(), want, terms)
-	q.mu.Unlock()
-	q.measure()
-	grant, err := q.submit(q.tomb.Context(context.Background()), ask)
-	if err != nil {
-		return failedPause + q.jitter(failedPause)
-	}
-	q.mu.Lock()
-	q.holder.Granted(grant)
-	q.mu.Unlock()
-	q.measure()
-	interval := terms.Lease / renewalsPerLease
-	if grant.Part < want {
-		interval = min(interval, shortPause)
-	}
-	return inStep(time.Now(), interval) + q.jitter(gatherTime/2)
-}
-
-// inStep returns the time to the next multiple of the interval, so that the
-// requests of a data centre come together and share a write.
-func inStep(now time.Time, interval time.Duration) time.Duration {
-	return now.Truncate(interval).Add(interval).Sub(now)
-}
-
-// measure brings the part that may be spent up to date.
-func (q *Quota) measure() {
-	q.mu.Lock()
-	usable := q.holder.Usable(time.Now())
-	q.mu.Unlock()
-	old := q.part.Swap(int64(usable))
-	if old == int64(usable) {
-		return
-	}
-	q.sizes.Add(1)
-	q.conf.Journal.Add(jrnl.Event{Kind: jrnl.ShareChanged, Evidence: evidence(share.Part(old), usable)})
-}
-
-func evidence(old, now share.Part) string {
-	if now == 0 {
-		return "the lease lapsed: nothing may be spent"
-	}
-	if now < old {
-		return "the part of all rates fell from " + percent(old) + " to " + percent(now)
-	}
-	return "the part of all rates rose from " + percent(old) + " to " + percent(now)
-}
-
 func (q *Quota) jitter(most time.Duration) time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return time.Duration(q.random.Int64N(int64(most) + 1))
 }
-
-func percent(p share.Part) string {
-	return strconv.FormatFloat(float64(p)*100/float64(share.Whole), 'f', 1, 64) + "%"
-}
--- /dev/null
+++ b/internal/rule/group/detect.go
@@ -0,0 +1,126 @@
+package group
+
+import (
+	"fmt"
+	"time"
+)
+
+// primaryGone reports whether the primary must be replaced, and the evidence.
+func (m *Machine) primaryGone(now time.Time) (string, bool) {
+	if m.primary == "" {
+		return m.neverSeen(now)
+	}
+	p := m.servers[m.primary]
+	if p == nil {
+		return "the primary is no server of the group", true
+	}
+	if !p.missing.IsZero() {
+		return m.outOfReach(now, p)
+	}
+	if m.leaving[m.primary] && m.canMove(now) {
+		return "it is about to be taken away", true
+	}
+	if p.status.Role != Primary {
+		return fmt.Sprintf("it answers as a replica of term %d", p.status.Term), m.reachable(now) >= Majority(len(m.servers))
+	}
+	return m.leaderless(now, p)
+}
+
+// canMove reports whether the servers that stay make a majority and answer.
+func (m *Machine) canMove(now time.Time) bool {
+	staying := 0
+	for id, s := range m.servers {
+		if !m.leaving[id] && m.answers(now, s) {
+			staying++
+		}
+	}
+	return staying >= Majority(len(m.servers))
+}
+
+// leaderless reports a primary that was sealed for a term which nobody came to
+// lead: a claimant died between seal and promotion.
+func (m *Machine) leaderless(now time.Time, p *server) (string, bool) {
+	if p.status.Sealed <= m.term || !m.noLeader() {
+		m.stalled = time.Time{}
+		return "", false
+	}
+	if m.stalled.IsZero() {
+		m.stalled = now
+	}
+	if now.Sub(m.stalled) < m.conf.Timing.StepTime || m.reachable(now) < Majority(len(m.servers)) {
+		return "", false
+	}
+	return fmt.Sprintf("it was sealed for term %d, which nobody leads", p.status.Sealed), true
+}
+
+func (m *Machine) neverSeen(now time.Time) (string, bool) {
+	if now.Sub(m.started) < 2*m.conf.Timing.Silence {
+		return "", false
+	}
+	return "no server reports itself primary", m.reachable(now) >= Majority(len(m.servers))
+}
+
+func (m *Machine) outOfReach(now time.Time, p *server) (string, bool) {
+	silent := now.Sub(p.missing)
+	if silent < m.conf.Timing.Silence || !p.fresh {
+		return "", false
+	}
+	hear, others := m.hearPrimary(now)
+	if others < Majority(len(m.servers)) {
+		return "", false
+	}
+	if hear+1 < Majority(len(m.servers)) {
+		return fmt.Sprintf("no answer for %v, also on a new connection; %d of %d other servers still hear it, too few for a majority",
+			silent.Round(time.Millisecond), hear, others), true
+	}
+	if silent >= m.conf.Timing.PathSilence && m.peersAgree(now) {
+		return fmt.Sprintf("no instance has reached it for %v, though %d servers still hear it", silent.Round(time.Millisecond), hear), true
+	}
+	return "", false
+}
+
+// hearPrimary counts the other servers that answer, and those among them that still hear the primary.
+func (m *Machine) hearPrimary(now time.Time) (hear, others int) {
+	for id, s := range m.servers {
+		if id == m.primary || !m.answers(now, s) {
+			continue
+		}
+		others++
+		if s.status.Upstream < m.conf.Timing.Silence/2 && s.status.Term == m.term && s.status.Sealed <= m.term {
+			hear++
+		}
+	}
+	return hear, others
+}
+
+func (m *Machine) peersAgree(now time.Time) bool {
+	for _, view := range m.peers[m.primary] {
+		if now.Sub(view.at) < peerViewAge && view.answers {
+			return false
+		}
+	}
+	return true
+}
+
+func (m *Machine) answers(now time.Time, s *server) bool {
+	return s.known && s.missing.IsZero() && now.Sub(s.answered) < 2*m.conf.Timing.Silence
+}
+
+func (m *Machine) reachable(now time.Time) int {
+	count := 0
+	for _, s := range m.servers {
+		if m.answers(now, s) {
+			count++
+		}
+	}
+	return count
+}
+
+func (m *Machine) noLeader() bool {
+	for _, s := range m.servers {
+		if s.known && s.status.Role == Primary && s.status.Term > m.term {
+			return false
+		}
+	}
+	return true
+}
--- a/stand/dbase/session.go
+++ b/stand/dbase/session.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"sort"
 	"strings"
 	"time"
 
@@ -366,98 +365,3 @@
 	}
 	s.wire.Send(&pgproto3.CommandComplete{CommandTag: []byte(a.tag)})
 }
-
-func (s *session) read(id string) (string, bool) {
-	for at := len(s.changes) - 1; at >= 0; at-- {
-		if s.changes[at].id == id {
-			return s.changes[at].value, !s.changes[at].delete
-		}
-	}
-	st := s.server.store
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	value, found := st.rows[id]
-	return value, found
-}
-
-func (s *session) view() map[string]string {
-	rows := s.server.store.snapshot()
-	for _, c := range s.changes {
-		if c.delete {
-			delete(rows, c.id)
-			continue
-		}
-		rows[c.id] = c.value
-	}
-	return rows
-}
-
-// write keeps a change until the end of the transaction or of the request.
-func (s *session) write(c change) error {
-	s.changes = append(s.changes, c)
-	return nil
-}
-
-func (s *session) commitTx() error {
-	if len(s.changes) == 0 {
-		return nil
-	}
-	if err := s.server.store.commit(s.changes); err != nil {
-		return err
-	}
-	s.committed = true
-	return nil
-}
-
-// endTx drops what was not committed and frees its locks.
-func (s *session) endTx() {
-	st := s.server.store
-	st.mu.Lock()
-	for _, id := range s.locked {
-		delete(st.locks, id)
-	}
-	st.mu.Unlock()
-	s.inTx, s.failed, s.changes, s.locked = false, false, nil, nil
-}
-
-// lock takes a row for the length of the transaction.
-func (s *session) lock(id string) error {
-	deadline := time.Now().Add(lockWait)
-	for {
-		taken, err := s.tryLock(id)
-		if taken || err != nil {
-			return err
-		}
-		if time.Now().After(deadline) {
-			return errDeadlock
-		}
-		time.Sleep(lockPause)
-	}
-}
-
-func (s *session) tryLock(id string) (bool, error) {
-	st := s.server.store
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	if !st.leads() {
-		return false, errReadOnly
-	}
-	switch st.locks[id] {
-	case s.id:
-		return true, nil
-	case 0:
-		st.locks[id] = s.id
-		s.locked = append(s.locked, id)
-		return true, nil
-	}
-	return false, nil
-}
-
-func sortedRows(rows map[string]string) [][2]string {
-	sorted := make([][2]string, 0, len(rows))
-	for id, value := range rows {
-		sorted = append(sorted, [2]string{id, value})
-	}
-	sort.Slice(sorted, func(i, j int) bool { return sorted[i][0] < sorted[j][0] })
-	return sorted
-}
