--- a/internal/bench/faults.go
+++ b/internal/bench/faults.go
@@ -130,6 +130,10 @@
 		s.primary().Faults().LoseCommits.Store(5)
 		return string(s.primary().ID()), nothing
 	}},
+	{"cut-before-writes", "the primary cuts the connection before it runs 5 writes", nil, func(_ context.Context, s *striker) (string, func()) {
+		s.primary().Faults().CutBefore.Store(5)
+		return string(s.primary().ID()), nothing
+	}},
 	{"surplus-answers", "5 answers come with one too many", nil, func(_ context.Context, s *striker) (string, func()) {
 		s.replica().Faults().Surplus.Store(5)
 		return string(s.replica().ID()), nothing
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -52,6 +52,8 @@
 	Raw bool
 	// Bare starts no instances and waits for none.
 	Bare bool
+	// Entry changes an instance's settings before it starts.
+	Entry func(*entry.Config)
 	// Adjust changes the configuration before it is put in force.
 	Adjust func(*conf.Config)
 }
@@ -234,6 +236,9 @@
 	if !f.conf.Plain {
 		c.PeerServer, c.PeerClient = certs.Mutual(f.pair, f.pool)
 	}
+	if f.conf.Entry != nil {
+		f.conf.Entry(&c)
+	}
 	if m.Instance, err = entry.Start(c); err != nil {
 		return nil, errors.Trace(err)
 	}
--- /dev/null
+++ b/internal/fleet/tls_test.go
@@ -0,0 +1,41 @@
+package fleet
+
+import (
+	"crypto/tls"
+	"strings"
+	"testing"
+
+	"github.com/jackc/pgx/v5"
+
+	"geraniumseam.dev/internal/certs"
+	"geraniumseam.dev/internal/entry"
+)
+
+// TestKeysNeedTLS offers TLS, requires it, and tries a key in plain text.
+func TestKeysNeedTLS(t *testing.T) {
+	pair, pool, err := certs.Throwaway()
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := start(t, Config{Seed: 30, Entry: func(c *entry.Config) {
+		c.CallerTLS = &tls.Config{MinVersion: tls.VersionTLS12, GetCertificate: pair.Certificate}
+		c.RequireTLS = true
+	}})
+	target := f.URL(f.Members()[0], "dealers-hanoi", "stock")
+	if _, err := pgx.Connect(limited(t), target); err == nil || !strings.Contains(err.Error(), "plaintext-key") {
+		t.Errorf("a key in plain text: %v", err)
+	}
+	secure, err := pgx.ParseConfig(target)
+	if err != nil {
+		t.Fatal(err)
+	}
+	secure.TLSConfig = &tls.Config{RootCAs: pool, ServerName: "127.0.0.1", MinVersion: tls.VersionTLS12}
+	c, err := pgx.ConnectConfig(limited(t), secure)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close(limited(t))
+	if err := put(t, c, "secure", "1"); err != nil {
+		t.Error(err)
+	}
+}
