Choose a read's server once; read pools' load without their mutex

Cause: a read that stayed on its server was chosen twice, and each choice took the mutex of three pools; trace ids were formatted.

Change: the choice that shows that a read stays is used; load, service time and queue length are atomics; trace ids are appended.

--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -86,6 +87,8 @@
 	random  *seeded
 	traces  atomic.Uint64
 	boot    string
+	// prefix begins every trace id of this life of the instance.
+	prefix string
 	// draining is set once shutdown has begun.
 	draining atomic.Bool
 	fetching atomic.Bool
@@ -97,6 +100,7 @@
 func Start(c Config) (*Instance, error) {
 	i := &Instance{conf: c, random: newSeeded(c.Seed), metrics: newMetrics(c.Registry)}
 	i.boot = fmt.Sprintf("%08x", i.random.uint32())
+	i.prefix = string(c.Instance) + "-" + i.boot + "-"
 	i.journal = jrnl.New(jrnl.Config{
 		Instance: c.Instance, Center: c.Center, Capacity: journalCapacity, Registry: c.Registry, Now: time.Now,
 	})
@@ -207,9 +211,14 @@
 	_ = i.tomb.Wait()
 }
 
+// traceDigits is room for the number in a trace id.
+const traceDigits = 16
+
 // trace names a request.
 func (i *Instance) trace() ident.TraceID {
-	return ident.TraceID(fmt.Sprintf("%s-%s-%x", i.conf.Instance, i.boot, i.traces.Add(1)))
+	name := make([]byte, 0, len(i.prefix)+traceDigits)
+	name = append(name, i.prefix...)
+	return ident.TraceID(strconv.AppendUint(name, i.traces.Add(1), 16))
 }
 
 const (
--- a/internal/owner/pool.go
+++ b/internal/owner/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -43,8 +44,10 @@
 	running map[*pgcon.Conn]bool
 	closed  bool
 	fullTil time.Time
-	service time.Duration
-	busy    int
+	// service, busy and waiting are read without the mutex.
+	service atomic.Int64
+	busy    atomic.Int64
+	waiting atomic.Int64
 }
 
 func newPool(conf pgcon.Config, limit, queueLength int, now func() time.Time) *pool {
@@ -53,9 +56,7 @@
 
 // load returns how many requests run or wait here, and how long one takes.
 func (p *pool) load() (int, time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.busy + p.queue.Len(), p.service
+	return int(p.busy.Load() + p.waiting.Load()), time.Duration(p.service.Load())
 }
 
 // acquire gets a connection in the caller's turn.
@@ -93,7 +94,7 @@
 	defer p.mu.Unlock()
 	if p.queue.Len() == 0 {
 		if c := p.popIdle(); c != nil {
-			p.busy++
+			p.busy.Add(1)
 			return nil, c, nil
 		}
 	}
@@ -104,6 +105,7 @@
 		return it, nil, nil
 	}
 	shed := p.queue.Push(it)
+	p.note()
 	p.grow()
 	return it, nil, shed
 }
@@ -112,6 +114,7 @@
 func (p *pool) giveUp(it *fair.Item, turn chan grant, instead grant) grant {
 	p.mu.Lock()
 	removed := p.queue.Remove(it)
+	p.note()
 	p.mu.Unlock()
 	if removed {
 		return instead
@@ -155,7 +158,7 @@
 	defer p.mu.Unlock()
 	p.dialing--
 	if err == nil {
-		p.busy++
+		p.busy.Add(1)
 		p.settle(c)
 		return
 	}
@@ -182,8 +185,7 @@
 		reason = fault.ServerFull
 	}
 	for {
-		turn, late := p.queue.Pop(p.now())
-		p.tellLate(late)
+		turn := p.pop()
 		if turn == nil {
 			return
 		}
@@ -191,9 +193,20 @@
 	}
 }
 
+// pop returns whose turn it is and tells those that waited too long; the caller holds mu.
+func (p *pool) pop() *fair.Item {
+	turn, late := p.queue.Pop(p.now())
+	p.tellLate(late)
+	p.note()
+	return turn
+}
+
+// note publishes how many wait; the caller holds mu.
+func (p *pool) note() { p.waiting.Store(int64(p.queue.Len())) }
+
 func (p *pool) tellLate(late []*fair.Item) {
 	for _, it := range late {
-		it.Value.(chan grant) <- grant{reason: fault.QueueLate, wait: p.service}
+		it.Value.(chan grant) <- grant{reason: fault.QueueLate, wait: time.Duration(p.service.Load())}
 	}
 }
 
@@ -202,7 +215,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if ran > 0 {
-		p.service += (ran - p.service) / 8
+		old := p.service.Load()
+		p.service.Store(old + (int64(ran)-old)/8)
 	}
 	p.settle(c)
 }
@@ -211,18 +225,17 @@
 func (p *pool) settle(c *pgcon.Conn) {
 	if p.closed || p.open > p.limit || !c.Clean() || c.Crowded() {
 		c.Close()
-		p.busy--
+		p.busy.Add(-1)
 		p.open--
 		p.grow()
 		return
 	}
-	turn, late := p.queue.Pop(p.now())
-	p.tellLate(late)
+	turn := p.pop()
 	if turn != nil {
 		turn.Value.(chan grant) <- grant{conn: c}
 		return
 	}
-	p.busy--
+	p.busy.Add(-1)
 	p.idle = append(p.idle, c)
 }
 
@@ -306,8 +319,7 @@
 	defer p.mu.Unlock()
 	p.closed = true
 	for {
-		turn, late := p.queue.Pop(p.now())
-		p.tellLate(late)
+		turn := p.pop()
 		if turn == nil {
 			return
 		}
--- a/internal/owner/read.go
+++ b/internal/owner/read.go
@@ -23,13 +23,17 @@
 	return g.try(ctx, w, func() attempt { return g.readOnce(ctx, w, floor, sink) })
 }
 
-// stays reports whether the server that the session read last is still the best choice.
-func (g *Group) stays(w *Work, floor ident.Floor) bool {
+// stay returns the server that the session read last if it is still the best
+// choice, and whether it is a replica; otherwise nil.
+func (g *Group) stay(w *Work, floor ident.Floor) (*server, bool) {
 	if w.Seen.Server == "" || w.Seen.Owner != g.conf.Self {
-		return false
+		return nil, false
 	}
 	c, ok := g.pick(requestOf(w, floor, ident.Floor{}), g.board.current.Load()).(route.Serve)
-	return ok && c.Server == w.Seen.Server
+	if !ok || c.Server != w.Seen.Server {
+		return nil, false
+	}
+	return g.servers[g.index[c.Server]], !c.Primary
 }
 
 func requestOf(w *Work, floor, elsewhere ident.Floor) route.Request {
@@ -78,16 +82,16 @@
 }
 
 func (g *Group) readOnce(ctx context.Context, w *Work, floor ident.Floor, sink pgcon.Sink) attempt {
-	elsewhere := ident.Floor{}
-	if !g.stays(w, floor) {
-		var ok bool
-		if elsewhere, ok = g.elsewhere(ctx, w); !ok {
+	s, replica := g.stay(w, floor)
+	if s == nil {
+		elsewhere, ok := g.elsewhere(ctx, w)
+		if !ok {
 			return attempt{result: notRun(fault.NoPrimary)}
 		}
-	}
-	s, replica, reason := g.choose(ctx, w, floor, elsewhere)
-	if s == nil {
-		return attempt{result: notRun(reason)}
+		var reason fault.Reason
+		if s, replica, reason = g.choose(ctx, w, floor, elsewhere); s == nil {
+			return attempt{result: notRun(reason)}
+		}
 	}
 	got := s.pool.acquire(ctx, flowOf(w), w.Weight, min(w.Limits.Queue, untilDeadline(ctx)))
 	if got.conn == nil {
