--- a/internal/fleet/bench_test.go
+++ b/internal/fleet/bench_test.go
@@ -19,7 +19,7 @@
 )
 
 // single is one instance before one group without latency: what a proxy costs on its own.
-func single(b *testing.B) *Fleet {
+func single(b *testing.B, service time.Duration) *Fleet {
 	b.Helper()
 	c := conf.New()
 	c.Defaults.RateWait = time.Second
@@ -29,7 +29,7 @@
 	c.Groups["db"] = conf.Group{Connections: 64, Slots: 64, Servers: []conf.Server{
 		{ID: "db-1", Center: "one-a", Address: loopback}, {ID: "db-2", Center: "one-a", Address: loopback}, {ID: "db-3", Center: "one-a", Address: loopback},
 	}}
-	d := &Deployment{Name: "single", Config: c, Instances: map[ident.CenterID]int{"one-a": 1}}
+	d := &Deployment{Name: "single", Config: c, Instances: map[ident.CenterID]int{"one-a": 1}, ServiceTime: service}
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	f, err := Start(ctx, Config{Deployment: d, Seed: 1, Raw: true})
@@ -71,9 +71,16 @@
 	return c.QueryRow(ctx, "SELECT value FROM ledger WHERE id = $1", "bike").Scan(&value)
 }
 
-// BenchmarkPointRead measures the latency of one caller's point read.
+// BenchmarkPointRead measures the latency of one caller's point read, of a server
+// that takes no time and of one that takes a millisecond as in the examples.
 func BenchmarkPointRead(b *testing.B) {
-	f := single(b)
+	for _, service := range []time.Duration{0, time.Millisecond} {
+		b.Run(fmt.Sprintf("service-%v", service), func(b *testing.B) { pointReads(b, service) })
+	}
+}
+
+func pointReads(b *testing.B, service time.Duration) {
+	f := single(b, service)
 	all := ways(f)
 	insertRow(b, all["proxy"])
 	for _, way := range []string{"direct", "proxy"} {
@@ -98,7 +105,7 @@
 // BenchmarkCallers measures processor time per statement as callers grow; the
 // difference between proxy and direct is the proxy's own.
 func BenchmarkCallers(b *testing.B) {
-	f := single(b)
+	f := single(b, 0)
 	all := ways(f)
 	insertRow(b, all["proxy"])
 	for _, way := range []string{"direct", "proxy"} {
@@ -171,7 +178,7 @@
 
 // BenchmarkIdleCallers measures the memory of a caller that is connected and silent.
 func BenchmarkIdleCallers(b *testing.B) {
-	f := single(b)
+	f := single(b, 0)
 	target, err := url.Parse(ways(f)["proxy"])
 	if err != nil {
 		b.Fatal(err)
@@ -184,7 +191,7 @@
 			conns[at] = idleCaller(b, target)
 		}
 		time.Sleep(200 * time.Millisecond)
-		b.ReportMetric(float64(inUse()-before)/count, "bytes/caller")
+		b.ReportMetric((float64(inUse())-float64(before))/count, "bytes/caller")
 		for _, c := range conns {
 			c.Close()
 		}
--- a/internal/fleet/control_test.go
+++ b/internal/fleet/control_test.go
@@ -80,7 +80,7 @@
 	return cost{
 		cpu: (cpu() - used).Seconds() / seconds, bytes: (peerBytes(b, f) - sent) / seconds,
 		reads:  float64(after.Reads-calls.Reads+after.Watches-calls.Watches) / seconds,
-		writes: float64(after.Writes-calls.Writes) / seconds, memory: float64(inUse() - before),
+		writes: float64(after.Writes-calls.Writes) / seconds, memory: float64(inUse()) - float64(before),
 	}
 }
 
