--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -38,16 +38,19 @@
 	WorstServed   float64 `json:"worst-served"`
 	WorstCustomer string  `json:"worst-customer"`
 	// RefusedInside is the part of requests refused for rate although their customer was inside it.
-	RefusedInside float64          `json:"refused-inside-rate"`
-	Reasons       map[string]int64 `json:"reasons"`
-	Violations    map[string]int64 `json:"violations"`
-	Examples      []string         `json:"examples,omitempty"`
-	LatencyMillis Percentiles      `json:"latency-millis"`
-	CPUPercent    float64          `json:"cpu-percent-of-a-core-per-instance"`
-	ReadsPerSec   float64          `json:"platform-reads-per-second"`
-	WritesPerSec  float64          `json:"platform-writes-per-second"`
-	PeerBytes     float64          `json:"peer-bytes-per-second-per-instance"`
-	Strikes       []strike         `json:"strikes,omitempty"`
+	RefusedInside float64 `json:"refused-inside-rate"`
+	// ByKind counts requests by kind; ServedByWorth is the part that was done, weighted by worth.
+	ByKind        map[string]KindCount `json:"by-kind"`
+	ServedByWorth float64              `json:"served-by-worth"`
+	Reasons       map[string]int64     `json:"reasons"`
+	Violations    map[string]int64     `json:"violations"`
+	Examples      []string             `json:"examples,omitempty"`
+	LatencyMillis Percentiles          `json:"latency-millis"`
+	CPUPercent    float64              `json:"cpu-percent-of-a-core-per-instance"`
+	ReadsPerSec   float64              `json:"platform-reads-per-second"`
+	WritesPerSec  float64              `json:"platform-writes-per-second"`
+	PeerBytes     float64              `json:"peer-bytes-per-second-per-instance"`
+	Strikes       []strike             `json:"strikes,omitempty"`
 	// Unexplained lists the faults for which the journal has no explanation.
 	Unexplained []string     `json:"unexplained,omitempty"`
 	Journal     []jrnl.Event `json:"-"`
@@ -121,7 +124,7 @@
 	seconds := r.conf.Duration.Seconds()
 	instances := max(len(r.fleet.Members()), 1)
 	report := &Report{
-		Seconds: seconds, Instances: instances, Reasons: map[string]int64{}, WorstServed: 1,
+		Seconds: seconds, Instances: instances, Reasons: map[string]int64{}, ByKind: map[string]KindCount{}, WorstServed: 1,
 		CPUPercent:   (after.cpu - before.cpu).Seconds() / seconds * 100 / float64(instances),
 		ReadsPerSec:  float64(after.reads-before.reads+after.waits-before.waits) / seconds,
 		WritesPerSec: float64(after.writes-before.writes) / seconds,
@@ -133,6 +136,7 @@
 		report.ReplicaShare = report.ReplicaReads / all
 	}
 	r.sum(report, seconds)
+	r.byWorth(report)
 	r.gaps(report)
 	r.explain(report)
 	report.Violations, report.Examples = r.checker.Violations(), r.checker.Examples()
@@ -160,6 +164,10 @@
 			refused += t.reasons["rate-exceeded"] + t.reasons["rate-unavailable"]
 			r.worstServed(report, id, t, seconds)
 		}
+		for kind, n := range t.kinds {
+			sum := report.ByKind[kind]
+			report.ByKind[kind] = KindCount{Asked: sum.Asked + n.Asked, Done: sum.Done + n.Done}
+		}
 		all.Merge(t.latency)
 		for at, took := range t.worst {
 			worst[at] = max(worst[at], took)
@@ -175,6 +183,19 @@
 	}
 }
 
+// byWorth weighs what was done by how much it counts.
+func (r *run) byWorth(report *Report) {
+	asked, done := 0.0, 0.0
+	for kind, n := range report.ByKind {
+		worth := float64(max(r.conf.Worth[kind], 1))
+		asked += worth * float64(n.Asked)
+		done += worth * float64(n.Done)
+	}
+	if asked > 0 {
+		report.ServedByWorth = done / asked
+	}
+}
+
 func (r *run) worstServed(report *Report, id ident.CustomerID, t *tally, seconds float64) {
 	c := r.conf.Config.Customers[id]
 	entitled := (c.Rate*seconds + c.Burst) / r.tokensPerRequest()
@@ -232,6 +253,11 @@
 	fmt.Fprintf(w, "failover gap  %.0f ms, %d changes of primary\n", r.GapMillis, r.Failovers)
 	fmt.Fprintf(w, "worst served  %.3f (%s)\n", r.WorstServed, r.WorstCustomer)
 	fmt.Fprintf(w, "refused inside rate %.4f%%\n", r.RefusedInside*100)
+	fmt.Fprintf(w, "by worth      %.4f of what was asked was done", r.ServedByWorth)
+	for _, kind := range slices.Sorted(maps.Keys(r.ByKind)) {
+		fmt.Fprintf(w, ", %s %d/%d", kind, r.ByKind[kind].Done, r.ByKind[kind].Asked)
+	}
+	fmt.Fprintln(w)
 	l := r.LatencyMillis
 	fmt.Fprintf(w, "latency ms    p50 %.1f  p90 %.1f  p99 %.1f  p99.9 %.1f  max %.1f\n", l.P50, l.P90, l.P99, l.P999, l.Max)
 	fmt.Fprintf(w, "per instance  %.1f%% of a core (with stand-ins and load), %.0f peer bytes/s\n", r.CPUPercent, r.PeerBytes)
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -19,9 +19,11 @@
 
 // Config makes a run.
 type Config struct {
-	Fleet    *fleet.Fleet
-	Config   conf.Config
-	Mix      map[string]int
+	Fleet  *fleet.Fleet
+	Config conf.Config
+	Mix    map[string]int
+	// Worth says how much a request of each kind counts; a kind without counts 1.
+	Worth    map[string]int
 	Duration time.Duration
 	// Load is each customer's demand as a part of its rate.
 	Load float64
--- a/internal/bench/tally.go
+++ b/internal/bench/tally.go
@@ -23,13 +23,21 @@
 	outcomes map[Outcome]int64
 	reasons  map[string]int64
 	latency  *hdrhistogram.Histogram
+	kinds    map[string]*KindCount
 	// worst is the longest latency of each moment, for the plot.
 	worst map[int64]time.Duration
 }
 
+// KindCount counts the requests of one kind.
+type KindCount struct {
+	Asked int64 `json:"asked"`
+	Done  int64 `json:"done"`
+}
+
 func newTally(began time.Time) *tally {
 	return &tally{
 		began: began, outcomes: map[Outcome]int64{}, reasons: map[string]int64{},
+		kinds:   map[string]*KindCount{},
 		latency: hdrhistogram.New(1, longestLatency, latencyDigits), worst: map[int64]time.Duration{},
 	}
 }
@@ -48,10 +56,17 @@
 }
 
 // note takes in a request that was due and has ended after the given time.
-func (t *tally) note(_ string, o Outcome, err error, took time.Duration) {
+func (t *tally) note(kind string, o Outcome, err error, took time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.outcomes[o]++
+	if t.kinds[kind] == nil {
+		t.kinds[kind] = &KindCount{}
+	}
+	t.kinds[kind].Asked++
+	if o == Acked {
+		t.kinds[kind].Done++
+	}
 	if err != nil {
 		t.reasons[reasonOf(err)]++
 	}
--- a/internal/cmds/demo.go
+++ b/internal/cmds/demo.go
@@ -61,7 +61,7 @@
 
 func benchConfig(c *cli.Command, f *fleet.Fleet) bench.Config {
 	d := f.Deployment()
-	return bench.Config{Fleet: f, Config: d.Config, Mix: d.Mix, Duration: c.Duration("for"), Load: demoLoad, Seed: c.Uint64("seed")}
+	return bench.Config{Fleet: f, Config: d.Config, Mix: d.Mix, Worth: d.Worth, Duration: c.Duration("for"), Load: demoLoad, Seed: c.Uint64("seed")}
 }
 
 // demo runs a deployment with a short workload and a failover, and prints what the system says it did.
--- a/internal/fleet/deploy.go
+++ b/internal/fleet/deploy.go
@@ -23,6 +23,8 @@
 	ServiceTime   time.Duration
 	// Mix gives each kind of request its share of all.
 	Mix map[string]int
+	// Worth says how much a request of each kind counts.
+	Worth map[string]int
 }
 
 // Load reads an example by its name, or a deployment file by its path.
@@ -51,7 +53,7 @@
 	d := &Deployment{
 		Instances: counts[ident.CenterID](s, "instances"), Latency: s.Duration("latency", 0), CallerLatency: s.Duration("caller-latency", 0),
 		ConnectTime: s.Duration("connect-time", 10*time.Millisecond), ServiceTime: s.Duration("service-time", 0),
-		Mix: counts[string](s, "mix"),
+		Mix: counts[string](s, "mix"), Worth: counts[string](s, "worth"),
 	}
 	d.Config = inifl.ReadParts(f)
 	for _, m := range conf.Check(&d.Config) {
