--- a/internal/bench/doc.go
+++ b/internal/bench/doc.go
@@ -1,4 +1,4 @@
-// Package bench offers a deployment bounded open-loop load, strikes it with
+// Package bench offers a deployment bounded open-loop load, injections it with
 // faults by name, checks every answer against the promises and reports the
 // measures.
 package bench
--- a/internal/bench/faults.go
+++ b/internal/bench/faults.go
@@ -15,8 +15,8 @@
 	"geraniumseam.dev/stand/dbase"
 )
 
-// strike is one fault as it was struck.
-type strike struct {
+// injection is one fault as it was injected.
+type injection struct {
 	Name  string        `json:"name"`
 	What  string        `json:"what"`
 	Group ident.GroupID `json:"group,omitempty"`
@@ -32,11 +32,11 @@
 	Name   string
 	Help   string
 	Expect []jrnl.Kind
-	Strike func(ctx context.Context, s *striker) (what string, heal func())
+	Inject func(ctx context.Context, s *injector) (what string, heal func())
 }
 
-// striker knows what faults are struck on.
-type striker struct {
+// injector knows what faults are injected on.
+type injector struct {
 	run    *run
 	fleet  *fleet.Fleet
 	random *rand.Rand
@@ -44,9 +44,9 @@
 	took   time.Duration
 }
 
-func (s *striker) primary() *dbase.Server { return s.fleet.Groups[s.group].Primary() }
+func (s *injector) primary() *dbase.Server { return s.fleet.Groups[s.group].Primary() }
 
-func (s *striker) replica() *dbase.Server {
+func (s *injector) replica() *dbase.Server {
 	p := s.primary()
 	for _, server := range s.fleet.Groups[s.group].Servers() {
 		if server != p {
@@ -56,12 +56,12 @@
 	return p
 }
 
-func (s *striker) member() *fleet.Member {
+func (s *injector) member() *fleet.Member {
 	all := s.fleet.Members()
 	return all[s.random.IntN(len(all))]
 }
 
-func (s *striker) centerOf(id ident.ServerID) ident.CenterID {
+func (s *injector) centerOf(id ident.ServerID) ident.CenterID {
 	for _, server := range s.run.conf.Config.Groups[s.group].Servers {
 		if server.ID == id {
 			return server.Center
@@ -76,38 +76,38 @@
 
 // Faults lists every fault by name.
 var Faults = []Fault{
-	{"kill-primary", "the primary's process dies and comes back later", replaced, func(_ context.Context, s *striker) (string, func()) {
+	{"kill-primary", "the primary's process dies and comes back later", replaced, func(_ context.Context, s *injector) (string, func()) {
 		p := s.primary()
 		p.Kill()
 		return string(p.ID()), func() { _ = p.Restart() }
 	}},
-	{"freeze-primary", "the primary answers nothing on any connection", replaced, func(_ context.Context, s *striker) (string, func()) {
+	{"freeze-primary", "the primary answers nothing on any connection", replaced, func(_ context.Context, s *injector) (string, func()) {
 		p := s.primary()
 		p.Faults().Freeze.Store(true)
 		return string(p.ID()), func() { p.Faults().Freeze.Store(false) }
 	}},
-	{"cut-primary", "the primary's data centre is cut off from the others", replaced, func(_ context.Context, s *striker) (string, func()) {
+	{"cut-primary", "the primary's data centre is cut off from the others", replaced, func(_ context.Context, s *injector) (string, func()) {
 		center := s.centerOf(s.primary().ID())
 		s.fleet.CutCenter(center, false, true)
 		return string(center), func() { s.fleet.CutCenter(center, false, false) }
 	}},
-	{"cut-center", "a data centre is cut off from the others and from the platform", nil, func(_ context.Context, s *striker) (string, func()) {
+	{"cut-center", "a data centre is cut off from the others and from the platform", nil, func(_ context.Context, s *injector) (string, func()) {
 		center := s.centerOf(s.replica().ID())
 		s.fleet.CutCenter(center, true, true)
 		return string(center), func() { s.fleet.CutCenter(center, true, false) }
 	}},
-	{"silence-connections", "all open connections to a group go silent; new ones work", nil, func(_ context.Context, s *striker) (string, func()) {
+	{"silence-connections", "all open connections to a group go silent; new ones work", nil, func(_ context.Context, s *injector) (string, func()) {
 		for _, server := range s.fleet.Groups[s.group].Servers() {
 			server.Silence()
 		}
 		return string(s.group), nothing
 	}},
-	{"lag-replica", "one replica applies 3 s late", nil, func(_ context.Context, s *striker) (string, func()) {
+	{"lag-replica", "one replica applies 3 s late", nil, func(_ context.Context, s *injector) (string, func()) {
 		r := s.replica()
 		r.Faults().Lag.Store(int64(3 * time.Second))
 		return string(r.ID()), func() { r.Faults().Lag.Store(0) }
 	}},
-	{"lag-all", "all replicas apply 3 s late", nil, func(_ context.Context, s *striker) (string, func()) {
+	{"lag-all", "all replicas apply 3 s late", nil, func(_ context.Context, s *injector) (string, func()) {
 		for _, g := range s.fleet.Groups {
 			for _, server := range g.Servers() {
 				server.Faults().Lag.Store(int64(3 * time.Second))
@@ -121,42 +121,42 @@
 			}
 		}
 	}},
-	{"slow-server", "a replica takes 50 ms longer for each statement", nil, func(_ context.Context, s *striker) (string, func()) {
+	{"slow-server", "a replica takes 50 ms longer for each statement", nil, func(_ context.Context, s *injector) (string, func()) {
 		r := s.replica()
 		r.Faults().Slow.Store(int64(50 * time.Millisecond))
 		return string(r.ID()), func() { r.Faults().Slow.Store(0) }
 	}},
-	{"lose-commits", "the answers of 5 commits are lost", nil, func(_ context.Context, s *striker) (string, func()) {
+	{"lose-commits", "the answers of 5 commits are lost", nil, func(_ context.Context, s *injector) (string, func()) {
 		s.primary().Faults().LoseCommits.Store(5)
 		return string(s.primary().ID()), nothing
 	}},
-	{"cut-before-writes", "the primary cuts the connection before it runs 5 writes", nil, func(_ context.Context, s *striker) (string, func()) {
+	{"cut-before-writes", "the primary cuts the connection before it runs 5 writes", nil, func(_ context.Context, s *injector) (string, func()) {
 		s.primary().Faults().CutBefore.Store(5)
 		return string(s.primary().ID()), nothing
 	}},
-	{"surplus-answers", "5 answers come with one too many", nil, func(_ context.Context, s *striker) (string, func()) {
+	{"surplus-answers", "5 answers come with one too many", nil, func(_ context.Context, s *injector) (string, func()) {
 		s.replica().Faults().Surplus.Store(5)
 		return string(s.replica().ID()), nothing
 	}},
-	{"split-answers", "a primary's answers come a few bytes at a time", nil, func(_ context.Context, s *striker) (string, func()) {
+	{"split-answers", "a primary's answers come a few bytes at a time", nil, func(_ context.Context, s *injector) (string, func()) {
 		p := s.primary()
 		p.Faults().Split.Store(true)
 		return string(p.ID()), func() { p.Faults().Split.Store(false) }
 	}},
-	{"platform-down", "the platform answers every call with 503", []jrnl.Kind{jrnl.PlatformLost}, func(_ context.Context, s *striker) (string, func()) {
+	{"platform-down", "the platform answers every call with 503", []jrnl.Kind{jrnl.PlatformLost}, func(_ context.Context, s *injector) (string, func()) {
 		s.fleet.Platform.Faults().Outage.Store(true)
 		return "platform", func() { s.fleet.Platform.Faults().Outage.Store(false) }
 	}},
-	{"platform-loses-answers", "the answers of 10 writes to the platform are lost", nil, func(_ context.Context, s *striker) (string, func()) {
+	{"platform-loses-answers", "the answers of 10 writes to the platform are lost", nil, func(_ context.Context, s *injector) (string, func()) {
 		s.fleet.Platform.Faults().LoseAnswers.Store(10)
 		return "platform", nothing
 	}},
-	{"kill-instance", "an entry instance dies", []jrnl.Kind{jrnl.PeerLost}, func(_ context.Context, s *striker) (string, func()) {
+	{"kill-instance", "an entry instance dies", []jrnl.Kind{jrnl.PeerLost}, func(_ context.Context, s *injector) (string, func()) {
 		m := s.member()
 		s.fleet.Kill(m)
 		return string(m.ID), func() { _, _ = s.fleet.Add(m.Center) }
 	}},
-	{"replace-all", "every instance is replaced, one after the other", nil, func(ctx context.Context, s *striker) (string, func()) {
+	{"replace-all", "every instance is replaced, one after the other", nil, func(ctx context.Context, s *injector) (string, func()) {
 		count := 0
 		for _, m := range s.fleet.Members() {
 			if ctx.Err() != nil {
@@ -178,7 +178,7 @@
 	{"leave-server", "the configuration says that the primary is about to be taken away", []jrnl.Kind{jrnl.ServerLeaving, jrnl.ServerPromoted}, leaveServer},
 }
 
-func changeConfig(ctx context.Context, s *striker) (string, func()) {
+func changeConfig(ctx context.Context, s *injector) (string, func()) {
 	began := time.Now()
 	version, err := s.fleet.Change(ctx, "bench: measure how long a change takes", func(c *conf.Config) { c.Defaults.QueueLength++ })
 	if err != nil {
@@ -194,7 +194,7 @@
 }
 
 // withdrawKey connects with the probe's key through every instance and times how long it goes on working.
-func withdrawKey(ctx context.Context, s *striker) (string, func()) {
+func withdrawKey(ctx context.Context, s *injector) (string, func()) {
 	customers := slices.Sorted(maps.Keys(s.run.tallies))
 	victim := customers[s.random.IntN(len(customers))]
 	began := time.Now()
@@ -212,7 +212,7 @@
 }
 
 // lastSuccess watches a customer's counted successes until the deadline.
-func (s *striker) lastSuccess(ctx context.Context, id ident.CustomerID, until time.Time) time.Time {
+func (s *injector) lastSuccess(ctx context.Context, id ident.CustomerID, until time.Time) time.Time {
 	t := s.run.tallies[id]
 	last, count := time.Now(), int64(-1)
 	for time.Now().Before(until) && ctx.Err() == nil {
@@ -227,7 +227,7 @@
 	return last
 }
 
-func leaveServer(ctx context.Context, s *striker) (string, func()) {
+func leaveServer(ctx context.Context, s *injector) (string, func()) {
 	id := s.primary().ID()
 	_, err := s.fleet.Change(ctx, "bench: a server is about to leave", func(c *conf.Config) {
 		g := c.Groups[s.group]
@@ -254,40 +254,40 @@
 }
 
 const (
-	strikeAt = 0.3
+	injectAt = 0.3
 	healAt   = 0.65
 )
 
-// strike strikes with every fault at seeded moments and heals them later.
-func (r *run) strike(ctx context.Context) <-chan []strike {
-	done := make(chan []strike, 1)
+// injection injections with every fault at seeded moments and heals them later.
+func (r *run) inject(ctx context.Context) <-chan []injection {
+	done := make(chan []injection, 1)
 	random := rand.New(rand.NewPCG(r.conf.Seed, 11))
 	groups := slices.Sorted(maps.Keys(r.conf.Config.Groups))
 	group := groups[random.IntN(len(groups))]
 	go func() {
-		var struck []strike
+		var injected []injection
 		var heals []func()
-		r.until(ctx, strikeAt+0.1*random.Float64())
+		r.until(ctx, injectAt+0.1*random.Float64())
 		for _, name := range r.conf.Faults {
 			f, ok := FaultNamed(name)
 			if !ok {
 				continue
 			}
-			s := &striker{run: r, fleet: r.fleet, random: random, group: group}
+			s := &injector{run: r, fleet: r.fleet, random: random, group: group}
 			at := time.Now()
-			what, heal := f.Strike(ctx, s)
+			what, heal := f.Inject(ctx, s)
 			heals = append(heals, heal)
-			one := strike{Name: name, What: what, Group: group, At: at, Took: s.took}
+			one := injection{Name: name, What: what, Group: group, At: at, Took: s.took}
 			for _, k := range f.Expect {
 				one.Expect = append(one.Expect, k.String())
 			}
-			struck = append(struck, one)
+			injected = append(injected, one)
 		}
 		r.until(ctx, healAt)
 		for _, heal := range heals {
 			heal()
 		}
-		done <- struck
+		done <- injected
 	}()
 	return done
 }
--- a/internal/bench/faults_test.go
+++ b/internal/bench/faults_test.go
@@ -50,7 +50,7 @@
 	return report
 }
 
-// TestPromisesHoldUnderEachFault strikes with each fault, and with some two
+// TestPromisesHoldUnderEachFault injections with each fault, and with some two
 // together; whatever happens, no promise may break and each fault is explained.
 func TestPromisesHoldUnderEachFault(t *testing.T) {
 	cases := [][]string{
--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -31,7 +31,7 @@
 	// ReplicaShare is the part of reads that replicas served.
 	ReplicaShare float64 `json:"replica-share"`
 	ReplicaReads float64 `json:"replica-reads"`
-	// GapMillis is the longest time without an acknowledged write in the group that was struck.
+	// GapMillis is the longest time without an acknowledged write in the group that was injected.
 	GapMillis float64 `json:"gap-millis"`
 	Failovers int     `json:"failovers"`
 	// WorstServed is the least of served ÷ the lesser of demand and entitlement, among customers that are not greedy.
@@ -50,7 +50,7 @@
 	ReadsPerSec   float64              `json:"platform-reads-per-second"`
 	WritesPerSec  float64              `json:"platform-writes-per-second"`
 	PeerBytes     float64              `json:"peer-bytes-per-second-per-instance"`
-	Strikes       []strike             `json:"strikes,omitempty"`
+	Injections    []injection          `json:"faults,omitempty"`
 	// Unexplained lists the faults for which the journal has no explanation.
 	Unexplained []string     `json:"unexplained,omitempty"`
 	Journal     []jrnl.Event `json:"-"`
@@ -120,7 +120,7 @@
 	}
 }
 
-func (r *run) report(before, after usage, strikes []strike) *Report {
+func (r *run) report(before, after usage, injections []injection) *Report {
 	seconds := r.conf.Duration.Seconds()
 	instances := max(len(r.fleet.Members()), 1)
 	report := &Report{
@@ -129,7 +129,7 @@
 		ReadsPerSec:  float64(after.reads-before.reads+after.waits-before.waits) / seconds,
 		WritesPerSec: float64(after.writes-before.writes) / seconds,
 		PeerBytes:    max(0, after.peers-before.peers) / seconds / float64(instances),
-		Strikes:      strikes, Journal: r.journal(),
+		Injections:   injections, Journal: r.journal(),
 	}
 	report.ReplicaReads = max(0, after.served.replica-before.served.replica)
 	if all := report.ReplicaReads + max(0, after.served.primary-before.served.primary); all > 0 {
@@ -213,12 +213,12 @@
 	return Percentiles{P50: at(50), P90: at(90), P99: at(99), P999: at(99.9), Max: float64(h.Max()) / microsPerMillis}
 }
 
-// gaps finds the longest gap of the struck group, and counts the changes of primary.
+// gaps finds the longest gap of the injected group, and counts the changes of primary.
 func (r *run) gaps(report *Report) {
 	from := r.began.Add(time.Second)
 	to := r.began.Add(r.conf.Duration)
 	for _, p := range r.probes {
-		hit := len(report.Strikes) == 0 || p.group == report.Strikes[0].Group
+		hit := len(report.Injections) == 0 || p.group == report.Injections[0].Group
 		if hit {
 			report.GapMillis = max(report.GapMillis, float64(p.gap(from, to).Microseconds())/microsPerMillis)
 		}
@@ -236,7 +236,7 @@
 	for _, e := range report.Journal {
 		seen[e.Kind.String()] = true
 	}
-	for _, s := range report.Strikes {
+	for _, s := range report.Injections {
 		for _, kind := range s.Expect {
 			if !seen[kind] {
 				report.Unexplained = append(report.Unexplained, s.Name+": no event "+kind)
@@ -262,7 +262,7 @@
 	fmt.Fprintf(w, "latency ms    p50 %.1f  p90 %.1f  p99 %.1f  p99.9 %.1f  max %.1f\n", l.P50, l.P90, l.P99, l.P999, l.Max)
 	fmt.Fprintf(w, "per instance  %.1f%% of a core (with stand-ins and load), %.0f peer bytes/s\n", r.CPUPercent, r.PeerBytes)
 	fmt.Fprintf(w, "platform      %.1f reads/s, %.1f writes/s\n", r.ReadsPerSec, r.WritesPerSec)
-	for _, s := range r.Strikes {
+	for _, s := range r.Injections {
 		fmt.Fprintf(w, "fault         %s on %s %s\n", s.Name, s.What, tookText(s.Took))
 	}
 	for _, reason := range slices.Sorted(maps.Keys(r.Reasons)) {
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -67,7 +67,7 @@
 	rows map[ident.GroupID][]*row
 }
 
-// Run offers the load, strikes with the faults and returns the report.
+// Run offers the load, injections with the faults and returns the report.
 func Run(ctx context.Context, c Config) (*Report, error) {
 	r := &run{
 		conf: c, fleet: c.Fleet, checker: NewChecker(), tallies: map[ident.CustomerID]*tally{},
@@ -89,13 +89,13 @@
 	for id, own := range callers {
 		r.startCustomer(ctx, loaded, &wait, id, own)
 	}
-	struck := r.strike(loaded)
+	injected := r.inject(loaded)
 	r.progress(loaded)
 	wait.Wait()
 	after := r.usage()
-	strikes := <-struck
+	injections := <-injected
 	r.settle(ctx)
-	return r.report(before, after, strikes), nil
+	return r.report(before, after, injections), nil
 }
 
 // prepare makes every session and the rows that it owns.
--- a/internal/cmds/demo.go
+++ b/internal/cmds/demo.go
@@ -72,7 +72,7 @@
 		return err
 	}
 	defer f.Stop()
-	if err := p.greet(c, f); err != nil {
+	if err := p.printReady(c, f); err != nil {
 		return err
 	}
 	conf := benchConfig(c, f)
@@ -81,7 +81,7 @@
 	if err != nil {
 		return err
 	}
-	if err := p.tell(c, report); err != nil {
+	if err := p.printSummary(c, report); err != nil {
 		return err
 	}
 	if n := report.Broken(); n > 0 {
@@ -90,7 +90,7 @@
 	return nil
 }
 
-func (p *program) greet(c *cli.Command, f *fleet.Fleet) error {
+func (p *program) printReady(c *cli.Command, f *fleet.Fleet) error {
 	d := f.Deployment()
 	customer := slices.Sorted(maps.Keys(d.Config.Customers))[1]
 	service := slices.Sorted(maps.Keys(d.Config.Services))[0]
@@ -107,13 +107,13 @@
 	return nil
 }
 
-// told are the kinds of event that a demonstration shows.
-var told = map[jrnl.Kind]bool{
+// shownKinds are the kinds of event that a demonstration shows.
+var shownKinds = map[jrnl.Kind]bool{
 	jrnl.PrimarySuspect: true, jrnl.TermClaimed: true, jrnl.MajoritySealed: true, jrnl.ServerPromoted: true,
 	jrnl.ServerRepointed: true, jrnl.TailDiscarded: true, jrnl.ClaimLost: true, jrnl.SealFailed: true, jrnl.PrimaryBack: true,
 }
 
-func (p *program) tell(c *cli.Command, r *bench.Report) error {
+func (p *program) printSummary(c *cli.Command, r *bench.Report) error {
 	sum := sumLine{
 		Event: "summary", Statements: r.Done, ReplicaReads: int64(r.ReplicaReads), ReplicaShare: r.ReplicaShare,
 		Failovers: r.Failovers, GapMillis: r.GapMillis, Violations: r.Broken(), Broken: r.Violations,
@@ -121,7 +121,7 @@
 	if !c.Bool("json") {
 		p.print("what the system says it did:\n")
 		for _, e := range r.Journal {
-			if told[e.Kind] {
+			if shownKinds[e.Kind] {
 				p.print("  %s  %-12s %s\n", e.At.Format("15:04:05.000"), e.Instance, sentence(e))
 			}
 		}
@@ -131,7 +131,7 @@
 	}
 	encoder := json.NewEncoder(p.out)
 	for _, e := range r.Journal {
-		if told[e.Kind] {
+		if shownKinds[e.Kind] {
 			if err := encoder.Encode(happenedLine{Event: "happened", What: e}); err != nil {
 				return err
 			}
--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -39,7 +39,7 @@
 	if err != nil {
 		return err
 	}
-	doors, err := openDoors(s)
+	listeners, err := openListeners(s)
 	if err != nil {
 		return err
 	}
@@ -49,7 +49,7 @@
 	dialer := &net.Dialer{Timeout: dialTime, KeepAlive: keepAlive}
 	seed := maphash.String(maphash.MakeSeed(), string(s.Instance))
 	i, err := entry.Start(entry.Config{
-		Instance: s.Instance, Center: s.Center, Callers: doors.callers, Peers: doors.peers,
+		Instance: s.Instance, Center: s.Center, Callers: listeners.callers, Peers: listeners.peers,
 		CallerTLS: s.CallerTLS, RequireTLS: s.RequireTLS, PeerServer: s.PeerServer, PeerClient: s.PeerClient, PeerSecret: s.PeerSecret,
 		Store: newStore(s.PlatformURL, registry, seed), Backends: dialer, Links: dialer,
 		User: s.User, Password: s.Password, Seed: seed, Registry: registry,
@@ -57,7 +57,7 @@
 	if err != nil {
 		return err
 	}
-	operators := oper.Serve(oper.Config{Instance: i, ID: s.Instance, Center: s.Center, Registry: registry}, doors.operators)
+	operators := oper.Serve(oper.Config{Instance: i, ID: s.Instance, Center: s.Center, Registry: registry}, listeners.operators)
 	<-ctx.Done()
 	end, cancel := context.WithTimeout(context.Background(), shutdownTime)
 	defer cancel()
@@ -73,25 +73,25 @@
 	})
 }
 
-// doors are an instance's listeners.
-type doors struct{ callers, peers, operators net.Listener }
+// listeners are an instance's listeners.
+type listeners struct{ callers, peers, operators net.Listener }
 
-// openDoors listens on every address, or on none.
-func openDoors(s *sets.Settings) (doors, error) {
-	var d doors
+// openListeners listens on every address, or on none.
+func openListeners(s *sets.Settings) (listeners, error) {
+	var d listeners
 	var opened []net.Listener
-	for _, door := range []struct {
+	for _, wanted := range []struct {
 		key, address string
 		into         *net.Listener
 	}{{"listen", s.Callers, &d.callers}, {"peer-listen", s.Peers, &d.peers}, {"operator-listen", s.Operators, &d.operators}} {
-		l, err := net.Listen("tcp", door.address)
+		l, err := net.Listen("tcp", wanted.address)
 		if err != nil {
 			for _, other := range opened {
 				other.Close()
 			}
-			return d, &ListenError{Key: door.key, Address: door.address, Cause: err}
+			return d, &ListenError{Key: wanted.key, Address: wanted.address, Cause: err}
 		}
-		*door.into = l
+		*wanted.into = l
 		opened = append(opened, l)
 	}
 	return d, nil
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -16,8 +16,8 @@
 const (
 	// acceptPause spaces accepts after a failure, as when file descriptors run out.
 	acceptPause = 5 * time.Millisecond
-	// doomTime is how long a request that runs when its key is withdrawn may go on.
-	doomTime = time.Second
+	// revokeGrace is how long a request that runs when its key is withdrawn may go on.
+	revokeGrace = time.Second
 	// sweepPause is how often callers are checked against the age of the configuration.
 	sweepPause = time.Second
 )
@@ -111,7 +111,7 @@
 			continue
 		}
 		if _, still := s.Renew(access); !still {
-			caller.doom(fault.KeyWithdrawn)
+			caller.revoke(fault.KeyWithdrawn)
 			ended++
 		}
 	}
@@ -135,7 +135,7 @@
 		}
 		for _, caller := range i.callers.all() {
 			if access, in := caller.admitted(); in && access.Key != "" {
-				caller.doom(fault.KeyUnchecked)
+				caller.revoke(fault.KeyUnchecked)
 			}
 		}
 	}
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -235,7 +235,7 @@
 	r := &confs.Relay{Store: i.conf.Store, Keeper: i.keeper}
 	lost := false
 	ctx := i.tomb.Context(context.Background())
-	i.letPeersTell()
+	i.awaitPeerConfig()
 	for {
 		err := r.Once(ctx)
 		if ctx.Err() != nil {
@@ -255,14 +255,14 @@
 	}
 }
 
-// peersFirst is how long a new instance of a large fleet waits for a peer to tell
+// peerConfigTime is how long a new instance of a large fleet waits for a peer to tell
 // it the configuration before it asks the platform.
-const peersFirst = 3 * time.Second
+const peerConfigTime = 3 * time.Second
 
-// letPeersTell spares the platform: in a large fleet a heartbeat brings the
+// awaitPeerConfig spares the platform: in a large fleet a heartbeat brings the
 // configuration sooner than a megabyte from the platform would.
-func (i *Instance) letPeersTell() {
-	for end := time.Now().Add(peersFirst); time.Now().Before(end) && i.tomb.Alive(); {
+func (i *Instance) awaitPeerConfig() {
+	for end := time.Now().Add(peerConfigTime); time.Now().Before(end) && i.tomb.Alive(); {
 		known, _ := i.members.list()
 		large := len(i.members.current.Load().all) > meshSize
 		if i.keeper.Current().Version > 0 || known > 0 && !large {
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -35,8 +35,8 @@
 	settleTime = 300 * time.Millisecond
 )
 
-// crowd is what the rest of the instance reads of the fleet; it never changes once made.
-type crowd struct {
+// fleetView is what the rest of the instance reads of the fleet; it never changes once made.
+type fleetView struct {
 	working []membr.Member
 	// placed are those that may own groups.
 	placed membr.Centers
@@ -49,8 +49,8 @@
 // members keeps the view of the fleet and tells the others when it changes.
 type members struct {
 	instance *Instance
-	current  atomic.Pointer[crowd]
-	poke     chan struct{}
+	current  atomic.Pointer[fleetView]
+	wakeUp   chan struct{}
 
 	// reconciled and version belong to run.
 	reconciled time.Time
@@ -69,10 +69,10 @@
 
 func newMembers(i *Instance) *members {
 	m := &members{
-		instance: i, poke: make(chan struct{}, 1), versions: map[ident.InstanceID]ident.Version{},
+		instance: i, wakeUp: make(chan struct{}, 1), versions: map[ident.InstanceID]ident.Version{},
 		view: membr.NewView(membr.Config{Self: i.conf.Instance, Silence: memberSilence, Refresh: suspicionPause}, uint64(time.Now().UnixNano())),
 	}
-	m.current.Store(&crowd{all: map[ident.InstanceID]membr.Member{}})
+	m.current.Store(&fleetView{all: map[ident.InstanceID]membr.Member{}})
 	return m
 }
 
@@ -92,7 +92,7 @@
 		select {
 		case <-m.instance.tomb.Dying():
 			return nil
-		case <-m.poke:
+		case <-m.wakeUp:
 		case <-ticker.C:
 		}
 	}
@@ -147,7 +147,7 @@
 	targets := m.targets
 	suspicions := m.view.Tick(now)
 	working := m.view.Working(now)
-	next := &crowd{working: working, all: map[ident.InstanceID]membr.Member{}, reach: map[ident.InstanceID]bool{}}
+	next := &fleetView{working: working, all: map[ident.InstanceID]membr.Member{}, reach: map[ident.InstanceID]bool{}}
 	for _, member := range m.view.All() {
 		next.all[member.ID] = member
 		next.reach[member.ID] = m.view.Reaches(now, member.ID)
@@ -184,7 +184,7 @@
 }
 
 // same reports whether two views lead to the same choices.
-func (c *crowd) same(other *crowd) bool {
+func (c *fleetView) same(other *fleetView) bool {
 	return slices.Equal(c.working, other.working) && maps.Equal(c.reach, other.reach) && maps.Equal(c.all, other.all) &&
 		maps.EqualFunc(c.placed, other.placed, slices.Equal)
 }
@@ -206,7 +206,7 @@
 // changed makes the view be looked at now.
 func (m *members) changed() {
 	select {
-	case m.poke <- struct{}{}:
+	case m.wakeUp <- struct{}{}:
 	default:
 	}
 }
@@ -323,7 +323,7 @@
 	return ids
 }
 
-func (m *members) class(c *crowd, member membr.Member) int {
+func (m *members) class(c *fleetView, member membr.Member) int {
 	switch {
 	case member.ID == m.instance.conf.Instance:
 		return 0
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -33,7 +33,7 @@
 		}
 	}
 	s.endTx()
-	s.farewell()
+	s.sendTermination()
 }
 
 // malformed answers a message that cannot be read; a caller that left gets nothing.
@@ -169,7 +169,7 @@
 	began := time.Now()
 	access, reason := s.mayRun()
 	if reason != fault.None {
-		s.doomNow(reason)
+		s.revokeNow(reason)
 		return true
 	}
 	limits := s.instance.keeper.Current().For(began, access.Customer, access.Service)
@@ -203,10 +203,10 @@
 	return access, fault.None
 }
 
-func (s *session) doomNow(r fault.Reason) {
+func (s *session) revokeNow(r fault.Reason) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.doomed = r
+	s.revoked = r
 }
 
 // spendRate takes a token; inside a transaction it waits as long as a statement may.
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -56,7 +56,7 @@
 	stage   stage
 	access  conf.Access
 	in      bool
-	doomed  fault.Reason
+	revoked fault.Reason
 	retired bool
 	cancels context.CancelFunc
 
@@ -294,7 +294,7 @@
 	if s.stage == closing {
 		return false
 	}
-	if next == idle && (s.doomed != fault.None || s.retired && s.tx == 0) {
+	if next == idle && (s.revoked != fault.None || s.retired && s.tx == 0) {
 		s.stage = closing
 		return false
 	}
@@ -302,20 +302,20 @@
 	return true
 }
 
-// doom ends the session for a reason: at once when it is idle, soon when a request runs.
-func (s *session) doom(r fault.Reason) {
+// revoke ends the session for a reason: at once when it is idle, soon when a request runs.
+func (s *session) revoke(r fault.Reason) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.doomed != fault.None || s.stage == closing {
+	if s.revoked != fault.None || s.stage == closing {
 		return
 	}
-	s.doomed = r
+	s.revoked = r
 	if s.stage == idle {
 		s.stage = closing
 		s.interrupt()
 		return
 	}
-	time.AfterFunc(doomTime, s.cancelRunning)
+	time.AfterFunc(revokeGrace, s.cancelRunning)
 }
 
 // retire ends the session at its next boundary.
@@ -332,10 +332,10 @@
 // interrupt wakes the session's goroutine out of its wait for a request.
 func (s *session) interrupt() { _ = s.conn.SetReadDeadline(time.Unix(1, 0)) }
 
-// farewell tells a caller why its session ends.
-func (s *session) farewell() {
+// sendTermination tells a caller why its session ends.
+func (s *session) sendTermination() {
 	s.mu.Lock()
-	reason := s.doomed
+	reason := s.revoked
 	if reason == fault.None && s.retired {
 		reason = fault.ShuttingDown
 	}
--- a/internal/owner/mind.go
+++ b/internal/owner/coordinate.go
@@ -17,8 +17,8 @@
 // tickPause is how often the machine looks at the clock.
 const tickPause = 40 * time.Millisecond
 
-// mind runs the group's machine and carries out what it decides.
-func (g *Group) mind() error {
+// coordinate runs the group's machine and carries out what it decides.
+func (g *Group) coordinate() error {
 	machine := group.New(group.Config{
 		Servers: g.serverIDs(), Claimant: g.conf.Claimant, Rank: int(g.rank.Load()), Timing: timing(g.limits.Load()),
 	})
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -105,7 +105,7 @@
 	for _, s := range g.servers {
 		g.tomb.Go(func() error { return g.watch(s) })
 	}
-	g.tomb.Go(g.mind)
+	g.tomb.Go(g.coordinate)
 	g.tomb.Go(g.reap)
 	return g
 }
@@ -205,8 +205,8 @@
 	}
 }
 
-// hurry makes every poller ask its server now.
-func (g *Group) hurry() {
+// pollNow makes every poller ask its server now.
+func (g *Group) pollNow() {
 	for _, s := range g.servers {
 		select {
 		case s.kick <- struct{}{}:
--- a/internal/owner/read.go
+++ b/internal/owner/read.go
@@ -105,7 +105,7 @@
 }
 
 func (g *Group) readOn(ctx context.Context, w *Work, s *server, c *pgcon.Conn, replica bool, floor ident.Floor, sink pgcon.Sink) attempt {
-	held := &spill{sink: sink, whole: g.mayReadUnheld(replica)}
+	held := &bufferedSink{sink: sink, whole: g.mayReadUnheld(replica)}
 	request := w.Request
 	request.Position = held.whole
 	began := time.Now()
@@ -159,7 +159,7 @@
 }
 
 // brokenRead retries a read of which nothing has been handed on.
-func (g *Group) brokenRead(ctx context.Context, err error, held *spill) attempt {
+func (g *Group) brokenRead(ctx context.Context, err error, held *bufferedSink) attempt {
 	var failed *pgcon.RunError
 	if ctx.Err() != nil {
 		return attempt{result: notRun(reasonOf(ctx))}
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -67,7 +67,7 @@
 			return a.result
 		}
 		g.conf.Journal.Retry(a.result.Reason, w.Trace, w.Customer, w.Group)
-		g.hurry()
+		g.pollNow()
 		if !g.pause(ctx, count) {
 			return a.result
 		}
@@ -110,7 +110,7 @@
 		again := got.reason == fault.ConnectFailed || got.reason == fault.ServerFull
 		return attempt{result: Result{Outcome: fault.NotRun, Reason: got.reason, RetryAfter: got.wait}, again: again, free: true}
 	}
-	held := &keep{}
+	held := &heldSink{}
 	request := w.Request
 	request.Position = true
 	began := time.Now()
@@ -165,7 +165,7 @@
 }
 
 // finishWrite waits until a majority holds the write, then hands the answer on.
-func (g *Group) finishWrite(ctx context.Context, w *Work, a pgcon.Answer, held *keep, sink pgcon.Sink) Result {
+func (g *Group) finishWrite(ctx context.Context, w *Work, a pgcon.Answer, held *heldSink, sink pgcon.Sink) Result {
 	result := Result{Floor: w.Floor, TxStatus: a.TxStatus, ErrorCode: a.ErrorCode}
 	if a.ErrorCode == "" && !g.conf.Baseline.AckAtOnce {
 		if reason := g.awaitHeld(ctx, w, a.Status); reason != fault.None {
@@ -215,7 +215,7 @@
 	}
 	g.waiting.Add(1)
 	defer g.waiting.Add(-1)
-	g.hurry()
+	g.pollNow()
 	for {
 		v, changed := g.board.next()
 		if satisfied(v) {
--- a/internal/owner/tx.go
+++ b/internal/owner/tx.go
@@ -39,14 +39,14 @@
 }
 
 // open keeps the connection for the session and hands the answer on.
-func (g *Group) open(w *Work, s *server, c *pgcon.Conn, a pgcon.Answer, held *keep, sink pgcon.Sink) Result {
+func (g *Group) open(w *Work, s *server, c *pgcon.Conn, a pgcon.Answer, held *heldSink, sink pgcon.Sink) Result {
 	result := Result{Floor: w.Floor, TxStatus: a.TxStatus, ErrorCode: a.ErrorCode}
 	result.Tx = g.register(&transaction{server: s, conn: c, pinned: w.Pin, wrote: w.Kind > stmt.Begin})
 	return g.hand(result, held.bytes, sink)
 }
 
 // openReading is open for a transaction that only reads.
-func (g *Group) openReading(s *server, c *pgcon.Conn, r Result, replica bool, held *spill) Result {
+func (g *Group) openReading(s *server, c *pgcon.Conn, r Result, replica bool, held *bufferedSink) Result {
 	r.Tx = g.register(&transaction{server: s, conn: c, replica: replica})
 	if err := held.flush(); err != nil {
 		g.End(r.Tx)
@@ -97,7 +97,7 @@
 		t.mu.Unlock()
 		return notRun(fault.TransactionLost)
 	}
-	held := &keep{}
+	held := &heldSink{}
 	request := w.Request
 	request.Position = !t.replica && w.Kind != stmt.Read
 	answer, err := t.server.pool.run(ctx, t.conn, &request, held, false)
@@ -129,7 +129,7 @@
 	return notRun(fault.TransactionLost)
 }
 
-func (g *Group) afterInTx(ctx context.Context, w *Work, t *transaction, a pgcon.Answer, wrote bool, held *keep, sink pgcon.Sink) Result {
+func (g *Group) afterInTx(ctx context.Context, w *Work, t *transaction, a pgcon.Answer, wrote bool, held *heldSink, sink pgcon.Sink) Result {
 	result := Result{Floor: w.Floor, TxStatus: a.TxStatus, Tx: t.id, Replica: t.replica, ErrorCode: a.ErrorCode}
 	if t.replica || !a.HasStatus {
 		result.Seen = Seen{Owner: g.conf.Self, Server: t.server.ID, Mark: time.Now().UnixNano()}
--- a/internal/owner/watch.go
+++ b/internal/owner/watch.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// hurryPause is the time between two polls while somebody waits for one.
-	hurryPause = time.Millisecond
+	// waitedPollPause is the time between two polls while somebody waits for one.
+	waitedPollPause = time.Millisecond
 	// usedTime is how long a group counts as used after a request.
 	usedTime = time.Second
 	// idlePolls is how often an unused group's server is asked before its silence is noted.
@@ -71,7 +71,7 @@
 	d := g.limits.Load()
 	switch {
 	case g.waiting.Load() > 0:
-		return hurryPause
+		return waitedPollPause
 	case time.Since(time.Unix(0, g.used.Load())) < usedTime:
 		return d.Poll
 	default:
--- a/internal/owner/work.go
+++ b/internal/owner/work.go
@@ -71,18 +71,18 @@
 
 func unknown(r fault.Reason) Result { return Result{Outcome: fault.Unknown, Reason: r} }
 
-// keep is a Sink that holds an answer back.
-type keep struct{ bytes []byte }
+// heldSink is a Sink that holds an answer back.
+type heldSink struct{ bytes []byte }
 
 // Emit implements pgcon.Sink.
-func (k *keep) Emit(messages []byte) error {
+func (k *heldSink) Emit(messages []byte) error {
 	k.bytes = append(k.bytes, messages...)
 	return nil
 }
 
-// spill is a Sink that holds back the beginning of an answer, so that a read can
+// bufferedSink is a Sink that holds back the beginning of an answer, so that a read can
 // be retried as long as nothing of it has been handed on.
-type spill struct {
+type bufferedSink struct {
 	sink   pgcon.Sink
 	bytes  []byte
 	passed bool
@@ -90,12 +90,12 @@
 	whole bool
 }
 
-// spillSize is how much of a read's answer is held back, in bytes.
-const spillSize = 256 << 10
+// bufferedSize is how much of a read's answer is held back, in bytes.
+const bufferedSize = 256 << 10
 
 // Emit implements pgcon.Sink.
-func (s *spill) Emit(messages []byte) error {
-	if !s.passed && (s.whole || len(s.bytes)+len(messages) <= spillSize) {
+func (s *bufferedSink) Emit(messages []byte) error {
+	if !s.passed && (s.whole || len(s.bytes)+len(messages) <= bufferedSize) {
 		s.bytes = append(s.bytes, messages...)
 		return nil
 	}
@@ -105,7 +105,7 @@
 	return s.sink.Emit(messages)
 }
 
-func (s *spill) flush() error {
+func (s *bufferedSink) flush() error {
 	s.passed = true
 	if len(s.bytes) == 0 {
 		return nil
--- a/internal/peer/hub.go
+++ b/internal/peer/hub.go
@@ -132,15 +132,15 @@
 	if err != nil {
 		return
 	}
-	if err := h.greet(r.Context(), socket, peer); err != nil {
+	if err := h.handshake(r.Context(), socket, peer); err != nil {
 		_ = socket.Close(websocket.StatusPolicyViolation, "")
 		return
 	}
 	h.keep(peer, socket)
 }
 
-// greet exchanges Hello messages and checks that the releases understand each other.
-func (h *Hub) greet(ctx context.Context, socket *websocket.Conn, peer ident.InstanceID) error {
+// handshake exchanges Hello messages and checks that the releases understand each other.
+func (h *Hub) handshake(ctx context.Context, socket *websocket.Conn, peer ident.InstanceID) error {
 	ctx, cancel := context.WithTimeout(ctx, h.conf.Silence)
 	defer cancel()
 	text, err := encodeFrame(kindHello, 0, Hello{Least: protocolLeast, Most: protocolMost, Instance: h.conf.Self, Center: h.conf.Center})
@@ -270,7 +270,7 @@
 		}
 		return &Error{Cause: cause, Peer: id, Detail: err.Error()}
 	}
-	if err := h.greet(ctx, socket, id); err != nil {
+	if err := h.handshake(ctx, socket, id); err != nil {
 		_ = socket.CloseNow()
 		return errors.Trace(err)
 	}
--- a/internal/quota/borrow.go
+++ b/internal/quota/borrow.go
@@ -15,7 +15,7 @@
 		select {
 		case <-q.tomb.Dying():
 			return nil
-		case <-q.hungry:
+		case <-q.borrowRequests:
 		}
 		if want := q.wanted(); len(want) > 0 && !q.conf.Static {
 			q.round(want)
@@ -118,7 +118,7 @@
 		}
 		a := q.account(customer)
 		a.mu.Lock()
-		q.fit(a, now, customer)
+		q.resize(a, now, customer)
 		most := float64(a.bucket.Own(now))
 		if now.Sub(a.spent) < ownTime {
 			most /= 2
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -71,15 +71,15 @@
 
 // Quota spends and moves tokens; it is safe for concurrent use.
 type Quota struct {
-	conf     Config
-	accounts sync.Map
-	sizes    atomic.Uint64
-	part     atomic.Int64
-	hungry   chan struct{}
-	renew    chan struct{}
-	tomb     tomb.Tomb
-	borrowed prometheus.Counter
-	given    prometheus.Counter
+	conf           Config
+	accounts       sync.Map
+	sizes          atomic.Uint64
+	part           atomic.Int64
+	borrowRequests chan struct{}
+	renew          chan struct{}
+	tomb           tomb.Tomb
+	borrowed       prometheus.Counter
+	given          prometheus.Counter
 
 	clerk *clerk
 
@@ -92,7 +92,7 @@
 // New starts to hold a part of the rates.
 func New(c Config) *Quota {
 	q := &Quota{
-		conf: c, hungry: make(chan struct{}, 1), renew: make(chan struct{}, 1), random: c.Random,
+		conf: c, borrowRequests: make(chan struct{}, 1), renew: make(chan struct{}, 1), random: c.Random,
 		holder:   share.NewHolder(c.Self, uint64(time.Now().UnixNano())),
 		borrowed: prometheus.NewCounter(prometheus.CounterOpts{Name: "geraniumseam_tokens_borrowed_total", Help: "Tokens received from peers."}),
 		given:    prometheus.NewCounter(prometheus.CounterOpts{Name: "geraniumseam_tokens_given_total", Help: "Tokens handed to peers."}),
@@ -151,8 +151,8 @@
 	return found.(*account)
 }
 
-// fit gives the bucket its part of the customer's rate; the caller holds the account's mutex.
-func (q *Quota) fit(a *account, now time.Time, customer ident.CustomerID) {
+// resize gives the bucket its part of the customer's rate; the caller holds the account's mutex.
+func (q *Quota) resize(a *account, now time.Time, customer ident.CustomerID) {
 	s := q.conf.Snapshot()
 	size := q.sizes.Load()<<32 | uint64(s.Version)&0xffffffff
 	if a.sized == size {
@@ -183,8 +183,8 @@
 		a.mu.Unlock()
 	}()
 	for {
-		woken, pause := q.outlook(a, customer)
-		q.hunger()
+		woken, pause := q.nextToken(a, customer)
+		q.requestBorrow()
 		timer := time.NewTimer(max(pause, time.Millisecond))
 		select {
 		case <-ctx.Done():
@@ -210,25 +210,25 @@
 func (q *Quota) spend(a *account, now time.Time, customer ident.CustomerID) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	q.fit(a, now, customer)
+	q.resize(a, now, customer)
 	elapsed := now.Sub(a.spent).Seconds()
 	a.demand = a.demand*max(0, 1-elapsed*4) + 1
 	a.spent = now
 	return a.bucket.Take(now, 1)
 }
 
-// outlook returns what is closed when tokens arrive, and how long the bucket itself takes to make one.
-func (q *Quota) outlook(a *account, customer ident.CustomerID) (<-chan struct{}, time.Duration) {
+// nextToken returns what is closed when tokens arrive, and how long the bucket itself takes to make one.
+func (q *Quota) nextToken(a *account, customer ident.CustomerID) (<-chan struct{}, time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
-	q.fit(a, now, customer)
+	q.resize(a, now, customer)
 	return a.wake, a.bucket.Until(now, 1)
 }
 
-func (q *Quota) hunger() {
+func (q *Quota) requestBorrow() {
 	select {
-	case q.hungry <- struct{}{}:
+	case q.borrowRequests <- struct{}{}:
 	default:
 	}
 }
--- a/stand/dbase/session.go
+++ b/stand/dbase/session.go
@@ -82,15 +82,15 @@
 		if err != nil {
 			return
 		}
-		s.hush()
+		s.waitWhileSilent()
 		if !s.handle(message) {
 			return
 		}
 	}
 }
 
-// hush waits for as long as the connection is told to be silent.
-func (s *session) hush() {
+// waitWhileSilent waits for as long as the connection is told to be silent.
+func (s *session) waitWhileSilent() {
 	for s.server.isSilent(s.id) {
 		if s.server.down() {
 			return
@@ -113,7 +113,7 @@
 	case *pgproto3.CancelRequest:
 		return false
 	case *pgproto3.StartupMessage:
-		s.hush()
+		s.waitWhileSilent()
 		return s.authenticate(m, within)
 	}
 	return false
@@ -330,7 +330,7 @@
 	if err != nil {
 		return true, err
 	}
-	s.hush()
+	s.waitWhileSilent()
 	if describe && len(c.columns) > 0 {
 		s.sendColumns(c)
 	}
--- a/stand/platf/server.go
+++ b/stand/platf/server.go
@@ -90,7 +90,7 @@
 }
 
 func (s *Platform) serve(w http.ResponseWriter, r *http.Request) {
-	if !s.stumble(w, r) {
+	if !s.applyFaults(w, r) {
 		return
 	}
 	rest, found := strings.CutPrefix(r.URL.Path, objs.BasePath)
@@ -120,8 +120,8 @@
 	}
 }
 
-// stumble acts out the faults and reports whether the call goes on.
-func (s *Platform) stumble(w http.ResponseWriter, r *http.Request) bool {
+// applyFaults acts out the faults and reports whether the call goes on.
+func (s *Platform) applyFaults(w http.ResponseWriter, r *http.Request) bool {
 	if s.faults.Hang.Load() {
 		s.wait(r.Context(), time.Hour)
 		return false
--- a/stand/trip/count.go
+++ b/stand/trip/count.go
@@ -2,13 +2,13 @@
 
 import "sync/atomic"
 
-// Count is how many times a fault is still to strike; it is safe for concurrent use.
+// Count is how many times a fault is still to happen; it is safe for concurrent use.
 type Count struct{ left atomic.Int64 }
 
-// Store makes the fault strike so many times from now on.
+// Store makes the fault happen so many times from now on.
 func (c *Count) Store(times int64) { c.left.Store(times) }
 
-// Take reports whether the fault strikes now, and counts it down.
+// Take reports whether the fault happens now, and counts it down.
 func (c *Count) Take() bool {
 	for {
 		left := c.left.Load()
--- a/stand/trip/doc.go
+++ b/stand/trip/doc.go
@@ -1,2 +1,2 @@
-// Package trip counts faults down to the moment they strike.
+// Package trip counts faults down to the moment they happen.
 package trip
