Drain a primary that leaves before the others are sealed

Change: the leaving primary is sealed first, so that it takes no more; the others are sealed once they have all that it had, or after one step. The model marks servers as leaving at random.

--- a/internal/rule/group/machine.go
+++ b/internal/rule/group/machine.go
@@ -31,6 +31,7 @@
 const (
 	idle      phase = iota // idle
 	claiming               // claiming
+	draining               // draining
 	sealing                // sealing
 	promoting              // promoting
 )
@@ -69,7 +70,9 @@
 	deadline time.Time
 	sealed   map[ident.ServerID]Status
 	chosen   ident.ServerID
-	hold     time.Time
+	// target is what a leaving primary had last when it was sealed.
+	target ident.Position
+	hold   time.Time
 }
 
 // New returns a Machine that knows nothing yet.
@@ -207,6 +210,9 @@
 }
 
 func (m *Machine) tick(now time.Time) []Action {
+	if m.phase == draining && (m.drained(now) || !now.Before(m.deadline)) {
+		return m.sealAll(now)
+	}
 	if m.phase != idle {
 		return m.retryStep(now)
 	}
@@ -272,7 +278,17 @@
 	} else {
 		m.record = Record{Term: e.Term, Primary: m.primary, Claimant: m.conf.Claimant}
 	}
+	if p := m.servers[m.primary]; p != nil && m.leaving[m.primary] && m.answers(now, p) {
+		m.phase, m.deadline, m.target = draining, now.Add(m.conf.Timing.StepTime), 0
+		return append(actions, Seal{Server: m.primary, Term: m.attempt, Claimant: m.conf.Claimant})
+	}
+	return append(actions, m.sealAll(now)...)
+}
+
+// sealAll asks every server that stays to follow no lower term.
+func (m *Machine) sealAll(now time.Time) []Action {
 	m.phase, m.deadline = sealing, now.Add(m.conf.Timing.StepTime)
+	var actions []Action
 	for _, id := range m.conf.Servers {
 		if !m.leaving[id] {
 			actions = append(actions, Seal{Server: id, Term: m.attempt, Claimant: m.conf.Claimant})
@@ -281,7 +297,24 @@
 	return actions
 }
 
+// drained reports whether every server that stays and answers has all that the
+// leaving primary, sealed by now, had last.
+func (m *Machine) drained(now time.Time) bool {
+	if m.target == 0 {
+		return false
+	}
+	for id, s := range m.servers {
+		if !m.leaving[id] && m.answers(now, s) && s.status.Received < m.target {
+			return false
+		}
+	}
+	return true
+}
+
 func (m *Machine) sealedBy(now time.Time, e Sealed) []Action {
+	if m.phase == draining && e.Term == m.attempt && e.Status.Server == m.primary {
+		return m.drainedTo(now, e)
+	}
 	if m.phase != sealing || e.Term != m.attempt || !e.OK {
 		return nil
 	}
@@ -341,6 +374,15 @@
 	return actions
 }
 
+// drainedTo notes what the sealed primary had last; one that refuses is not waited for.
+func (m *Machine) drainedTo(now time.Time, e Sealed) []Action {
+	if !e.OK {
+		return m.sealAll(now)
+	}
+	m.target = e.Status.Received
+	return nil
+}
+
 // retryStep gives up a step that took too long; the next attempt takes a higher term.
 func (m *Machine) retryStep(now time.Time) []Action {
 	if now.Before(m.deadline) {
--- a/internal/rule/group/model_test.go
+++ b/internal/rule/group/model_test.go
@@ -262,7 +262,12 @@
 
 func (c *cluster) random(label string) {
 	drawServer := func() *modelServer { return rapid.SampledFrom(c.servers).Draw(c.t, label+"-server") }
-	switch rapid.IntRange(0, 11).Draw(c.t, label) {
+	switch rapid.IntRange(0, 12).Draw(c.t, label) {
+	case 12:
+		leaving := map[ident.ServerID]bool{drawServer().id: rapid.Bool().Draw(c.t, label+"-leaves")}
+		for _, m := range c.machines {
+			m.SetLeaving(leaving)
+		}
 	case 0, 1:
 		c.write(drawServer())
 	case 2:
@@ -418,3 +423,28 @@
 		t.Fatalf("a bad path deposed the primary: %+v", leader)
 	}
 }
+
+// TestLeavingPrimaryHandsEverythingOver takes a healthy primary away: whatever it
+// had accepted by the time that it was sealed is kept.
+func TestLeavingPrimaryHandsEverythingOver(t *testing.T) {
+	c := newCluster(nil, 3, 3)
+	c.run(t, 500*time.Millisecond)
+	for _, m := range c.machines {
+		m.SetLeaving(map[ident.ServerID]bool{"s0": true})
+	}
+	for range 100 {
+		c.write(c.servers[0])
+		c.now = c.now.Add(10 * time.Millisecond)
+		c.run(t, 20*time.Millisecond)
+	}
+	leader := c.leader()
+	if leader.id == "s0" || leader.term < 2 {
+		t.Fatalf("the leaving primary still leads: %+v", leader)
+	}
+	if kept, had := len(leader.log), len(c.servers[0].log); kept < had {
+		t.Fatalf("the new primary has %d entries of %d", kept, had)
+	}
+	if c.nextID == 0 {
+		t.Fatal("nothing was written")
+	}
+}
--- a/internal/rule/group/phase_string.go
+++ b/internal/rule/group/phase_string.go
@@ -10,13 +10,14 @@
 	var x [1]struct{}
 	_ = x[idle-0]
 	_ = x[claiming-1]
-	_ = x[sealing-2]
-	_ = x[promoting-3]
+	_ = x[draining-2]
+	_ = x[sealing-3]
+	_ = x[promoting-4]
 }
 
-const _phase_name = "idleclaimingsealingpromoting"
+const _phase_name = "idleclaimingdrainingsealingpromoting"
 
-var _phase_index = [...]uint8{0, 4, 12, 19, 28}
+var _phase_index = [...]uint8{0, 4, 12, 20, 27, 36}
 
 func (i phase) String() string {
 	idx := int(i) - 0
