Let the test of unheld reads reach the primary

Cause: TestUnheldWritesAreNeitherAcknowledgedNorRead passed with the wait for a majority switched off: the read went to a replica, which lacked the write anyway.

Change: every read of that test goes to the primary.

Figures: with the wait switched off it passed before and fails now ("an unheld write was read").

--- a/internal/fleet/promise_test.go
+++ b/internal/fleet/promise_test.go
@@ -111,9 +111,12 @@
 	}
 }
 
-// TestUnheldWritesAreNeitherAcknowledgedNorRead cuts the primary from its replicas.
+// TestUnheldWritesAreNeitherAcknowledgedNorRead cuts the primary from its replicas;
+// every read goes to the primary, which has what nobody else holds.
 func TestUnheldWritesAreNeitherAcknowledgedNorRead(t *testing.T) {
-	f := start(t, Config{Seed: 3, Adjust: func(c *conf.Config) {
+	var baseline entry.Baseline
+	baseline.PrimaryOnly = true
+	f := start(t, Config{Seed: 3, Baseline: baseline, Adjust: func(c *conf.Config) {
 		c.Defaults.AckDeadline = 300 * time.Millisecond
 		c.Defaults.Silence = time.Minute
 		c.Defaults.StatementDeadline = 2 * time.Second
