Let the test of withdrawn keys see idle callers go

Cause: it passed with callers no longer ended by a new configuration, since each request is checked as well.

Change: the test waits until only the caller with the other key is left, before anybody asks anything.

Figures: with the ending switched off it passed before and fails now.

--- a/internal/fleet/promise_test.go
+++ b/internal/fleet/promise_test.go
@@ -165,6 +165,7 @@
 		t.Fatal(err)
 	}
 	await(t, func() bool { return m.Instance.Snapshot().Version >= version })
+	await(t, func() bool { return m.Instance.Callers() == 1 })
 	for name, c := range map[string]*pgx.Conn{"idle": idle, "in a transaction": inside} {
 		if _, err := get(t, c, "x"); err == nil {
 			t.Errorf("a caller that was %s still runs requests", name)
