Stop the request that waited on a silent connection, not a later one

When a connection of a server went silent, the writes on others of its age got a second and were then stopped if their connection was still running something. A write that was answered within that second left its place to the next request on the same connection, which was stopped instead and ended unknown.

Change: the grace belongs to the request, not to the connection.

--- a/internal/owner/pool.go
+++ b/internal/owner/pool.go
@@ -41,7 +41,7 @@
 	dialing int
 	idle    []*pgcon.Conn
 	queue   *fair.Queue
-	running map[*pgcon.Conn]bool
+	running map[*pgcon.Conn]*request
 	closed  bool
 	fullTil time.Time
 	// service, busy and waiting are read without the mutex.
@@ -51,7 +51,7 @@
 }
 
 func newPool(conf pgcon.Config, limit, queueLength int, now func() time.Time) *pool {
-	return &pool{conf: conf, now: now, limit: max(limit, 1), queue: fair.NewQueue(queueLength), running: map[*pgcon.Conn]bool{}}
+	return &pool{conf: conf, now: now, limit: max(limit, 1), queue: fair.NewQueue(queueLength), running: map[*pgcon.Conn]*request{}}
 }
 
 // load returns how many requests run or wait here, and how long one takes.
@@ -243,16 +243,26 @@
 // another connection of that age has gone silent.
 const silentGrace = time.Second
 
+// request is one run of a connection.
+type request struct{ reads bool }
+
 // run lets a request be stopped if its connection turns out to be silent.
 func (p *pool) run(ctx context.Context, c *pgcon.Conn, r *pgcon.Request, sink pgcon.Sink, reads bool) (pgcon.Answer, error) {
+	p.begin(c, reads)
+	defer p.end(c)
+	return c.Run(ctx, r, sink)
+}
+
+func (p *pool) begin(c *pgcon.Conn, reads bool) {
 	p.mu.Lock()
-	p.running[c] = reads
-	p.mu.Unlock()
-	answer, err := c.Run(ctx, r, sink)
+	defer p.mu.Unlock()
+	p.running[c] = &request{reads: reads}
+}
+
+func (p *pool) end(c *pgcon.Conn) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	delete(p.running, c)
-	p.mu.Unlock()
-	return answer, err
 }
 
 func isSilent(err error) bool {
@@ -267,19 +277,21 @@
 	p.dropIdle()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for c, reads := range p.running {
-		if reads {
+	for c, r := range p.running {
+		if r.reads {
 			c.Interrupt()
 			continue
 		}
-		time.AfterFunc(silentGrace, func() { p.stopIfRunning(c) })
+		time.AfterFunc(silentGrace, func() { p.stopIfRunning(c, r) })
 	}
 }
 
-func (p *pool) stopIfRunning(c *pgcon.Conn) {
+// stopIfRunning stops a request, but not a later one on the same connection:
+// that the connection took another shows that it is not silent.
+func (p *pool) stopIfRunning(c *pgcon.Conn, r *request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if _, still := p.running[c]; still {
+	if p.running[c] == r {
 		c.Interrupt()
 	}
 }
