--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"geraniumseam.dev/internal/confs"
@@ -100,39 +101,39 @@
 
 // fetchFrom gets a newer configuration from a peer, without the pages that are here already.
 func (h *handler) fetchFrom(from ident.InstanceID) {
-	if !h.fetching.CompareAndSwap(false, true) {
-		return
-	}
-	go func() {
-		defer h.fetching.Store(false)
-		ctx, cancel := context.WithTimeout(h.tomb.Context(context.Background()), fetchTime)
-		defer cancel()
+	h.fetchOnce(&h.fetching, func(ctx context.Context) {
 		if b, ok := h.instance().fetch(ctx, from); ok {
 			h.keeper.Offer(b, "instance "+string(from))
 		}
-	}()
+	})
 }
 
-// fetchList gets a newer list of instances from a peer.
-func (h *handler) fetchList(from ident.InstanceID) {
-	if !h.listing.CompareAndSwap(false, true) {
+// fetchOnce runs a fetch in the background unless one of its kind is under way.
+func (h *handler) fetchOnce(busy *atomic.Bool, fetch func(context.Context)) {
+	if !busy.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
-		defer h.listing.Store(false)
+		defer busy.Store(false)
 		ctx, cancel := context.WithTimeout(h.tomb.Context(context.Background()), fetchTime)
 		defer cancel()
-		m, err := h.hub.Ask(ctx, from, peer.MembersAsk{})
-		if given, ok := m.(peer.MembersGive); err == nil && ok {
+		fetch(ctx)
+	}()
+}
+
+// fetchList gets a newer list of instances from a peer.
+func (h *handler) fetchList(from ident.InstanceID) {
+	h.fetchOnce(&h.listing, func(ctx context.Context) {
+		given, err := peer.AskFor[peer.MembersGive](ctx, h.hub, from, peer.MembersAsk{})
+		if err == nil {
 			h.members.listed(given.Version, given.Members)
 		}
-	}()
+	})
 }
 
 func (i *Instance) fetch(ctx context.Context, from ident.InstanceID) (confs.Bundle, bool) {
-	m, err := i.hub.Ask(ctx, from, peer.ConfigAsk{Have: i.keeper.Current().Version})
-	given, ok := m.(peer.ConfigGive)
-	if err != nil || !ok {
+	given, err := peer.AskFor[peer.ConfigGive](ctx, i.hub, from, peer.ConfigAsk{Have: i.keeper.Current().Version})
+	if err != nil {
 		return confs.Bundle{}, false
 	}
 	b := confs.Bundle{Version: given.Version, Head: given.Head, Pages: map[conf.PageName][]byte{}}
@@ -147,9 +148,8 @@
 	if len(missing) == 0 {
 		return b, true
 	}
-	m, err = i.hub.Ask(ctx, from, peer.ConfigAsk{Pages: missing})
-	given, ok = m.(peer.ConfigGive)
-	if err != nil || !ok || given.Version != b.Version {
+	given, err = peer.AskFor[peer.ConfigGive](ctx, i.hub, from, peer.ConfigAsk{Pages: missing})
+	if err != nil || given.Version != b.Version {
 		return confs.Bundle{}, false
 	}
 	for name, content := range given.Pages {
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -19,7 +19,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"gopkg.in/tomb.v2"
 
@@ -304,28 +303,14 @@
 
 // askTokens asks a peer for tokens of customers' rates.
 func (i *Instance) askTokens(ctx context.Context, id ident.InstanceID, want map[ident.CustomerID]float64) (map[ident.CustomerID]float64, error) {
-	m, err := i.hub.Ask(ctx, id, peer.TokensAsk{Want: want})
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	given, ok := m.(peer.TokensGive)
-	if !ok {
-		return nil, &peer.Error{Cause: peer.BadMessage, Peer: id}
-	}
-	return given.Given, nil
+	given, err := peer.AskFor[peer.TokensGive](ctx, i.hub, id, peer.TokensAsk{Want: want})
+	return given.Given, err
 }
 
 // submitShare hands a request for a part of the rates to another instance's clerk.
 func (i *Instance) submitShare(ctx context.Context, id ident.InstanceID, a share.Ask) (share.Grant, error) {
-	m, err := i.hub.Ask(ctx, id, peer.ShareAsk{Ask: a})
-	if err != nil {
-		return share.Grant{}, errors.Trace(err)
-	}
-	given, ok := m.(peer.ShareGive)
-	if !ok {
-		return share.Grant{}, &peer.Error{Cause: peer.BadMessage, Peer: id}
-	}
-	return given.Grant, nil
+	given, err := peer.AskFor[peer.ShareGive](ctx, i.hub, id, peer.ShareAsk{Ask: a})
+	return given.Grant, err
 }
 
 func (i *Instance) tellOpinion(g ident.GroupID, s ident.ServerID, answers bool) {
@@ -342,10 +327,10 @@
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
-			reply, err := i.hub.Ask(ctx, m, peer.JournalAsk{Since: since})
+			given, err := peer.AskFor[peer.JournalGive](ctx, i.hub, m, peer.JournalAsk{Since: since})
 			mu.Lock()
 			defer mu.Unlock()
-			if given, ok := reply.(peer.JournalGive); err == nil && ok {
+			if err == nil {
 				events = append(events, given.Events...)
 				return
 			}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -38,6 +38,8 @@
 // fleetView is what the rest of the instance reads of the fleet; it never changes once made.
 type fleetView struct {
 	working []membr.Member
+	// local are those of the working ones that are in this instance's data centre.
+	local []membr.Member
 	// placed are those that may own groups.
 	placed membr.Centers
 	// owners remembers who owns a group, the best first.
@@ -100,14 +102,7 @@
 
 // clerks returns the first few instances of the data centre for its shares of the rates.
 func (m *members) clerks() []ident.InstanceID {
-	var ids []ident.InstanceID
-	c := m.current.Load()
-	for _, member := range membr.Rank("shares", c.placed[m.instance.conf.Center]) {
-		if len(ids) < clerksPerCenter {
-			ids = append(ids, member.ID)
-		}
-	}
-	return ids
+	return firstOf("shares", m.current.Load().placed[m.instance.conf.Center], clerksPerCenter)
 }
 
 // report lets the data centre's first relay tell the platform what is in force
@@ -157,6 +152,7 @@
 	for _, n := range suspicions {
 		m.instance.hub.TellLinked(ctx, peer.Suspect{Suspicion: n})
 	}
+	next.local = membr.ByCenter(working)[m.instance.conf.Center]
 	next.placed = membr.ByCenter(m.placed(working))
 	old := m.current.Load()
 	snapshot := m.instance.keeper.Current()
@@ -241,19 +237,20 @@
 
 // relays reports whether this instance is among the first few of its data centre for the configuration.
 func (m *members) relays(count int) bool {
-	ranked := membr.Rank("configuration", m.current.Load().working)
-	for _, member := range ranked {
-		if member.Center != m.instance.conf.Center {
-			continue
-		}
-		if member.ID == m.instance.conf.Instance {
-			return true
-		}
-		if count--; count == 0 {
-			return false
+	first := firstOf("configuration", m.current.Load().local, count)
+	return len(first) < count || slices.Contains(first, m.instance.conf.Instance)
+}
+
+// firstOf returns the first few members for a subject by rendezvous hashing.
+func firstOf(subject string, all []membr.Member, count int) []ident.InstanceID {
+	var ids []ident.InstanceID
+	for _, member := range membr.Rank(subject, all) {
+		if len(ids) == count {
+			break
 		}
+		ids = append(ids, member.ID)
 	}
-	return true
+	return ids
 }
 
 // nearest returns the other working instances, those of the same data centre first.
--- a/internal/peer/hub.go
+++ b/internal/peer/hub.go
@@ -331,6 +331,20 @@
 	return l.call(ctx, m)
 }
 
+// AskFor asks a question and expects an answer of one kind.
+func AskFor[A Message](ctx context.Context, h *Hub, id ident.InstanceID, m Message) (A, error) {
+	var none A
+	reply, err := h.Ask(ctx, id, m)
+	if err != nil {
+		return none, errors.Trace(err)
+	}
+	answer, ok := reply.(A)
+	if !ok {
+		return none, &Error{Cause: BadMessage, Peer: id}
+	}
+	return answer, nil
+}
+
 // Run hands a request to another instance.
 func (h *Hub) Run(ctx context.Context, id ident.InstanceID, w *owner.Work, sink pgcon.Sink) owner.Result {
 	l, err := h.get(ctx, id)
--- a/internal/rule/membr/bench_test.go
+++ b/internal/rule/membr/bench_test.go
@@ -24,3 +24,19 @@
 		})
 	}
 }
+
+// BenchmarkRank measures the order of members for one subject: of the whole
+// fleet, and of one data centre as relays and clerks are chosen.
+func BenchmarkRank(b *testing.B) {
+	for _, size := range []int{94, 1700} {
+		b.Run(fmt.Sprintf("%d-members", size), func(b *testing.B) {
+			all := make([]Member, 0, size)
+			for at := range size {
+				all = append(all, Member{ID: ident.InstanceID(fmt.Sprintf("instance-%04d", at))})
+			}
+			for b.Loop() {
+				Rank("configuration", all)
+			}
+		})
+	}
+}
