--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -16,6 +16,7 @@
 	"geraniumseam.dev/internal/entry"
 	"geraniumseam.dev/internal/logs"
 	"geraniumseam.dev/internal/oper"
+	"geraniumseam.dev/internal/pgcon"
 	"geraniumseam.dev/internal/plat"
 	"geraniumseam.dev/internal/rule/retry"
 	"geraniumseam.dev/internal/sets"
@@ -51,8 +52,8 @@
 	i, err := entry.Start(entry.Config{
 		Instance: s.Instance, Center: s.Center, Callers: listeners.callers, Peers: listeners.peers,
 		CallerTLS: s.CallerTLS, RequireTLS: s.RequireTLS, PeerServer: s.PeerServer, PeerClient: s.PeerClient, PeerSecret: s.PeerSecret,
-		Store: newStore(s.PlatformURL, registry, seed), Backends: dialer, Links: dialer,
-		User: s.User, Password: s.Password, Seed: seed, Registry: registry,
+		Store: newStore(s.PlatformURL, registry, seed), Backends: &pgcon.Driver{Dialer: dialer, User: s.User, Password: s.Password}, Links: dialer,
+		Seed: seed, Registry: registry,
 	})
 	if err != nil {
 		return err
--- a/internal/entry/batch.go
+++ b/internal/entry/batch.go
@@ -8,13 +8,13 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"geraniumseam.dev/internal/fault"
-	"geraniumseam.dev/internal/pgcon"
+	"geraniumseam.dev/internal/proto"
 	"geraniumseam.dev/pkg/stmt"
 )
 
 // prepared is a caller's prepared statement.
 type prepared struct {
-	statement pgcon.Statement
+	statement proto.Statement
 	class     stmt.Class
 }
 
@@ -26,8 +26,8 @@
 	messages []byte
 	// answered counts the messages that the server will answer.
 	answered int
-	needs    []pgcon.Statement
-	inserts  []pgcon.Insert
+	needs    []proto.Statement
+	inserts  []proto.Insert
 	kind     stmt.Kind
 	executes int
 	class    stmt.Class
@@ -123,7 +123,7 @@
 	if len(s.statements) >= maxPrepared && s.statements[m.Name] == nil {
 		return fault.NotSupported
 	}
-	p := &prepared{class: class, statement: pgcon.Statement{Query: m.Query, OIDs: append([]uint32(nil), m.ParameterOIDs...)}}
+	p := &prepared{class: class, statement: proto.Statement{Query: m.Query, OIDs: append([]uint32(nil), m.ParameterOIDs...)}}
 	s.statements[m.Name] = p
 	if m.Name == "" {
 		s.batch.parsedHere = true
@@ -133,7 +133,7 @@
 	}
 	p.statement.Name = nameOf(m.Query, m.ParameterOIDs)
 	s.batch.need(p)
-	s.batch.inserts = append(s.batch.inserts, pgcon.Insert{After: s.batch.answered, Kind: '1'})
+	s.batch.inserts = append(s.batch.inserts, proto.Insert{After: s.batch.answered, Kind: '1'})
 	return fault.None
 }
 
@@ -188,7 +188,7 @@
 func (s *session) gatherClose(m *pgproto3.Close) fault.Reason {
 	if m.ObjectType == 'S' && m.Name != "" {
 		delete(s.statements, m.Name)
-		s.batch.inserts = append(s.batch.inserts, pgcon.Insert{After: s.batch.answered, Kind: '3'})
+		s.batch.inserts = append(s.batch.inserts, proto.Insert{After: s.batch.answered, Kind: '3'})
 		return fault.None
 	}
 	delete(s.portals, m.Name)
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -7,7 +7,7 @@
 
 	"geraniumseam.dev/internal/fault"
 	"geraniumseam.dev/internal/owner"
-	"geraniumseam.dev/internal/pgcon"
+	"geraniumseam.dev/internal/proto"
 	"geraniumseam.dev/internal/rule/conf"
 	"geraniumseam.dev/internal/rule/retry"
 	"geraniumseam.dev/pkg/ident"
@@ -17,7 +17,7 @@
 var dispatchBackoff = retry.Backoff{First: 5 * time.Millisecond, Most: 250 * time.Millisecond}
 
 // dispatch runs work at one of its group's owners, trying others for as long as it has not run.
-func (i *Instance) dispatch(ctx context.Context, s *conf.Snapshot, w *owner.Work, sink pgcon.Sink) (owner.Result, ident.InstanceID) {
+func (i *Instance) dispatch(ctx context.Context, s *conf.Snapshot, w *owner.Work, sink proto.Sink) (owner.Result, ident.InstanceID) {
 	hosting := s.Groups[w.Group].Hosting()
 	var last owner.Result
 	for attempt := 0; ; attempt++ {
@@ -41,11 +41,11 @@
 
 // guarded notes whether anything of an answer has been handed on.
 type guarded struct {
-	sink   pgcon.Sink
+	sink   proto.Sink
 	passed bool
 }
 
-// Emit implements pgcon.Sink.
+// Emit implements proto.Sink.
 func (g *guarded) Emit(messages []byte) error {
 	g.passed = true
 	return g.sink.Emit(messages)
@@ -79,7 +79,7 @@
 	}
 }
 
-func (i *Instance) runAt(ctx context.Context, id ident.InstanceID, w *owner.Work, sink pgcon.Sink) owner.Result {
+func (i *Instance) runAt(ctx context.Context, id ident.InstanceID, w *owner.Work, sink proto.Sink) owner.Result {
 	if id == i.conf.Instance {
 		return i.host.Run(ctx, w, sink)
 	}
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -8,7 +8,7 @@
 	"geraniumseam.dev/internal/confs"
 	"geraniumseam.dev/internal/owner"
 	"geraniumseam.dev/internal/peer"
-	"geraniumseam.dev/internal/pgcon"
+	"geraniumseam.dev/internal/proto"
 	"geraniumseam.dev/internal/rule/conf"
 	"geraniumseam.dev/pkg/ident"
 )
@@ -19,7 +19,7 @@
 func (h *handler) instance() *Instance { return (*Instance)(h) }
 
 // Work implements peer.Handler.
-func (h *handler) Work(ctx context.Context, _ ident.InstanceID, w *owner.Work, sink pgcon.Sink) owner.Result {
+func (h *handler) Work(ctx context.Context, _ ident.InstanceID, w *owner.Work, sink proto.Sink) owner.Result {
 	return h.host.Run(ctx, w, sink)
 }
 
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -26,8 +26,8 @@
 	"geraniumseam.dev/internal/jrnl"
 	"geraniumseam.dev/internal/owner"
 	"geraniumseam.dev/internal/peer"
-	"geraniumseam.dev/internal/pgcon"
 	"geraniumseam.dev/internal/plat"
+	"geraniumseam.dev/internal/proto"
 	"geraniumseam.dev/internal/quota"
 	"geraniumseam.dev/internal/rule/conf"
 	"geraniumseam.dev/internal/rule/group"
@@ -49,11 +49,9 @@
 	PeerClient *tls.Config
 	PeerSecret string
 	Store      plat.Store
-	// Backends dials backend servers, Links other instances.
-	Backends pgcon.Dialer
-	Links    pgcon.Dialer
-	User     string
-	Password string
+	// Backends connects to backend servers, Links to other instances.
+	Backends proto.Driver
+	Links    proto.Dialer
 	Seed     uint64
 	Registry *prometheus.Registry
 	Baseline Baseline
@@ -107,8 +105,8 @@
 	i.members = newMembers(i)
 	i.callers = newCallers(i)
 	i.host = owner.NewHost(owner.HostConfig{
-		Self: c.Instance, Claimant: group.Claimant(string(c.Instance) + "-" + i.boot), Dialer: c.Backends,
-		User: c.User, Password: c.Password, Store: c.Store, Journal: i.journal, Random: i.random.fork(),
+		Self: c.Instance, Claimant: group.Claimant(string(c.Instance) + "-" + i.boot), Driver: c.Backends,
+		Store: c.Store, Journal: i.journal, Random: i.random.fork(),
 		Now: time.Now, Opinion: i.tellOpinion, Registry: c.Registry, Baseline: c.Baseline.Baseline,
 	})
 	i.hub = peer.NewHub(peer.Config{
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -9,7 +9,7 @@
 	"geraniumseam.dev/internal/fault"
 	"geraniumseam.dev/internal/owner"
 	"geraniumseam.dev/internal/peer"
-	"geraniumseam.dev/internal/pgcon"
+	"geraniumseam.dev/internal/proto"
 	"geraniumseam.dev/internal/rule/conf"
 	"geraniumseam.dev/pkg/ident"
 	"geraniumseam.dev/pkg/stmt"
@@ -123,7 +123,7 @@
 	return s.execute()
 }
 
-func (s *session) sendInsert(in pgcon.Insert) {
+func (s *session) sendInsert(in proto.Insert) {
 	if in.Kind == '3' {
 		s.wire.Send(&pgproto3.CloseComplete{})
 		return
@@ -263,7 +263,7 @@
 			Run: d.StatementDeadline, Queue: d.QueueDeadline, Ack: d.AckDeadline, ReadWait: d.ReadWait, PrimaryCost: d.PrimaryCost,
 		},
 		Tx: s.tx, Pin: s.pinned || b.keeps,
-		Request: pgcon.Request{Messages: b.messages, Statements: b.needs, Settings: s.settings, Inserts: b.inserts},
+		Request: proto.Request{Messages: b.messages, Statements: b.needs, Settings: s.settings, Inserts: b.inserts},
 	}
 }
 
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -14,7 +14,7 @@
 
 	"geraniumseam.dev/internal/fault"
 	"geraniumseam.dev/internal/owner"
-	"geraniumseam.dev/internal/pgcon"
+	"geraniumseam.dev/internal/proto"
 	"geraniumseam.dev/internal/rule/conf"
 	"geraniumseam.dev/pkg/ident"
 )
@@ -67,7 +67,7 @@
 	seen      owner.Seen
 	maxAge    time.Duration
 	hasMaxAge bool
-	settings  []pgcon.Setting
+	settings  []proto.Setting
 	status    byte
 	tx        owner.TxID
 	txOwner   ident.InstanceID
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -10,7 +10,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"geraniumseam.dev/internal/owner"
-	"geraniumseam.dev/internal/pgcon"
+	"geraniumseam.dev/internal/proto"
 	"geraniumseam.dev/pkg/ident"
 	"geraniumseam.dev/pkg/stmt"
 )
@@ -145,14 +145,14 @@
 
 // remember keeps a setting for replay; an empty value forgets it.
 func (s *session) remember(name, value string) {
-	kept := make([]pgcon.Setting, 0, len(s.settings)+1)
+	kept := make([]proto.Setting, 0, len(s.settings)+1)
 	for _, known := range s.settings {
 		if known.Name != name {
 			kept = append(kept, known)
 		}
 	}
 	if value != "" && name != "application_name" {
-		kept = append(kept, pgcon.Setting{Name: name, Value: value})
+		kept = append(kept, proto.Setting{Name: name, Value: value})
 	}
 	s.settings = kept
 }
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -20,7 +20,7 @@
 	first   []byte
 }
 
-// Emit implements pgcon.Sink.
+// Emit implements proto.Sink.
 func (c *callerSink) Emit(messages []byte) error {
 	if c.stream && (c.passed || len(c.held)+len(messages) > heldAnswer) {
 		return c.pass(messages)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -19,6 +19,7 @@
 	"geraniumseam.dev/internal/entry"
 	"geraniumseam.dev/internal/pgcon"
 	"geraniumseam.dev/internal/plat"
+	"geraniumseam.dev/internal/proto"
 	"geraniumseam.dev/internal/rule/conf"
 	"geraniumseam.dev/internal/rule/retry"
 	"geraniumseam.dev/pkg/ident"
@@ -230,7 +231,7 @@
 	m := &Member{ID: id, Center: center, Registry: registry, Store: f.client(center, registry)}
 	c := entry.Config{
 		Instance: id, Center: center, Callers: callers, Peers: peers, PeerSecret: "fleet-secret", Store: m.Store,
-		Backends: f.dialer(center), Links: f.dialer(center), User: BackendUser, Password: BackendPassword,
+		Backends: &pgcon.Driver{Dialer: f.dialer(center), User: BackendUser, Password: BackendPassword}, Links: f.dialer(center),
 		Seed: f.random.Uint64(), Registry: registry, Baseline: f.conf.Baseline,
 	}
 	if !f.conf.Plain {
@@ -248,7 +249,7 @@
 	return m, nil
 }
 
-func (f *Fleet) dialer(center ident.CenterID) pgcon.Dialer {
+func (f *Fleet) dialer(center ident.CenterID) proto.Dialer {
 	if f.conf.Raw {
 		return &net.Dialer{}
 	}
--- a/internal/owner/coordinate.go
+++ b/internal/owner/coordinate.go
@@ -8,6 +8,7 @@
 
 	"geraniumseam.dev/internal/jrnl"
 	"geraniumseam.dev/internal/plat"
+	"geraniumseam.dev/internal/proto"
 	"geraniumseam.dev/internal/rule/conf"
 	"geraniumseam.dev/internal/rule/group"
 	"geraniumseam.dev/pkg/ident"
@@ -151,8 +152,12 @@
 	ctx, cancel := g.stepContext()
 	defer cancel()
 	s := g.servers[g.index[a.Server]]
-	row, err := s.run(ctx, fmt.Sprintf("SELECT group_seal(%d,'%s')", a.Term, a.Claimant))
-	if err != nil || !isTrue(row) {
+	sealed := false
+	err := s.run(ctx, func(ctx context.Context, c proto.Conn) (err error) {
+		sealed, err = c.Seal(ctx, a.Term, a.Claimant)
+		return err
+	})
+	if err != nil || !sealed {
 		g.tell(group.Sealed{Term: a.Term})
 		return
 	}
@@ -163,11 +168,11 @@
 // statusAfter asks for a server's state after something was done to it.
 func (g *Group) statusAfter(ctx context.Context, s *server) (group.Status, error) {
 	asked := time.Now()
-	row, err := s.run(ctx, statusText)
-	if err != nil {
-		return group.Status{}, err
-	}
-	status, err := parseRow(row)
+	var status group.Status
+	err := s.run(ctx, func(ctx context.Context, c proto.Conn) (err error) {
+		status, err = c.Status(ctx)
+		return err
+	})
 	if err == nil {
 		g.board.observe(s.at, status, asked, time.Now())
 	}
@@ -178,25 +183,27 @@
 	ctx, cancel := g.stepContext()
 	defer cancel()
 	s := g.servers[g.index[a.Server]]
-	row, err := s.run(ctx, fmt.Sprintf("SELECT group_promote(%d,'%s')", a.Term, a.Claimant))
+	leads := false
+	err := s.run(ctx, func(ctx context.Context, c proto.Conn) (err error) {
+		leads, err = g.conf.Driver.Promote(ctx, c, s.target, a.Term, a.Claimant)
+		return err
+	})
 	if err != nil {
 		return
 	}
-	if isTrue(row) {
+	if leads {
 		_, _ = g.statusAfter(ctx, s)
 	}
-	g.tell(group.Promoted{Term: a.Term, Server: a.Server, OK: isTrue(row)})
+	g.tell(group.Promoted{Term: a.Term, Server: a.Server, OK: leads})
 }
 
 func (g *Group) follow(a group.Follow) {
 	ctx, cancel := g.stepContext()
 	defer cancel()
 	s := g.servers[g.index[a.Server]]
-	_, _ = s.run(ctx, fmt.Sprintf("SELECT group_follow(%d,'%s')", a.Term, a.Primary))
+	_ = s.run(ctx, func(ctx context.Context, c proto.Conn) error { return c.Follow(ctx, a.Term, a.Primary) })
 }
 
-func isTrue(row []string) bool { return len(row) == 1 && row[0] == "t" }
-
 var noteKinds = map[group.NoteKind]jrnl.Kind{
 	group.Suspected: jrnl.PrimarySuspect, group.Recovered: jrnl.PrimaryBack, group.Claiming: jrnl.TermClaimed,
 	group.ClaimLost: jrnl.ClaimLost, group.StoreDown: jrnl.ClaimUnrecorded, group.Sealing: jrnl.MajoritySealed,
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -9,8 +9,8 @@
 	"gopkg.in/tomb.v2"
 
 	"geraniumseam.dev/internal/jrnl"
-	"geraniumseam.dev/internal/pgcon"
 	"geraniumseam.dev/internal/plat"
+	"geraniumseam.dev/internal/proto"
 	"geraniumseam.dev/internal/rule/conf"
 	"geraniumseam.dev/internal/rule/group"
 	"geraniumseam.dev/internal/rule/retry"
@@ -27,9 +27,7 @@
 	// Rank is this instance's place among the owners, Owners their number.
 	Rank    int
 	Owners  int
-	Dialer  pgcon.Dialer
-	User    string
-	Pass    string
+	Driver  proto.Driver
 	Store   plat.Store
 	Journal *jrnl.Journal
 	Budget  *retry.Budget
@@ -56,7 +54,7 @@
 	conf.Server
 	at      int
 	pool    *pool
-	dial    pgcon.Config
+	target  proto.Target
 	kick    chan struct{}
 	control chan *controlCall
 }
@@ -94,11 +92,11 @@
 	g.rank.Store(int64(c.Rank))
 	limit := poolLimit(c.Group.Connections, c.Owners)
 	for at, s := range c.Group.Servers {
-		dial := pgcon.Config{Server: s.ID, Address: s.Address, Dialer: c.Dialer, User: c.User, Password: c.Pass, Database: string(c.ID)}
+		target := proto.Target{Server: s.ID, Address: s.Address, Group: c.ID}
 		g.index[s.ID] = at
 		g.servers = append(g.servers, &server{
-			Server: s, at: at, dial: dial, kick: make(chan struct{}, 1), control: make(chan *controlCall, 8),
-			pool: newPool(dial, limit, c.Defaults.QueueLength, c.Now),
+			Server: s, at: at, target: target, kick: make(chan struct{}, 1), control: make(chan *controlCall, 8),
+			pool: newPool(poolConfig{target: target, driver: c.Driver}, limit, c.Defaults.QueueLength, c.Now),
 		})
 	}
 	g.noteLeaving(c.Group)
--- a/internal/owner/host.go
+++ b/internal/owner/host.go
@@ -12,8 +12,8 @@
 
 	"geraniumseam.dev/internal/fault"
 	"geraniumseam.dev/internal/jrnl"
-	"geraniumseam.dev/internal/pgcon"
 	"geraniumseam.dev/internal/plat"
+	"geraniumseam.dev/internal/proto"
 	"geraniumseam.dev/internal/rule/conf"
 	"geraniumseam.dev/internal/rule/group"
 	"geraniumseam.dev/internal/rule/membr"
@@ -25,9 +25,7 @@
 type HostConfig struct {
 	Self     ident.InstanceID
 	Claimant group.Claimant
-	Dialer   pgcon.Dialer
-	User     string
-	Password string
+	Driver   proto.Driver
 	Store    plat.Store
 	Journal  *jrnl.Journal
 	Random   *rand.Rand
@@ -116,7 +114,7 @@
 	}
 	started := NewGroup(GroupConfig{
 		ID: id, Group: g, Defaults: d, Self: h.conf.Self, Claimant: h.conf.Claimant, Rank: rank, Owners: owners,
-		Dialer: h.conf.Dialer, User: h.conf.User, Pass: h.conf.Password, Store: h.conf.Store, Journal: h.conf.Journal,
+		Driver: h.conf.Driver, Store: h.conf.Store, Journal: h.conf.Journal,
 		Budget: h.budget, Random: rand.New(rand.NewPCG(h.conf.Random.Uint64(), h.conf.Random.Uint64())),
 		Now: h.conf.Now, Opinion: h.conf.Opinion, Baseline: h.conf.Baseline,
 	})
@@ -160,7 +158,7 @@
 }
 
 // Run runs work on a group that runs here.
-func (h *Host) Run(ctx context.Context, w *Work, sink pgcon.Sink) Result {
+func (h *Host) Run(ctx context.Context, w *Work, sink proto.Sink) Result {
 	g := h.Group(w.Group)
 	if g == nil {
 		if w.Tx != 0 {
--- a/internal/owner/pool.go
+++ b/internal/owner/pool.go
@@ -9,8 +9,9 @@
 	"github.com/juju/errors"
 
 	"geraniumseam.dev/internal/fault"
-	"geraniumseam.dev/internal/pgcon"
+	"geraniumseam.dev/internal/proto"
 	"geraniumseam.dev/internal/rule/fair"
+	"geraniumseam.dev/pkg/ident"
 )
 
 // connectTime bounds the opening of a connection.
@@ -19,29 +20,43 @@
 // fullPause is how long a server that is full is left alone.
 const fullPause = 50 * time.Millisecond
 
-const (
-	codeTooMany  = "53300"
-	codeReadOnly = "25006"
-)
+// sameStreak is how often in a row a connection may go to waiters of its own
+// customer while somebody else's turn it is: changing customers costs a handshake.
+const sameStreak = 4
+
+// poolConfig says where a pool's connections lead.
+type poolConfig struct {
+	target proto.Target
+	driver proto.Driver
+}
+
+// pooled is a connection with the customer it serves; the customer is empty where
+// connections serve everybody.
+type pooled struct {
+	proto.Conn
+	customer ident.CustomerID
+	streak   int
+}
 
 // grant is what a waiter gets: a connection or a reason.
 type grant struct {
-	conn   *pgcon.Conn
+	conn   *pooled
 	reason fault.Reason
 	wait   time.Duration
 }
 
 // pool holds this instance's connections to one server and shares them fairly.
 type pool struct {
-	conf    pgcon.Config
-	now     func() time.Time
-	mu      sync.Mutex
-	limit   int
-	open    int
-	dialing int
-	idle    []*pgcon.Conn
+	conf  poolConfig
+	now   func() time.Time
+	mu    sync.Mutex
+	limit int
+	open  int
+	// dialing counts the connections being opened, by customer.
+	dialing map[ident.CustomerID]int
+	idle    []*pooled
 	queue   *fair.Queue
-	running map[*pgcon.Conn]*request
+	running map[*pooled]*request
 	closed  bool
 	fullTil time.Time
 	// service, busy and waiting are read without the mutex.
@@ -50,8 +65,8 @@
 	waiting atomic.Int64
 }
 
-func newPool(conf pgcon.Config, limit, queueLength int, now func() time.Time) *pool {
-	return &pool{conf: conf, now: now, limit: max(limit, 1), queue: fair.NewQueue(queueLength), running: map[*pgcon.Conn]*request{}}
+func newPool(conf poolConfig, limit, queueLength int, now func() time.Time) *pool {
+	return &pool{conf: conf, now: now, limit: max(limit, 1), queue: fair.NewQueue(queueLength), running: map[*pooled]*request{}, dialing: map[ident.CustomerID]int{}}
 }
 
 // load returns how many requests run or wait here, and how long one takes.
@@ -89,11 +104,12 @@
 }
 
 // enter returns an idle connection, or the place in the queue and what was shed for it.
-func (p *pool) enter(flow fair.Flow, weight float64, wait time.Duration) (*fair.Item, *pgcon.Conn, *fair.Item) {
+func (p *pool) enter(flow fair.Flow, weight float64, wait time.Duration) (*fair.Item, *pooled, *fair.Item) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	customer := p.serves(flow.Customer)
 	if p.queue.Len() == 0 {
-		if c := p.popIdle(); c != nil {
+		if c := p.popIdle(customer); c != nil {
 			p.busy.Add(1)
 			return nil, c, nil
 		}
@@ -106,10 +122,18 @@
 	}
 	shed := p.queue.Push(it)
 	p.note()
-	p.grow()
+	p.grow(customer)
 	return it, nil, shed
 }
 
+// serves returns whose a connection for a customer is.
+func (p *pool) serves(customer ident.CustomerID) ident.CustomerID {
+	if p.conf.driver.PerCustomer() {
+		return customer
+	}
+	return ""
+}
+
 // giveUp leaves the queue; a connection that was granted meanwhile goes back.
 func (p *pool) giveUp(it *fair.Item, turn chan grant, instead grant) grant {
 	p.mu.Lock()
@@ -127,11 +151,14 @@
 	return instead
 }
 
-// popIdle returns a clean idle connection; the caller holds mu.
-func (p *pool) popIdle() *pgcon.Conn {
-	for len(p.idle) > 0 {
-		c := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
+// popIdle returns a clean idle connection of a customer, the last one used; the caller holds mu.
+func (p *pool) popIdle(customer ident.CustomerID) *pooled {
+	for at := len(p.idle) - 1; at >= 0; at-- {
+		c := p.idle[at]
+		if c.customer != customer {
+			continue
+		}
+		p.idle = append(p.idle[:at], p.idle[at+1:]...)
 		if c.Clean() {
 			return c
 		}
@@ -141,25 +168,63 @@
 	return nil
 }
 
-// grow opens connections for those who wait; the caller holds mu.
-func (p *pool) grow() {
-	for p.dialing < p.queue.Len() && p.open < p.limit && !p.closed && !p.now().Before(p.fullTil) {
+// grow opens connections for a customer's waiters, in place of idle ones of others
+// where the limit is reached; the caller holds mu.
+func (p *pool) grow(customer ident.CustomerID) {
+	for p.dialing[customer] < p.waitingFor(customer) && !p.closed && !p.now().Before(p.fullTil) {
+		if p.open >= p.limit {
+			if len(p.idle) == 0 {
+				return
+			}
+			p.idle[0].Close()
+			p.idle = p.idle[1:]
+			p.open--
+		}
 		p.open++
-		p.dialing++
-		go p.dial()
+		p.dialing[customer]++
+		go p.dial(customer)
+	}
+}
+
+// waitingFor returns how many waiters a connection of the customer could serve; the caller holds mu.
+func (p *pool) waitingFor(customer ident.CustomerID) int {
+	if customer == "" {
+		return p.queue.Len()
 	}
+	return p.queue.WaitingOf(customer)
 }
 
-func (p *pool) dial() {
+// growNext opens a connection for whose turn it is; the caller holds mu.
+func (p *pool) growNext() {
+	if next, ok := p.queue.Next(); ok {
+		p.grow(p.serves(next))
+	}
+}
+
+// opening returns how many connections are being opened; the caller holds mu.
+func (p *pool) opening() int {
+	count := 0
+	for _, n := range p.dialing {
+		count += n
+	}
+	return count
+}
+
+func (p *pool) dial(customer ident.CustomerID) {
 	ctx, cancel := context.WithTimeout(context.Background(), connectTime)
 	defer cancel()
-	c, err := pgcon.Dial(ctx, p.conf)
+	target := p.conf.target
+	target.Customer = customer
+	c, err := p.conf.driver.Dial(ctx, target)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.dialing--
+	p.dialing[customer]--
+	if p.dialing[customer] == 0 {
+		delete(p.dialing, customer)
+	}
 	if err == nil {
 		p.busy.Add(1)
-		p.settle(c)
+		p.settle(&pooled{Conn: c, customer: customer})
 		return
 	}
 	p.open--
@@ -169,15 +234,15 @@
 // refused tells those who wait that the server takes no connection; if it is
 // only full, they wait for the ones that are open.
 func (p *pool) refused(err error) {
-	var failed *pgcon.DialError
-	full := errors.As(err, &failed) && failed.Code == codeTooMany
+	var failed *proto.DialError
+	full := errors.As(err, &failed) && failed.Full
 	if full {
 		p.fullTil = p.now().Add(fullPause)
 		if p.open > 0 {
 			return
 		}
 	}
-	if p.open > p.dialing {
+	if p.open > p.opening() {
 		return
 	}
 	reason := fault.ConnectFailed
@@ -211,7 +276,7 @@
 }
 
 // release takes a connection back after a run of the given length; 0 tells nothing.
-func (p *pool) release(c *pgcon.Conn, ran time.Duration) {
+func (p *pool) release(c *pooled, ran time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if ran > 0 {
@@ -222,21 +287,49 @@
 }
 
 // settle hands a busy connection to whose turn it is, or keeps it idle; the caller holds mu.
-func (p *pool) settle(c *pgcon.Conn) {
+func (p *pool) settle(c *pooled) {
 	if p.closed || p.open > p.limit || !c.Clean() || c.Crowded() {
-		c.Close()
-		p.busy.Add(-1)
-		p.open--
-		p.grow()
+		p.shut(c)
 		return
 	}
-	turn := p.pop()
-	if turn != nil {
+	if turn := p.turnOn(c); turn != nil {
 		turn.Value.(chan grant) <- grant{conn: c}
 		return
 	}
 	p.busy.Add(-1)
 	p.idle = append(p.idle, c)
+	p.growNext()
+}
+
+// shut closes a busy connection; the caller holds mu.
+func (p *pool) shut(c *pooled) {
+	c.Close()
+	p.busy.Add(-1)
+	p.open--
+	p.growNext()
+}
+
+// turnOn returns who is to use a connection next: whose turn it is if the connection
+// serves them, else a waiter of the connection's own customer as long as that is fair
+// enough; nil leaves it idle. The caller holds mu.
+func (p *pool) turnOn(c *pooled) *fair.Item {
+	if c.customer == "" {
+		return p.pop()
+	}
+	next, ok := p.queue.Next()
+	if !ok {
+		return nil
+	}
+	if next == c.customer {
+		c.streak = 0
+	} else if c.streak++; c.streak > sameStreak {
+		c.streak = 0
+		return nil
+	}
+	turn, late := p.queue.PopOf(p.now(), c.customer)
+	p.tellLate(late)
+	p.note()
+	return turn
 }
 
 // silentGrace is how long a write on an old connection may still be answered once
@@ -247,26 +340,26 @@
 type request struct{ reads bool }
 
 // run lets a request be stopped if its connection turns out to be silent.
-func (p *pool) run(ctx context.Context, c *pgcon.Conn, r *pgcon.Request, sink pgcon.Sink, reads bool) (pgcon.Answer, error) {
+func (p *pool) run(ctx context.Context, c *pooled, r *proto.Request, sink proto.Sink, reads bool) (proto.Answer, error) {
 	p.begin(c, reads)
 	defer p.end(c)
 	return c.Run(ctx, r, sink)
 }
 
-func (p *pool) begin(c *pgcon.Conn, reads bool) {
+func (p *pool) begin(c *pooled, reads bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.running[c] = &request{reads: reads}
 }
 
-func (p *pool) end(c *pgcon.Conn) {
+func (p *pool) end(c *pooled) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.running, c)
 }
 
 func isSilent(err error) bool {
-	var failed *pgcon.RunError
+	var failed *proto.RunError
 	return errors.As(err, &failed) && failed.Silent
 }
 
@@ -288,7 +381,7 @@
 
 // stopIfRunning stops a request, but not a later one on the same connection:
 // that the connection took another shows that it is not silent.
-func (p *pool) stopIfRunning(c *pgcon.Conn, r *request) {
+func (p *pool) stopIfRunning(c *pooled, r *request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.running[c] == r {
--- a/internal/owner/pool_test.go
+++ b/internal/owner/pool_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"geraniumseam.dev/internal/pgcon"
+	"geraniumseam.dev/internal/proto"
 	"geraniumseam.dev/pkg/ident"
 	"geraniumseam.dev/stand/dbase"
 )
@@ -19,18 +20,20 @@
 		t.Fatal(err)
 	}
 	defer g.Stop()
-	conf := pgcon.Config{Server: "s", Address: g.Servers()[0].Addr(), Dialer: &net.Dialer{}, User: "u", Password: "p"}
+	driver := &pgcon.Driver{Dialer: &net.Dialer{}, User: "u", Password: "p"}
+	target := proto.Target{Server: "s", Address: g.Servers()[0].Addr()}
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	waited, err := pgcon.Dial(ctx, conf)
-	if err != nil {
-		t.Fatal(err)
-	}
-	answered, err := pgcon.Dial(ctx, conf)
-	if err != nil {
-		t.Fatal(err)
+	dial := func() *pooled {
+		c, err := driver.Dial(ctx, target)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return &pooled{Conn: c}
 	}
-	p := newPool(conf, 4, 4, time.Now)
+	waited := dial()
+	answered := dial()
+	p := newPool(poolConfig{target: target, driver: driver}, 4, 4, time.Now)
 	p.begin(waited, false)
 	p.begin(answered, false)
 	p.silent()
--- a/internal/owner/read.go
+++ b/internal/owner/read.go
@@ -7,7 +7,7 @@
 	"github.com/juju/errors"
 
 	"geraniumseam.dev/internal/fault"
-	"geraniumseam.dev/internal/pgcon"
+	"geraniumseam.dev/internal/proto"
 	"geraniumseam.dev/internal/rule/group"
 	"geraniumseam.dev/internal/rule/route"
 	"geraniumseam.dev/pkg/ident"
@@ -15,7 +15,7 @@
 )
 
 // runRead runs a request on whichever server may serve it at the least cost.
-func (g *Group) runRead(ctx context.Context, w *Work, sink pgcon.Sink) Result {
+func (g *Group) runRead(ctx context.Context, w *Work, sink proto.Sink) Result {
 	floor, ok := g.floorOf(ctx, w)
 	if !ok {
 		return notRun(fault.NoPrimary)
@@ -81,7 +81,7 @@
 	return ident.Floor{}, false
 }
 
-func (g *Group) readOnce(ctx context.Context, w *Work, floor ident.Floor, sink pgcon.Sink) attempt {
+func (g *Group) readOnce(ctx context.Context, w *Work, floor ident.Floor, sink proto.Sink) attempt {
 	s, replica := g.stay(w, floor)
 	if s == nil {
 		elsewhere, ok := g.elsewhere(ctx, w)
@@ -104,7 +104,7 @@
 	return g.readOn(ctx, w, s, got.conn, replica, floor, sink)
 }
 
-func (g *Group) readOn(ctx context.Context, w *Work, s *server, c *pgcon.Conn, replica bool, floor ident.Floor, sink pgcon.Sink) attempt {
+func (g *Group) readOn(ctx context.Context, w *Work, s *server, c *pooled, replica bool, floor ident.Floor, sink proto.Sink) attempt {
 	held := &bufferedSink{sink: sink, whole: g.mayReadUnheld(replica)}
 	request := w.Request
 	request.Position = held.whole
@@ -160,7 +160,7 @@
 
 // brokenRead retries a read of which nothing has been handed on.
 func (g *Group) brokenRead(ctx context.Context, err error, held *bufferedSink) attempt {
-	var failed *pgcon.RunError
+	var failed *proto.RunError
 	if ctx.Err() != nil {
 		return attempt{result: notRun(reasonOf(ctx))}
 	}
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -7,7 +7,7 @@
 	"github.com/juju/errors"
 
 	"geraniumseam.dev/internal/fault"
-	"geraniumseam.dev/internal/pgcon"
+	"geraniumseam.dev/internal/proto"
 	"geraniumseam.dev/internal/rule/fair"
 	"geraniumseam.dev/internal/rule/group"
 	"geraniumseam.dev/internal/rule/retry"
@@ -15,15 +15,11 @@
 	"geraniumseam.dev/pkg/stmt"
 )
 
-var (
-	statusText = pgcon.StatusQuery
-	parseRow   = pgcon.ParseStatus
-	backoff    = retry.Backoff{First: 4 * time.Millisecond, Most: 200 * time.Millisecond}
-)
+var backoff = retry.Backoff{First: 4 * time.Millisecond, Most: 200 * time.Millisecond}
 
 // Run runs the work and hands its answer to sink. Nothing reaches sink unless the
 // outcome is Done, or the answer of a read was cut short.
-func (g *Group) Run(ctx context.Context, w *Work, sink pgcon.Sink) Result {
+func (g *Group) Run(ctx context.Context, w *Work, sink proto.Sink) Result {
 	if untilDeadline(ctx) > w.Limits.Run {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, w.Limits.Run)
@@ -96,11 +92,11 @@
 
 // runWrite runs a request on the primary and holds its answer back until a
 // majority of servers has what it wrote.
-func (g *Group) runWrite(ctx context.Context, w *Work, sink pgcon.Sink) Result {
+func (g *Group) runWrite(ctx context.Context, w *Work, sink proto.Sink) Result {
 	return g.try(ctx, w, func() attempt { return g.writeOnce(ctx, w, sink) })
 }
 
-func (g *Group) writeOnce(ctx context.Context, w *Work, sink pgcon.Sink) attempt {
+func (g *Group) writeOnce(ctx context.Context, w *Work, sink proto.Sink) attempt {
 	s, reason := g.awaitPrimary(ctx)
 	if s == nil {
 		return attempt{result: notRun(reason)}
@@ -141,14 +137,14 @@
 }
 
 // refusedByServer reports an answer that says the server takes no writes, outside any transaction: nothing ran.
-func refusedByServer(a pgcon.Answer) bool {
-	return a.ErrorCode == codeReadOnly && a.TxStatus == 'I'
+func refusedByServer(a proto.Answer) bool {
+	return a.Refusal == proto.ReadOnly && a.TxStatus == 'I'
 }
 
 // brokenWrite tells from how far a failed write got what became of it.
 func (g *Group) brokenWrite(ctx context.Context, err error) attempt {
-	var failed *pgcon.RunError
-	if errors.As(err, &failed) && failed.Stage == pgcon.Unsent {
+	var failed *proto.RunError
+	if errors.As(err, &failed) && failed.Stage == proto.Unsent {
 		return attempt{result: notRun(fault.ConnectionLost), again: true}
 	}
 	return attempt{result: unknown(lossReason(ctx, err))}
@@ -165,7 +161,7 @@
 }
 
 // finishWrite waits until a majority holds the write, then hands the answer on.
-func (g *Group) finishWrite(ctx context.Context, w *Work, a pgcon.Answer, held *heldSink, sink pgcon.Sink) Result {
+func (g *Group) finishWrite(ctx context.Context, w *Work, a proto.Answer, held *heldSink, sink proto.Sink) Result {
 	result := Result{Floor: w.Floor, TxStatus: a.TxStatus, ErrorCode: a.ErrorCode}
 	if a.ErrorCode == "" && !g.conf.Baseline.AckAtOnce {
 		if reason := g.awaitHeld(ctx, w, a.Status); reason != fault.None {
@@ -178,7 +174,7 @@
 	return g.hand(result, held.bytes, sink)
 }
 
-func (g *Group) hand(r Result, bytes []byte, sink pgcon.Sink) Result {
+func (g *Group) hand(r Result, bytes []byte, sink proto.Sink) Result {
 	if err := sink.Emit(bytes); err != nil {
 		return unknown(fault.PeerLost)
 	}
--- a/internal/owner/tx.go
+++ b/internal/owner/tx.go
@@ -8,7 +8,7 @@
 	"github.com/juju/errors"
 
 	"geraniumseam.dev/internal/fault"
-	"geraniumseam.dev/internal/pgcon"
+	"geraniumseam.dev/internal/proto"
 	"geraniumseam.dev/pkg/ident"
 	"geraniumseam.dev/pkg/stmt"
 )
@@ -20,7 +20,7 @@
 	replica bool
 
 	mu     sync.Mutex
-	conn   *pgcon.Conn
+	conn   *pooled
 	pinned bool
 	wrote  bool
 	used   time.Time
@@ -39,14 +39,14 @@
 }
 
 // open keeps the connection for the session and hands the answer on.
-func (g *Group) open(w *Work, s *server, c *pgcon.Conn, a pgcon.Answer, held *heldSink, sink pgcon.Sink) Result {
+func (g *Group) open(w *Work, s *server, c *pooled, a proto.Answer, held *heldSink, sink proto.Sink) Result {
 	result := Result{Floor: w.Floor, TxStatus: a.TxStatus, ErrorCode: a.ErrorCode}
 	result.Tx = g.register(&transaction{server: s, conn: c, pinned: w.Pin, wrote: w.Kind > stmt.Begin})
 	return g.hand(result, held.bytes, sink)
 }
 
 // openReading is open for a transaction that only reads.
-func (g *Group) openReading(s *server, c *pgcon.Conn, r Result, replica bool, held *bufferedSink) Result {
+func (g *Group) openReading(s *server, c *pooled, r Result, replica bool, held *bufferedSink) Result {
 	r.Tx = g.register(&transaction{server: s, conn: c, replica: replica})
 	if err := held.flush(); err != nil {
 		g.End(r.Tx)
@@ -87,7 +87,7 @@
 }
 
 // runInTx runs a request on its transaction's connection; it is never moved or repeated.
-func (g *Group) runInTx(ctx context.Context, w *Work, sink pgcon.Sink) Result {
+func (g *Group) runInTx(ctx context.Context, w *Work, sink proto.Sink) Result {
 	t := g.find(w.Tx)
 	if t == nil {
 		return notRun(fault.TransactionLost)
@@ -120,8 +120,8 @@
 // brokenTx tells what became of a transaction whose connection broke: unless a
 // commit was on its way, the server rolls it back.
 func (g *Group) brokenTx(ctx context.Context, w *Work, wrote bool, err error) Result {
-	var failed *pgcon.RunError
-	unsent := errors.As(err, &failed) && failed.Stage == pgcon.Unsent
+	var failed *proto.RunError
+	unsent := errors.As(err, &failed) && failed.Stage == proto.Unsent
 	mayCommit := w.Kind == stmt.Commit || w.Kind == stmt.Pin
 	if mayCommit && wrote && !unsent {
 		return unknown(lossReason(ctx, err))
@@ -129,7 +129,7 @@
 	return notRun(fault.TransactionLost)
 }
 
-func (g *Group) afterInTx(ctx context.Context, w *Work, t *transaction, a pgcon.Answer, wrote bool, held *heldSink, sink pgcon.Sink) Result {
+func (g *Group) afterInTx(ctx context.Context, w *Work, t *transaction, a proto.Answer, wrote bool, held *heldSink, sink proto.Sink) Result {
 	result := Result{Floor: w.Floor, TxStatus: a.TxStatus, Tx: t.id, Replica: t.replica, ErrorCode: a.ErrorCode}
 	if t.replica || !a.HasStatus {
 		result.Seen = Seen{Owner: g.conf.Self, Server: t.server.ID, Mark: time.Now().UnixNano()}
--- a/internal/owner/watch.go
+++ b/internal/owner/watch.go
@@ -7,7 +7,7 @@
 	"github.com/juju/errors"
 
 	"geraniumseam.dev/internal/jrnl"
-	"geraniumseam.dev/internal/pgcon"
+	"geraniumseam.dev/internal/proto"
 	"geraniumseam.dev/internal/rule/group"
 )
 
@@ -27,20 +27,15 @@
 // controlCall is one control function to run on a server.
 type controlCall struct {
 	ctx  context.Context
-	text string
-	done chan controlAnswer
-}
-
-type controlAnswer struct {
-	row []string
-	err error
+	run  func(context.Context, proto.Conn) error
+	done chan error
 }
 
 // watcher polls one server over one connection.
 type watcher struct {
 	group   *Group
 	server  *server
-	conn    *pgcon.Conn
+	conn    proto.Conn
 	told    time.Time
 	answers bool
 }
@@ -118,7 +113,7 @@
 	}
 	if status.Server != w.server.ID {
 		w.drop()
-		return asked, status, &pgcon.ProtocolError{What: "the address of " + string(w.server.ID) + " answers as " + string(status.Server)}
+		return asked, status, &proto.ProtocolError{What: "the address of " + string(w.server.ID) + " answers as " + string(status.Server)}
 	}
 	return asked, status, nil
 }
@@ -127,7 +122,7 @@
 	if w.conn != nil {
 		return nil
 	}
-	c, err := pgcon.Dial(ctx, w.server.dial)
+	c, err := w.group.conf.Driver.Dial(ctx, w.server.target)
 	if err != nil {
 		return err
 	}
@@ -164,28 +159,28 @@
 
 func (w *watcher) call(c *controlCall) {
 	if err := w.connect(c.ctx); err != nil {
-		c.done <- controlAnswer{err: err}
+		c.done <- err
 		return
 	}
-	row, err := w.conn.Control(c.ctx, c.text)
+	err := c.run(c.ctx, w.conn)
 	if err != nil {
 		w.drop()
 	}
-	c.done <- controlAnswer{row: row, err: err}
+	c.done <- err
 }
 
 // run hands a control function to the server's watcher and waits for its end.
-func (s *server) run(ctx context.Context, text string) ([]string, error) {
-	c := &controlCall{ctx: ctx, text: text, done: make(chan controlAnswer, 1)}
+func (s *server) run(ctx context.Context, f func(context.Context, proto.Conn) error) error {
+	c := &controlCall{ctx: ctx, run: f, done: make(chan error, 1)}
 	select {
 	case s.control <- c:
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return ctx.Err()
 	}
 	select {
-	case a := <-c.done:
-		return a.row, a.err
+	case err := <-c.done:
+		return err
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return ctx.Err()
 	}
 }
--- a/internal/owner/work.go
+++ b/internal/owner/work.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"geraniumseam.dev/internal/fault"
-	"geraniumseam.dev/internal/pgcon"
+	"geraniumseam.dev/internal/proto"
 	"geraniumseam.dev/pkg/ident"
 	"geraniumseam.dev/pkg/stmt"
 )
@@ -39,7 +39,7 @@
 	Tx      TxID          `cbor:"13,keyasint,omitempty"`
 	// Pin keeps the connection after the request, for a session whose state lives on it.
 	Pin     bool          `cbor:"14,keyasint,omitempty"`
-	Request pgcon.Request `cbor:"15,keyasint"`
+	Request proto.Request `cbor:"15,keyasint"`
 }
 
 // Limits bound one request.
@@ -74,7 +74,7 @@
 // heldSink is a Sink that holds an answer back.
 type heldSink struct{ bytes []byte }
 
-// Emit implements pgcon.Sink.
+// Emit implements proto.Sink.
 func (k *heldSink) Emit(messages []byte) error {
 	k.bytes = append(k.bytes, messages...)
 	return nil
@@ -83,7 +83,7 @@
 // bufferedSink is a Sink that holds back the beginning of an answer, so that a read can
 // be retried as long as nothing of it has been handed on.
 type bufferedSink struct {
-	sink   pgcon.Sink
+	sink   proto.Sink
 	bytes  []byte
 	passed bool
 	// whole holds everything back, whatever its size.
@@ -93,7 +93,7 @@
 // bufferedSize is how much of a read's answer is held back, in bytes.
 const bufferedSize = 256 << 10
 
-// Emit implements pgcon.Sink.
+// Emit implements proto.Sink.
 func (s *bufferedSink) Emit(messages []byte) error {
 	if !s.passed && (s.whole || len(s.bytes)+len(messages) <= bufferedSize) {
 		s.bytes = append(s.bytes, messages...)
--- a/internal/peer/hub.go
+++ b/internal/peer/hub.go
@@ -18,14 +18,14 @@
 	"geraniumseam.dev/internal/fault"
 	"geraniumseam.dev/internal/jrnl"
 	"geraniumseam.dev/internal/owner"
-	"geraniumseam.dev/internal/pgcon"
+	"geraniumseam.dev/internal/proto"
 	"geraniumseam.dev/pkg/ident"
 )
 
 // Handler is the instance behind a hub.
 type Handler interface {
 	// Work runs a request that a peer handed on.
-	Work(ctx context.Context, from ident.InstanceID, w *owner.Work, sink pgcon.Sink) owner.Result
+	Work(ctx context.Context, from ident.InstanceID, w *owner.Work, sink proto.Sink) owner.Result
 	// News takes in a one-way message; it must not block.
 	News(from ident.InstanceID, m Message)
 	// Answer replies to a question; nil says nothing.
@@ -47,7 +47,7 @@
 	// Server and Client are the TLS configurations; both nil means none.
 	Server *tls.Config
 	Client *tls.Config
-	Dialer pgcon.Dialer
+	Dialer proto.Dialer
 	// Heartbeat is the time between two heartbeats, Silence after how much silence a link ends.
 	Heartbeat time.Duration
 	Silence   time.Duration
@@ -346,7 +346,7 @@
 }
 
 // Run hands a request to another instance.
-func (h *Hub) Run(ctx context.Context, id ident.InstanceID, w *owner.Work, sink pgcon.Sink) owner.Result {
+func (h *Hub) Run(ctx context.Context, id ident.InstanceID, w *owner.Work, sink proto.Sink) owner.Result {
 	l, err := h.get(ctx, id)
 	if err != nil {
 		return owner.Result{Outcome: fault.NotRun, Reason: fault.PeerLost}
--- a/internal/peer/hub_test.go
+++ b/internal/peer/hub_test.go
@@ -12,7 +12,7 @@
 	"geraniumseam.dev/internal/fault"
 	"geraniumseam.dev/internal/jrnl"
 	"geraniumseam.dev/internal/owner"
-	"geraniumseam.dev/internal/pgcon"
+	"geraniumseam.dev/internal/proto"
 	"geraniumseam.dev/pkg/ident"
 )
 
@@ -25,7 +25,7 @@
 	heard   map[ident.InstanceID]int
 }
 
-func (n *node) Work(_ context.Context, _ ident.InstanceID, w *owner.Work, sink pgcon.Sink) owner.Result {
+func (n *node) Work(_ context.Context, _ ident.InstanceID, w *owner.Work, sink proto.Sink) owner.Result {
 	for range 3 {
 		if err := sink.Emit(w.Request.Messages); err != nil {
 			return owner.Result{Outcome: fault.Unknown, Reason: fault.PeerLost}
@@ -120,7 +120,7 @@
 	a, b := newNode(t, "a", secure), newNode(t, "b", secure)
 	acquaint(map[ident.InstanceID]*node{"a": a, "b": b})
 	sink := &gather{}
-	w := &owner.Work{Tx: 6, Request: pgcon.Request{Messages: make([]byte, 100_000)}}
+	w := &owner.Work{Tx: 6, Request: proto.Request{Messages: make([]byte, 100_000)}}
 	if r := a.hub.Run(limited(t), "b", w, sink); r.Outcome != fault.Done || r.Tx != 7 || sink.size != 300_000 {
 		t.Fatalf("got %+v and %d bytes", r, sink.size)
 	}
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -8,7 +8,7 @@
 
 	"geraniumseam.dev/internal/fault"
 	"geraniumseam.dev/internal/owner"
-	"geraniumseam.dev/internal/pgcon"
+	"geraniumseam.dev/internal/proto"
 )
 
 // stream is one request of ours that waits for its answer.
@@ -123,7 +123,7 @@
 	bytes  []byte
 }
 
-// Emit implements pgcon.Sink.
+// Emit implements proto.Sink.
 func (r *reply) Emit(messages []byte) error {
 	if len(r.bytes)+len(messages) > batchSize {
 		if err := r.link.send(r.ctx, kindChunk, r.stream, chunk{Bytes: r.bytes}); err != nil {
@@ -136,7 +136,7 @@
 }
 
 // run hands a request to the peer and its answer to sink.
-func (l *link) run(ctx context.Context, w *owner.Work, sink pgcon.Sink) owner.Result {
+func (l *link) run(ctx context.Context, w *owner.Work, sink proto.Sink) owner.Result {
 	id, s, ok := l.openStream()
 	if !ok {
 		return owner.Result{Outcome: fault.NotRun, Reason: fault.PeerLost}
@@ -169,7 +169,7 @@
 }
 
 // receive takes in one frame of an answer and reports whether it ended it.
-func (l *link) receive(f frame, sink pgcon.Sink) (owner.Result, bool) {
+func (l *link) receive(f frame, sink proto.Sink) (owner.Result, bool) {
 	lost := owner.Result{Outcome: fault.Unknown, Reason: fault.PeerLost}
 	switch f.Kind {
 	case kindChunk:
--- a/internal/pgcon/conn.go
+++ b/internal/pgcon/conn.go
@@ -13,24 +13,25 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/juju/errors"
 
+	"geraniumseam.dev/internal/proto"
 	"geraniumseam.dev/pkg/ident"
 )
 
-// Dialer opens connections; tests put faults here.
-type Dialer interface {
-	DialContext(ctx context.Context, network, address string) (net.Conn, error)
-}
-
-// Config says how to reach a server; the credentials are the proxy's own.
-type Config struct {
-	Server   ident.ServerID
-	Address  string
-	Dialer   Dialer
+// Driver connects to PostgreSQL servers; the credentials are the proxy's own.
+type Driver struct {
+	Dialer   proto.Dialer
 	User     string
 	Password string
-	Database string
 }
 
+// PerCustomer implements proto.Driver.
+func (*Driver) PerCustomer() bool { return false }
+
+const (
+	codeTooMany  = "53300"
+	codeReadOnly = "25006"
+)
+
 const (
 	headerSize = 5
 	readBuffer = 8 << 10
@@ -57,21 +58,21 @@
 }
 
 // Dial opens a connection and authenticates.
-func Dial(ctx context.Context, c Config) (*Conn, error) {
-	raw, err := c.Dialer.DialContext(ctx, "tcp", c.Address)
+func (d *Driver) Dial(ctx context.Context, t proto.Target) (proto.Conn, error) {
+	raw, err := d.Dialer.DialContext(ctx, "tcp", t.Address)
 	if err != nil {
-		return nil, &DialError{Server: c.Server, Cause: err}
+		return nil, &proto.DialError{Server: t.Server, Cause: err}
 	}
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = raw.SetDeadline(deadline)
 	}
 	conn := &Conn{
-		server: c.Server, net: raw, reader: bufio.NewReaderSize(raw, readBuffer),
+		server: t.Server, net: raw, reader: bufio.NewReaderSize(raw, readBuffer),
 		prepared: map[string]bool{}, Opened: time.Now(),
 	}
 	stop := context.AfterFunc(ctx, func() { _ = raw.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	if err := conn.start(c); err != nil {
+	if err := conn.start(d, t); err != nil {
 		raw.Close()
 		return nil, err
 	}
@@ -79,27 +80,27 @@
 	return conn, nil
 }
 
-func (c *Conn) start(conf Config) error {
+func (c *Conn) start(d *Driver, t proto.Target) error {
 	front := pgproto3.NewFrontend(c.reader, c.net)
 	front.Send(&pgproto3.StartupMessage{
 		ProtocolVersion: pgproto3.ProtocolVersion30,
-		Parameters:      map[string]string{"user": conf.User, "database": conf.Database, "application_name": "geraniumseam"},
+		Parameters:      map[string]string{"user": d.User, "database": string(t.Group), "application_name": "geraniumseam"},
 	})
 	if err := front.Flush(); err != nil {
-		return &DialError{Server: c.server, Cause: err}
+		return &proto.DialError{Server: c.server, Cause: err}
 	}
 	for {
 		kind, body, err := c.readFrame()
 		if err != nil {
-			return &DialError{Server: c.server, Cause: err}
+			return &proto.DialError{Server: c.server, Cause: err}
 		}
 		switch kind {
 		case 'R':
-			if err := c.authenticate(front, body, conf.Password); err != nil {
+			if err := c.authenticate(front, body, d.Password); err != nil {
 				return err
 			}
 		case 'E':
-			return &DialError{Server: c.server, Code: errorCode(body), Cause: &ProtocolError{What: "refused at start-up"}}
+			return &proto.DialError{Server: c.server, Code: errorCode(body), Full: errorCode(body) == codeTooMany, Cause: &proto.ProtocolError{What: "refused at start-up"}}
 		case 'Z':
 			return nil
 		}
@@ -113,7 +114,7 @@
 
 func (c *Conn) authenticate(front *pgproto3.Frontend, body []byte, password string) error {
 	if len(body) < 4 {
-		return &DialError{Server: c.server, Cause: &ProtocolError{What: "short authentication request"}}
+		return &proto.DialError{Server: c.server, Cause: &proto.ProtocolError{What: "short authentication request"}}
 	}
 	switch binary.BigEndian.Uint32(body) {
 	case authOK:
@@ -121,11 +122,11 @@
 	case authCleartext:
 		front.Send(&pgproto3.PasswordMessage{Password: password})
 		if err := front.Flush(); err != nil {
-			return &DialError{Server: c.server, Cause: err}
+			return &proto.DialError{Server: c.server, Cause: err}
 		}
 		return nil
 	}
-	return &DialError{Server: c.server, Cause: &ProtocolError{What: "unsupported authentication method"}}
+	return &proto.DialError{Server: c.server, Cause: &proto.ProtocolError{What: "unsupported authentication method"}}
 }
 
 // Server returns the server's name.
@@ -189,7 +190,7 @@
 	kind := head[0]
 	size := int(binary.BigEndian.Uint32(head[1:])) - 4
 	if size < 0 || size > maxMessage {
-		return 0, 0, &ProtocolError{What: "impossible message length"}
+		return 0, 0, &proto.ProtocolError{What: "impossible message length"}
 	}
 	_, err = c.reader.Discard(headerSize)
 	return kind, size, err
--- a/internal/pgcon/conn_test.go
+++ b/internal/pgcon/conn_test.go
@@ -12,6 +12,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"pgregory.net/rapid"
 
+	"geraniumseam.dev/internal/proto"
 	"geraniumseam.dev/internal/rule/group"
 )
 
@@ -46,12 +47,12 @@
 	}()
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	c, err := Dial(ctx, Config{Server: "s", Address: l.Addr().String(), Dialer: &net.Dialer{}})
+	c, err := (&Driver{Dialer: &net.Dialer{}}).Dial(ctx, proto.Target{Server: "s", Address: l.Addr().String()})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(c.Close)
-	return c
+	return c.(*Conn)
 }
 
 func encode(messages ...pgproto3.BackendMessage) []byte {
@@ -67,10 +68,10 @@
 		&pgproto3.ReadyForQuery{TxStatus: 'I'})
 }
 
-func request() *Request {
+func request() *proto.Request {
 	query := pgproto3.Query{String: "SELECT 1"}
 	messages, _ := query.Encode(nil)
-	return &Request{Messages: messages}
+	return &proto.Request{Messages: messages}
 }
 
 type collect struct{ bytes.Buffer }
@@ -80,7 +81,7 @@
 	return err
 }
 
-func run(t testing.TB, c *Conn, d time.Duration) (*collect, Answer, error) {
+func run(t testing.TB, c *Conn, d time.Duration) (*collect, proto.Answer, error) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), d)
 	defer cancel()
@@ -107,8 +108,8 @@
 func TestLateAnswerReachesNobody(t *testing.T) {
 	c := server(t, nil)
 	_, _, err := run(t, c, 30*time.Millisecond)
-	var failed *RunError
-	if !errors.As(err, &failed) || failed.Stage != Sent {
+	var failed *proto.RunError
+	if !errors.As(err, &failed) || failed.Stage != proto.Sent {
 		t.Fatalf("got %v, want a request that was sent and not answered", err)
 	}
 	if c.Clean() {
@@ -141,8 +142,8 @@
 	c := server(t, row("x"))
 	c.net.Close()
 	_, _, err := run(t, c, time.Second)
-	var failed *RunError
-	if !errors.As(err, &failed) || failed.Stage != Unsent {
+	var failed *proto.RunError
+	if !errors.As(err, &failed) || failed.Stage != proto.Unsent {
 		t.Fatalf("got %v, want an unsent request", err)
 	}
 }
--- a/internal/pgcon/run.go
+++ b/internal/pgcon/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"fmt"
 	"io"
 	"strconv"
 	"strings"
@@ -11,16 +12,11 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/juju/errors"
 
+	"geraniumseam.dev/internal/proto"
 	"geraniumseam.dev/internal/rule/group"
 	"geraniumseam.dev/pkg/ident"
 )
 
-// Sink takes an answer's bytes as they come; what it keeps it must copy.
-type Sink interface {
-	// Emit takes whole messages; an error stops the request.
-	Emit(messages []byte) error
-}
-
 // StatusQuery asks a server for its place in its group.
 const StatusQuery = "SELECT * FROM group_status()"
 
@@ -29,9 +25,9 @@
 
 // Run sends a request and hands its answer to sink. On a *RunError the
 // connection is of no more use; everything else left it clean or closed.
-func (c *Conn) Run(ctx context.Context, r *Request, sink Sink) (Answer, error) {
+func (c *Conn) Run(ctx context.Context, r *proto.Request, sink proto.Sink) (proto.Answer, error) {
 	if err := c.adjust(ctx, r.Settings); err != nil {
-		return Answer{}, err
+		return proto.Answer{}, err
 	}
 	release := c.bound(ctx)
 	defer release()
@@ -39,11 +35,11 @@
 	parsed := 0
 	defer func() { c.forget(injected, parsed) }()
 	if n, err := c.net.Write(out); err != nil {
-		stage := Sent
+		stage := proto.Sent
 		if n == 0 {
-			stage = Unsent
+			stage = proto.Unsent
 		}
-		return Answer{}, c.fail(ctx, stage, err)
+		return proto.Answer{}, c.fail(ctx, stage, err)
 	}
 	answer, stage, err := c.read(sink, len(injected), r.Inserts, &parsed)
 	if err != nil {
@@ -53,7 +49,7 @@
 	if r.Position {
 		answer.Status, err = c.readStatus()
 		if err != nil {
-			return answer, c.fail(ctx, Answering, err)
+			return answer, c.fail(ctx, proto.Answering, err)
 		}
 		answer.HasStatus = true
 	}
@@ -78,17 +74,17 @@
 	}
 }
 
-func (c *Conn) fail(ctx context.Context, stage Stage, err error) error {
+func (c *Conn) fail(ctx context.Context, stage proto.Stage, err error) error {
 	c.Close()
 	if ctx.Err() != nil {
 		err = ctx.Err()
 	}
-	return &RunError{Server: c.server, Stage: stage, Silent: c.silent.Load(), Cause: err}
+	return &proto.RunError{Server: c.server, Stage: stage, Silent: c.silent.Load(), Cause: err}
 }
 
 // encode puts the statements that the connection lacks before the request, and
 // the question for the server's state behind it.
-func (c *Conn) encode(r *Request) (out []byte, injected []string) {
+func (c *Conn) encode(r *proto.Request) (out []byte, injected []string) {
 	if len(r.Statements) == 0 && !r.Position {
 		return r.Messages, nil
 	}
@@ -123,9 +119,9 @@
 
 // read hands on messages until ReadyForQuery: without the answers to injected
 // messages, with the answers that the proxy gives itself.
-func (c *Conn) read(sink Sink, injected int, inserts []Insert, parsed *int) (Answer, Stage, error) {
-	var answer Answer
-	stage := Sent
+func (c *Conn) read(sink proto.Sink, injected int, inserts []proto.Insert, parsed *int) (proto.Answer, proto.Stage, error) {
+	var answer proto.Answer
+	stage := proto.Sent
 	answered := 0
 	gathered := c.in[:0]
 	defer func() { c.in = gathered[:0] }()
@@ -134,7 +130,7 @@
 		if err != nil {
 			return answer, stage, err
 		}
-		stage = Answering
+		stage = proto.Answering
 		skip := kind == 'S' || kind == 'A'
 		if kind == '1' && *parsed < injected {
 			*parsed++
@@ -157,12 +153,15 @@
 		case 'E':
 			if answer.ErrorCode == "" {
 				answer.ErrorCode = errorCode(body)
+				if answer.ErrorCode == codeReadOnly {
+					answer.Refusal = proto.ReadOnly
+				}
 			}
 		case 'G', 'H', 'W':
-			return answer, stage, &ProtocolError{What: "COPY was not refused in time"}
+			return answer, stage, &proto.ProtocolError{What: "COPY was not refused in time"}
 		case 'Z':
 			if size != 1 {
-				return answer, stage, &ProtocolError{What: "malformed ReadyForQuery"}
+				return answer, stage, &proto.ProtocolError{What: "malformed ReadyForQuery"}
 			}
 			answer.TxStatus = body[0]
 			return answer, stage, sink.Emit(gathered)
@@ -184,7 +183,7 @@
 }
 
 // insertDue adds the proxy's own answers whose place has come.
-func insertDue(to []byte, inserts []Insert, answered int) ([]byte, []Insert) {
+func insertDue(to []byte, inserts []proto.Insert, answered int) ([]byte, []proto.Insert) {
 	for len(inserts) > 0 && inserts[0].After <= answered {
 		to = append(to, inserts[0].Kind, 0, 0, 0, 4)
 		inserts = inserts[1:]
@@ -215,7 +214,7 @@
 func (c *Conn) Taint() { c.settings = unknownSettings }
 
 // adjust gives the connection the session's settings.
-func (c *Conn) adjust(ctx context.Context, settings []Setting) error {
+func (c *Conn) adjust(ctx context.Context, settings []proto.Setting) error {
 	if c.txStatus == 'T' || c.txStatus == 'E' {
 		return nil
 	}
@@ -237,7 +236,7 @@
 }
 
 // render writes settings as the statements that make them.
-func render(settings []Setting) string {
+func render(settings []proto.Setting) string {
 	var text strings.Builder
 	for _, s := range settings {
 		text.WriteString("SET ")
@@ -265,15 +264,15 @@
 		_, err = c.net.Write(out)
 	}
 	if err != nil {
-		return c.fail(ctx, Unsent, err)
+		return c.fail(ctx, proto.Unsent, err)
 	}
 	parsed := 0
 	answer, _, err := c.read(discard{}, 0, nil, &parsed)
 	if err == nil && answer.ErrorCode != "" {
-		err = &ProtocolError{What: "session settings refused with " + answer.ErrorCode}
+		err = &proto.ProtocolError{What: "session settings refused with " + answer.ErrorCode}
 	}
 	if err != nil {
-		return c.fail(ctx, Unsent, err)
+		return c.fail(ctx, proto.Unsent, err)
 	}
 	return nil
 }
@@ -287,6 +286,31 @@
 	return ParseStatus(rows)
 }
 
+// Seal implements proto.Conn.
+func (c *Conn) Seal(ctx context.Context, term ident.Term, claimant group.Claimant) (bool, error) {
+	return c.isTrue(ctx, fmt.Sprintf("SELECT group_seal(%d,'%s')", term, claimant))
+}
+
+// Follow implements proto.Conn.
+func (c *Conn) Follow(ctx context.Context, term ident.Term, primary ident.ServerID) error {
+	_, err := c.Control(ctx, fmt.Sprintf("SELECT group_follow(%d,'%s')", term, primary))
+	return err
+}
+
+// Promote implements proto.Driver.
+func (*Driver) Promote(ctx context.Context, c proto.Conn, t proto.Target, term ident.Term, claimant group.Claimant) (bool, error) {
+	conn, ok := c.(*Conn)
+	if !ok {
+		return false, &proto.ProtocolError{What: "a connection of another dialect"}
+	}
+	return conn.isTrue(ctx, fmt.Sprintf("SELECT group_promote(%d,'%s')", term, claimant))
+}
+
+func (c *Conn) isTrue(ctx context.Context, text string) (bool, error) {
+	row, err := c.Control(ctx, text)
+	return len(row) == 1 && row[0] == "t", err
+}
+
 // Control runs one of the group's control functions and returns its first row.
 func (c *Conn) Control(ctx context.Context, text string) ([]string, error) {
 	release := c.bound(ctx)
@@ -297,11 +321,11 @@
 		_, err = c.net.Write(out)
 	}
 	if err != nil {
-		return nil, c.fail(ctx, Sent, err)
+		return nil, c.fail(ctx, proto.Sent, err)
 	}
 	row, err := c.readRow()
 	if err != nil {
-		return nil, c.fail(ctx, Sent, err)
+		return nil, c.fail(ctx, proto.Sent, err)
 	}
 	return row, nil
 }
@@ -333,7 +357,7 @@
 				row = append(row, string(value))
 			}
 		case 'E':
-			failed = &ProtocolError{What: "control function refused with " + errorCode(body)}
+			failed = &proto.ProtocolError{What: "control function refused with " + errorCode(body)}
 		case 'Z':
 			return row, failed
 		}
@@ -345,7 +369,7 @@
 // ParseStatus reads the row that StatusQuery answers with.
 func ParseStatus(row []string) (group.Status, error) {
 	if len(row) != statusColumns {
-		return group.Status{}, &ProtocolError{What: "group_status with another number of columns"}
+		return group.Status{}, &proto.ProtocolError{What: "group_status with another number of columns"}
 	}
 	s := group.Status{Server: ident.ServerID(row[0])}
 	if row[1] == group.Primary.String() {
@@ -355,7 +379,7 @@
 	for at, text := range row[2:5] {
 		number, err := strconv.ParseUint(text, 10, 64)
 		if err != nil {
-			return s, &ProtocolError{What: "group_status with a term that is no number"}
+			return s, &proto.ProtocolError{What: "group_status with a term that is no number"}
 		}
 		numbers[at] = number
 	}
@@ -369,7 +393,7 @@
 	}
 	millis, err := strconv.ParseInt(row[7], 10, 64)
 	if err != nil {
-		return s, &ProtocolError{What: "group_status with an age that is no number"}
+		return s, &proto.ProtocolError{What: "group_status with an age that is no number"}
 	}
 	s.Upstream = time.Duration(millis) * time.Millisecond
 	return s, nil
--- a/internal/pgcon/request.go
+++ b/internal/proto/request.go
@@ -1,4 +1,4 @@
-package pgcon
+package proto
 
 import (
 	"fmt"
@@ -7,6 +7,12 @@
 	"geraniumseam.dev/pkg/ident"
 )
 
+// Sink takes an answer's bytes as they come; what it keeps it must copy.
+type Sink interface {
+	// Emit takes whole messages; an error stops the request.
+	Emit(messages []byte) error
+}
+
 // Statement is a prepared statement that a request refers to by name.
 type Statement struct {
 	Name  string   `cbor:"1,keyasint"`
@@ -20,7 +26,20 @@
 	Value string `cbor:"2,keyasint"`
 }
 
-// Request is what one caller wants run: encoded messages that end in exactly one Sync or Query.
+// Opening says whether a request begins a transaction on its connection first.
+type Opening uint8
+
+// The openings.
+const (
+	// NoOpening runs the request as it is.
+	NoOpening Opening = iota
+	// OpenWriting begins a transaction that may write.
+	OpenWriting
+	// OpenReading begins a transaction that only reads.
+	OpenReading
+)
+
+// Request is what one caller wants run, in the words of the dialect.
 type Request struct {
 	Messages   []byte      `cbor:"1,keyasint"`
 	Statements []Statement `cbor:"2,keyasint,omitempty"`
@@ -29,6 +48,10 @@
 	Position bool `cbor:"4,keyasint,omitempty"`
 	// Inserts are answers that the proxy gives itself, in their place among the server's.
 	Inserts []Insert `cbor:"5,keyasint,omitempty"`
+	// Opening begins a transaction that the caller was told is open already.
+	Opening Opening `cbor:"6,keyasint,omitempty"`
+	// After is what the server's log must hold, where the dialect can ask for that.
+	After ident.Floor `cbor:"7,keyasint,omitempty"`
 }
 
 // Insert is one answer without a body, given after so many messages have been answered.
@@ -37,15 +60,44 @@
 	Kind  byte `cbor:"2,keyasint"`
 }
 
+//go:generate go tool stringer -type=Refusal -linecomment -output=refusal_string.go
+
+// Refusal says in which way a server answered without having done what was asked.
+type Refusal uint8
+
+// The refusals.
+const (
+	// Accepted: the server did what was asked, or failed at it on its own account.
+	Accepted Refusal = iota // accepted
+	// ReadOnly: nothing ran, for the server is not the primary.
+	ReadOnly // read-only
+	// Busy: nothing ran, for the server has too much to do.
+	Busy // busy
+	// Behind: nothing ran, for the server's log lacks what the request asked for.
+	Behind // behind
+	// Unknown statement: nothing ran, for the connection lacks a prepared statement.
+	Unprepared // unprepared
+	// Misdirected: nothing ran, for the server is another than was meant.
+	Misdirected // misdirected
+	// Failed: the request ran and failed through no fault of the caller's.
+	Failed // failed
+)
+
+// NotRun reports whether the refusal says that nothing of the request took effect.
+func (r Refusal) NotRun() bool { return r != Accepted && r != Failed }
+
 // Answer is how a request ended.
 type Answer struct {
 	// TxStatus is the transaction status that the server reported: I, T or E.
 	TxStatus byte
-	// ErrorCode is the SQLSTATE of the first error, empty where there was none.
+	// ErrorCode is the first error's code in the dialect's words, empty where there was none.
 	ErrorCode string
+	// Refusal says what the error code means to the engine.
+	Refusal Refusal
 	// Tag is the last command tag.
 	Tag string
-	// Status is the server's state right after the request, if it was asked for.
+	// Status is the server's state right after the request, if HasStatus is set; in
+	// some dialects only term and position are told.
 	Status    group.Status
 	HasStatus bool
 }
@@ -85,8 +137,10 @@
 // DialError says that a server did not accept a connection.
 type DialError struct {
 	Server ident.ServerID
-	// Code is the SQLSTATE that the server gave, empty where it did not answer.
-	Code  string
+	// Code is the error code that the server gave, empty where it did not answer.
+	Code string
+	// Full is set if the server has no connection left.
+	Full  bool
 	Cause error
 }
 
@@ -98,7 +152,7 @@
 // Unwrap returns what stood in the way.
 func (e *DialError) Unwrap() error { return e.Cause }
 
-// ProtocolError says that a server did not keep to the protocol.
+// ProtocolError says that the other end did not keep to the protocol.
 type ProtocolError struct{ What string }
 
 // Error implements error.
--- a/internal/rule/fair/queue.go
+++ b/internal/rule/fair/queue.go
@@ -146,6 +146,47 @@
 	return nil, late
 }
 
+// Next returns the customer whose turn it is; false where nobody waits.
+func (q *Queue) Next() (ident.CustomerID, bool) {
+	if len(q.heads) == 0 {
+		return "", false
+	}
+	return q.heads[0].Flow.Customer, true
+}
+
+// PopOf is Pop among one customer's items.
+func (q *Queue) PopOf(now time.Time, customer ident.CustomerID) (turn *Item, late []*Item) {
+	for {
+		var first *Item
+		for at, it := range q.heads {
+			if it.Flow.Customer == customer && (first == nil || q.heads.Less(at, first.index)) {
+				first = it
+			}
+		}
+		if first == nil {
+			return nil, late
+		}
+		q.drop(q.flows[first.Flow], 0)
+		if now.After(first.Deadline) {
+			late = append(late, first)
+			continue
+		}
+		q.virtual = max(q.virtual, first.finish)
+		return first, late
+	}
+}
+
+// WaitingOf returns how many items of a customer wait.
+func (q *Queue) WaitingOf(customer ident.CustomerID) int {
+	count := 0
+	for _, it := range q.heads {
+		if it.Flow.Customer == customer {
+			count += len(q.flows[it.Flow].items)
+		}
+	}
+	return count
+}
+
 // heads is a heap of each flow's first item.
 type heads []*Item
 
