--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -26,14 +26,14 @@
 type callers struct {
 	instance *Instance
 	mu       sync.Mutex
-	sessions map[uint32]*session
+	sessions map[uint32]*Session
 	next     uint32
 	closed   bool
 	wait     sync.WaitGroup
 }
 
 func newCallers(i *Instance) *callers {
-	return &callers{instance: i, sessions: map[uint32]*session{}}
+	return &callers{instance: i, sessions: map[uint32]*Session{}}
 }
 
 func (c *callers) accept() error {
@@ -58,7 +58,7 @@
 // instanceBits is how much of a process number tells the instance that gave it out.
 const instanceBits = 12
 
-func (c *callers) add(conn net.Conn) (*session, bool) {
+func (c *callers) add(conn net.Conn) (*Session, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
@@ -78,7 +78,7 @@
 	}
 }
 
-func (c *callers) remove(s *session) {
+func (c *callers) remove(s *Session) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.sessions, s.process)
@@ -92,10 +92,10 @@
 	return len(c.sessions)
 }
 
-func (c *callers) all() []*session {
+func (c *callers) all() []*Session {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	all := make([]*session, 0, len(c.sessions))
+	all := make([]*Session, 0, len(c.sessions))
 	for _, s := range c.sessions {
 		all = append(all, s)
 	}
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -22,6 +22,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"gopkg.in/tomb.v2"
 
+	"geraniumseam.dev/internal/clock"
 	"geraniumseam.dev/internal/confs"
 	"geraniumseam.dev/internal/jrnl"
 	"geraniumseam.dev/internal/owner"
@@ -42,6 +43,8 @@
 	// Callers and Peers are open listeners; the instance closes them.
 	Callers net.Listener
 	Peers   net.Listener
+	// Dialect speaks with callers; nil speaks PostgreSQL's protocol.
+	Dialect Dialect
 	// CallerTLS is offered to callers; nil offers none. RequireTLS refuses keys in plain text.
 	CallerTLS  *tls.Config
 	RequireTLS bool
@@ -95,6 +98,9 @@
 
 // Start brings an instance up; it serves callers as soon as it has a configuration.
 func Start(c Config) (*Instance, error) {
+	if c.Dialect == nil {
+		c.Dialect = postgres{}
+	}
 	i := &Instance{conf: c, random: newSeeded(c.Seed), metrics: newMetrics(c.Registry)}
 	i.boot = fmt.Sprintf("%08x", i.random.uint32())
 	i.prefix = string(c.Instance) + "-" + i.boot + "-"
@@ -107,7 +113,7 @@
 	i.host = owner.NewHost(owner.HostConfig{
 		Self: c.Instance, Claimant: group.Claimant(string(c.Instance) + "-" + i.boot), Driver: c.Backends,
 		Store: c.Store, Journal: i.journal, Random: i.random.fork(),
-		Now: time.Now, Opinion: i.tellOpinion, Registry: c.Registry, Baseline: c.Baseline.Baseline,
+		Now: clock.Now, Opinion: i.tellOpinion, Registry: c.Registry, Baseline: c.Baseline.Baseline,
 	})
 	i.hub = peer.NewHub(peer.Config{
 		Self: c.Instance, Center: c.Center, Secret: c.PeerSecret, Server: c.PeerServer, Client: c.PeerClient,
--- a/internal/entry/batch.go
+++ b/internal/entry/pgbatch.go
@@ -96,7 +96,7 @@
 }
 
 // gather takes in one message of the extended protocol; a fault refuses it.
-func (s *session) gather(message pgproto3.FrontendMessage) fault.Reason {
+func (s *pgSession) gather(message pgproto3.FrontendMessage) fault.Reason {
 	switch m := message.(type) {
 	case *pgproto3.Parse:
 		return s.gatherParse(m)
@@ -112,7 +112,7 @@
 	return fault.BadMessage
 }
 
-func (s *session) gatherParse(m *pgproto3.Parse) fault.Reason {
+func (s *pgSession) gatherParse(m *pgproto3.Parse) fault.Reason {
 	class := stmt.Classify(m.Query)
 	if class.Kind == stmt.Refused || class.Kind == stmt.Show && isOwn(class.Setting) {
 		return fault.NotSupported
@@ -138,7 +138,7 @@
 }
 
 // lookUp finds a statement and makes sure that the connection will know it.
-func (s *session) lookUp(name string) *prepared {
+func (s *pgSession) lookUp(name string) *prepared {
 	p := s.statements[name]
 	if p != nil && (name != "" || !s.batch.parsedHere) {
 		s.batch.need(p)
@@ -146,7 +146,7 @@
 	return p
 }
 
-func (s *session) gatherBind(m *pgproto3.Bind) fault.Reason {
+func (s *pgSession) gatherBind(m *pgproto3.Bind) fault.Reason {
 	p := s.lookUp(m.PreparedStatement)
 	bound := *m
 	if p != nil {
@@ -161,7 +161,7 @@
 	return fault.None
 }
 
-func (s *session) gatherDescribe(m *pgproto3.Describe) fault.Reason {
+func (s *pgSession) gatherDescribe(m *pgproto3.Describe) fault.Reason {
 	described := *m
 	if m.ObjectType == 'S' {
 		if p := s.lookUp(m.Name); p != nil {
@@ -173,7 +173,7 @@
 	return fault.None
 }
 
-func (s *session) gatherExecute(m *pgproto3.Execute) fault.Reason {
+func (s *pgSession) gatherExecute(m *pgproto3.Execute) fault.Reason {
 	class := stmt.Class{Kind: stmt.Pin}
 	if p := s.portals[m.Portal]; p != nil {
 		class = p.class
@@ -185,7 +185,7 @@
 }
 
 // gatherClose forgets a statement; the connections keep it for others.
-func (s *session) gatherClose(m *pgproto3.Close) fault.Reason {
+func (s *pgSession) gatherClose(m *pgproto3.Close) fault.Reason {
 	if m.ObjectType == 'S' && m.Name != "" {
 		delete(s.statements, m.Name)
 		s.batch.inserts = append(s.batch.inserts, proto.Insert{After: s.batch.answered, Kind: '3'})
--- a/internal/entry/settings.go
+++ b/internal/entry/pgsettings.go
@@ -51,7 +51,7 @@
 }
 
 // setOwn gives one of the proxy's own settings a value; an empty one resets it.
-func (s *session) setOwn(name, value string) error {
+func (s *pgSession) setOwn(name, value string) error {
 	switch name {
 	case tokenName:
 		return s.setToken(value)
@@ -71,7 +71,7 @@
 }
 
 // setToken raises the session's floor; a token of another group says nothing about this one.
-func (s *session) setToken(value string) error {
+func (s *pgSession) setToken(value string) error {
 	if value == "" {
 		return nil
 	}
@@ -85,7 +85,7 @@
 	return nil
 }
 
-func (s *session) showOwn(name string) (string, error) {
+func (s *pgSession) showOwn(name string) (string, error) {
 	switch name {
 	case tokenName:
 		return ident.Token{Group: s.access.Group, Floor: s.floor}.String(), nil
@@ -98,7 +98,7 @@
 }
 
 // queryOwn answers SET and SHOW of the proxy's own settings.
-func (s *session) queryOwn(c stmt.Class) (handled, alive bool) {
+func (s *pgSession) queryOwn(c stmt.Class) (handled, alive bool) {
 	if c.Kind != stmt.Set && c.Kind != stmt.Show || !isOwn(c.Setting) || s.lostTx {
 		return false, true
 	}
@@ -122,7 +122,7 @@
 
 const textOID = 25
 
-func (s *session) sendRow(name, value string) {
+func (s *pgSession) sendRow(name, value string) {
 	s.wire.Send(&pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{
 		{Name: []byte(name), DataTypeOID: textOID, DataTypeSize: -1, TypeModifier: -1},
 	}})
@@ -131,7 +131,7 @@
 }
 
 // noteSettings remembers a SET that the server accepted, to replay it on other connections.
-func (s *session) noteSettings(w *owner.Work, r owner.Result) {
+func (s *pgSession) noteSettings(w *owner.Work, r owner.Result) {
 	if w.Kind != stmt.Set || r.ErrorCode != "" {
 		return
 	}
@@ -144,7 +144,7 @@
 }
 
 // remember keeps a setting for replay; an empty value forgets it.
-func (s *session) remember(name, value string) {
+func (s *pgSession) remember(name, value string) {
 	kept := make([]proto.Setting, 0, len(s.settings)+1)
 	for _, known := range s.settings {
 		if known.Name != name {
--- a/internal/entry/sink.go
+++ b/internal/entry/pgsink.go
@@ -13,7 +13,7 @@
 // callerSink holds an answer back until its outcome is known; a long answer to a
 // read is passed on while it comes.
 type callerSink struct {
-	session *session
+	session *pgSession
 	stream  bool
 	passed  bool
 	held    []byte
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -2,16 +2,10 @@
 
 import (
 	"context"
-	"crypto/tls"
-	"encoding/binary"
-	"io"
 	"net"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/jackc/pgx/v5/pgproto3"
-
 	"geraniumseam.dev/internal/fault"
 	"geraniumseam.dev/internal/owner"
 	"geraniumseam.dev/internal/proto"
@@ -19,17 +13,6 @@
 	"geraniumseam.dev/pkg/ident"
 )
 
-const (
-	// startupTime bounds the time from a connection to its first request.
-	startupTime = 10 * time.Second
-	// maxMessage bounds one message of a caller, in bytes.
-	maxMessage = 64 << 20
-	// maxPassword bounds the password message, in bytes.
-	maxPassword = 1024
-	// lingerClose is how long a closed caller may still read its last answer.
-	lingerClose = 500 * time.Millisecond
-)
-
 //go:generate go tool stringer -type=stage -linecomment -output=stage_string.go
 
 // stage is where a session stands between two requests.
@@ -42,14 +25,22 @@
 	closing               // closing
 )
 
-// session is one caller's connection.
-type session struct {
+// TxStatus says how a session's transaction stands.
+type TxStatus byte
+
+// The transaction statuses, named as every dialect so far names them.
+const (
+	Outside TxStatus = 'I'
+	Inside  TxStatus = 'T'
+	Broken  TxStatus = 'E'
+)
+
+// Session is one caller's connection as the engine sees it, whatever its dialect.
+type Session struct {
 	instance *Instance
 	process  uint32
 	secret   uint32
 	conn     net.Conn
-	secure   bool
-	wire     *pgproto3.Backend
 
 	// mu guards what other goroutines look at.
 	mu      sync.Mutex
@@ -59,6 +50,8 @@
 	revoked fault.Reason
 	retired bool
 	cancels context.CancelFunc
+	// open is set while the caller has a transaction open, also one that no server knows yet.
+	open bool
 
 	// The rest belongs to the session's goroutine.
 	floor     ident.Floor
@@ -68,233 +61,56 @@
 	maxAge    time.Duration
 	hasMaxAge bool
 	settings  []proto.Setting
-	status    byte
+	status    TxStatus
 	tx        owner.TxID
 	txOwner   ident.InstanceID
-	// lostTx is set while the caller has not yet acknowledged that its transaction is gone.
-	lostTx     bool
-	pinned     bool
-	statements map[string]*prepared
-	portals    map[string]*prepared
-	batch      batch
-	skipping   bool
+	pinned    bool
 }
 
-func newSession(i *Instance, process uint32, conn net.Conn) *session {
-	return &session{
-		instance: i, process: process, secret: i.random.uint32(), conn: conn, status: 'I',
-	}
+// Dialect speaks with callers on behalf of the engine.
+type Dialect interface {
+	// Serve speaks with one caller until it leaves or the session ends.
+	Serve(s *Session)
 }
 
-// markOf hashes an instance's name into the leading bits of its process numbers.
-func markOf(name string) uint32 {
-	return uint32(xxhash.Sum64String(name)>>32) &^ (1<<(32-instanceBits) - 1)
+func newSession(i *Instance, process uint32, conn net.Conn) *Session {
+	return &Session{
+		instance: i, process: process, secret: i.random.uint32(), conn: conn, status: Outside,
+	}
 }
 
-func (s *session) run() {
+func (s *Session) run() {
 	defer s.instance.callers.remove(s)
-	defer s.finish()
-	_ = s.conn.SetDeadline(time.Now().Add(startupTime))
-	s.wire = pgproto3.NewBackend(s.conn, s.conn)
-	if !s.start() {
-		return
-	}
-	_ = s.conn.SetDeadline(time.Time{})
-	s.serve()
+	defer s.endTx()
+	s.instance.conf.Dialect.Serve(s)
 }
 
-// finish frees what the session held and closes its connection so that the caller can still read.
-func (s *session) finish() {
-	s.endTx()
-	if half, ok := s.conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
-		_ = s.conn.SetReadDeadline(time.Now().Add(lingerClose))
-		_, _ = io.Copy(io.Discard, io.LimitReader(s.conn, maxMessage))
-	}
-	s.conn.Close()
-}
+// Conn returns the caller's connection.
+func (s *Session) Conn() net.Conn { return s.conn }
 
-func (s *session) endTx() {
+func (s *Session) endTx() {
 	if s.tx == 0 {
 		return
 	}
 	s.instance.endTx(s.txOwner, s.access.Group, s.tx)
-	s.tx, s.status = 0, 'I'
-}
-
-// start greets the caller and lets it in.
-func (s *session) start() bool {
-	message, err := s.wire.ReceiveStartupMessage()
-	if err != nil {
-		s.refuseStart(fault.BadStartup)
-		return false
-	}
-	switch m := message.(type) {
-	case *pgproto3.SSLRequest:
-		return s.startTLS()
-	case *pgproto3.GSSEncRequest:
-		if _, err := s.conn.Write([]byte{'N'}); err != nil {
-			return false
-		}
-		return s.start()
-	case *pgproto3.CancelRequest:
-		s.cancelOther(m)
-		return false
-	case *pgproto3.StartupMessage:
-		return s.admit(m)
-	}
-	s.refuseStart(fault.BadStartup)
-	return false
-}
-
-func (s *session) cancelOther(m *pgproto3.CancelRequest) {
-	if len(m.SecretKey) != 4 {
-		return
-	}
-	secret := binary.BigEndian.Uint32(m.SecretKey)
-	if !s.instance.callers.cancel(m.ProcessID, secret) {
-		s.instance.forwardCancel(m.ProcessID, secret)
-	}
-}
-
-func (s *session) startTLS() bool {
-	if s.instance.conf.CallerTLS == nil || s.secure {
-		if _, err := s.conn.Write([]byte{'N'}); err != nil {
-			return false
-		}
-		return s.start()
-	}
-	if _, err := s.conn.Write([]byte{'S'}); err != nil {
-		return false
-	}
-	secured := tls.Server(s.conn, s.instance.conf.CallerTLS)
-	ctx, cancel := context.WithTimeout(s.instance.tomb.Context(context.Background()), startupTime)
-	defer cancel()
-	if err := secured.HandshakeContext(ctx); err != nil {
-		return false
-	}
-	s.conn, s.secure = secured, true
-	s.wire = pgproto3.NewBackend(secured, secured)
-	return s.start()
-}
-
-// refuseStart ends a caller that was not let in.
-func (s *session) refuseStart(r fault.Reason) {
-	s.refuse(&fault.Fault{Reason: r, Outcome: fault.NotRun, Trace: s.instance.trace(), Fatal: true})
-	_ = s.wire.Flush()
-}
-
-// refuse counts and sends a fault; the caller flushes.
-func (s *session) refuse(f *fault.Fault) {
-	s.instance.journal.Refuse(f, s.access.Customer, s.access.Group)
-	s.wire.Send(f.Response())
-}
-
-// admit checks the caller's key; what was wrong is not told.
-func (s *session) admit(m *pgproto3.StartupMessage) bool {
-	if s.instance.conf.RequireTLS && !s.secure {
-		s.refuseStart(fault.PlaintextKey)
-		return false
-	}
-	snapshot := s.instance.keeper.Current()
-	database := ident.ServiceID(m.Parameters["database"])
-	key := ""
-	if !snapshot.IsOpen(database) {
-		var ok bool
-		if key, ok = s.askKey(); !ok {
-			return false
-		}
-	}
-	access, ok := s.instance.keeper.Current().Admit(ident.CustomerID(m.Parameters["user"]), database, conf.HashKey(key))
-	if !ok {
-		s.refuseStart(fault.KeyRefused)
-		return false
-	}
-	if access.Key != "" && s.instance.keysUnchecked() {
-		s.refuseStart(fault.KeyUnchecked)
-		return false
-	}
-	s.mu.Lock()
-	s.access, s.in = access, true
-	s.mu.Unlock()
-	return s.welcome(m.Parameters)
-}
-
-func (s *session) askKey() (string, bool) {
-	s.wire.Send(&pgproto3.AuthenticationCleartextPassword{})
-	if s.wire.Flush() != nil {
-		return "", false
-	}
-	_ = s.wire.SetAuthType(pgproto3.AuthTypeCleartextPassword)
-	s.wire.SetMaxBodyLen(maxPassword)
-	message, err := s.wire.Receive()
-	password, ok := message.(*pgproto3.PasswordMessage)
-	if err != nil || !ok {
-		s.refuseStart(fault.BadStartup)
-		return "", false
-	}
-	s.wire.SetMaxBodyLen(maxMessage)
-	return password.Password, true
-}
-
-// parameters are what a caller is told about the server at the start.
-var parameters = [][2]string{
-	{"server_version", "16.0"},
-	{"server_encoding", "UTF8"},
-	{"client_encoding", "UTF8"},
-	{"DateStyle", "ISO, MDY"},
-	{"IntervalStyle", "postgres"},
-	{"TimeZone", "UTC"},
-	{"integer_datetimes", "on"},
-	{"standard_conforming_strings", "on"},
-}
-
-// ownStartup are start-up parameters that are not settings of the database.
-var ownStartup = map[string]bool{
-	"user": true, "database": true, "application_name": true, "client_encoding": true, "replication": true, "options": true,
-}
-
-func (s *session) welcome(given map[string]string) bool {
-	s.floorOf = s.access.Group
-	for name, value := range given {
-		if ownStartup[name] {
-			continue
-		}
-		if isOwn(name) {
-			if s.setOwn(name, value) != nil {
-				s.refuseStart(fault.BadStartup)
-				return false
-			}
-			continue
-		}
-		if !validName(name) {
-			s.refuseStart(fault.BadStartup)
-			return false
-		}
-		s.remember(name, value)
-	}
-	s.wire.Send(&pgproto3.AuthenticationOk{})
-	for _, p := range parameters {
-		s.wire.Send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
-	}
-	s.wire.Send(&pgproto3.BackendKeyData{ProcessID: s.process, SecretKey: binary.BigEndian.AppendUint32(nil, s.secret)})
-	return s.ready()
+	s.tx, s.status = 0, Outside
 }
 
 // admitted returns what the caller was let in to, if it was.
-func (s *session) admitted() (conf.Access, bool) {
+func (s *Session) admitted() (conf.Access, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.access, s.in
 }
 
 // become moves between idle and running; it reports false if the session is to end instead.
-func (s *session) become(next stage) bool {
+func (s *Session) become(next stage) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.stage == closing {
 		return false
 	}
-	if next == idle && (s.revoked != fault.None || s.retired && s.tx == 0) {
+	if next == idle && (s.revoked != fault.None || s.retired && !s.open) {
 		s.stage = closing
 		return false
 	}
@@ -303,7 +119,7 @@
 }
 
 // revoke ends the session for a reason: at once when it is idle, soon when a request runs.
-func (s *session) revoke(r fault.Reason) {
+func (s *Session) revoke(r fault.Reason) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.revoked != fault.None || s.stage == closing {
@@ -319,7 +135,7 @@
 }
 
 // retire ends the session at its next boundary.
-func (s *session) retire() {
+func (s *Session) retire() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.retired = true
@@ -330,26 +146,10 @@
 }
 
 // interrupt wakes the session's goroutine out of its wait for a request.
-func (s *session) interrupt() { _ = s.conn.SetReadDeadline(time.Unix(1, 0)) }
-
-// sendTermination tells a caller why its session ends.
-func (s *session) sendTermination() {
-	s.mu.Lock()
-	reason := s.revoked
-	if reason == fault.None && s.retired {
-		reason = fault.ShuttingDown
-	}
-	s.mu.Unlock()
-	if reason == fault.None {
-		return
-	}
-	_ = s.conn.SetWriteDeadline(time.Now().Add(lingerClose))
-	s.refuse(&fault.Fault{Reason: reason, Outcome: fault.NotRun, Trace: s.instance.trace(), Fatal: true})
-	_ = s.wire.Flush()
-}
+func (s *Session) interrupt() { _ = s.conn.SetReadDeadline(time.Unix(1, 0)) }
 
 // cancelRunning stops the request that runs, if one does.
-func (s *session) cancelRunning() {
+func (s *Session) cancelRunning() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.cancels != nil {
@@ -357,11 +157,6 @@
 	}
 }
 
-func (s *session) ready() bool {
-	s.wire.Send(&pgproto3.ReadyForQuery{TxStatus: s.status})
-	return s.wire.Flush() == nil
-}
-
 // endTx rolls back a transaction at its owner.
 func (i *Instance) endTx(at ident.InstanceID, g ident.GroupID, tx owner.TxID) {
 	if at == i.conf.Instance {
--- a/internal/owner/coordinate.go
+++ b/internal/owner/coordinate.go
@@ -6,12 +6,12 @@
 	"fmt"
 	"time"
 
+	"geraniumseam.dev/internal/clock"
 	"geraniumseam.dev/internal/jrnl"
 	"geraniumseam.dev/internal/plat"
 	"geraniumseam.dev/internal/proto"
 	"geraniumseam.dev/internal/rule/conf"
 	"geraniumseam.dev/internal/rule/group"
-	"geraniumseam.dev/pkg/ident"
 	"geraniumseam.dev/pkg/objs"
 )
 
@@ -21,7 +21,8 @@
 // coordinate runs the group's machine and carries out what it decides.
 func (g *Group) coordinate() error {
 	machine := group.New(group.Config{
-		Servers: g.serverIDs(), Claimant: g.conf.Claimant, Rank: int(g.rank.Load()), Timing: timing(g.limits.Load()),
+		Servers: g.present(), Claimant: g.conf.Claimant, Rank: int(g.rank.Load()), Timing: timing(g.limits.Load()),
+		Synchronous: g.conf.Group.Synchronous > 0,
 	})
 	ticker := time.NewTicker(tickPause)
 	defer ticker.Stop()
@@ -34,6 +35,7 @@
 		case <-ticker.C:
 			event = group.Tick{}
 			machine.SetRank(int(g.rank.Load()))
+			machine.SetServers(g.present())
 			machine.SetLeaving(*g.leaving.Load())
 		}
 		for _, a := range machine.Step(g.conf.Now(), event) {
@@ -46,14 +48,6 @@
 	return group.Timing{Silence: d.Silence, PathSilence: d.PathSilence, Stagger: d.Stagger, StepTime: d.StepTime}
 }
 
-func (g *Group) serverIDs() []ident.ServerID {
-	var ids []ident.ServerID
-	for _, s := range g.servers {
-		ids = append(ids, s.ID)
-	}
-	return ids
-}
-
 // carryOut starts an action; its end comes back as an event.
 func (g *Group) carryOut(action group.Action) {
 	switch a := action.(type) {
@@ -151,7 +145,10 @@
 func (g *Group) seal(a group.Seal) {
 	ctx, cancel := g.stepContext()
 	defer cancel()
-	s := g.servers[g.index[a.Server]]
+	s := g.at(a.Server)
+	if s == nil {
+		return
+	}
 	sealed := false
 	err := s.run(ctx, func(ctx context.Context, c proto.Conn) (err error) {
 		sealed, err = c.Seal(ctx, a.Term, a.Claimant)
@@ -167,14 +164,14 @@
 
 // statusAfter asks for a server's state after something was done to it.
 func (g *Group) statusAfter(ctx context.Context, s *server) (group.Status, error) {
-	asked := time.Now()
+	asked := clock.Now()
 	var status group.Status
 	err := s.run(ctx, func(ctx context.Context, c proto.Conn) (err error) {
 		status, err = c.Status(ctx)
 		return err
 	})
 	if err == nil {
-		g.board.observe(s.at, status, asked, time.Now())
+		g.board.observe(s.at, status, asked, clock.Now())
 	}
 	return status, err
 }
@@ -182,7 +179,10 @@
 func (g *Group) promote(a group.Promote) {
 	ctx, cancel := g.stepContext()
 	defer cancel()
-	s := g.servers[g.index[a.Server]]
+	s := g.at(a.Server)
+	if s == nil {
+		return
+	}
 	leads := false
 	err := s.run(ctx, func(ctx context.Context, c proto.Conn) (err error) {
 		leads, err = g.conf.Driver.Promote(ctx, c, s.target, a.Term, a.Claimant)
@@ -191,7 +191,7 @@
 	if err != nil {
 		return
 	}
-	if leads {
+	if leads && g.conf.Group.Synchronous == 0 {
 		_, _ = g.statusAfter(ctx, s)
 	}
 	g.tell(group.Promoted{Term: a.Term, Server: a.Server, OK: leads})
@@ -200,7 +200,10 @@
 func (g *Group) follow(a group.Follow) {
 	ctx, cancel := g.stepContext()
 	defer cancel()
-	s := g.servers[g.index[a.Server]]
+	s := g.at(a.Server)
+	if s == nil {
+		return
+	}
 	_ = s.run(ctx, func(ctx context.Context, c proto.Conn) error { return c.Follow(ctx, a.Term, a.Primary) })
 }
 
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -1,7 +1,9 @@
 package owner
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -57,13 +59,20 @@
 	target  proto.Target
 	kick    chan struct{}
 	control chan *controlCall
+	// gone is closed once the server has left the group.
+	gone chan struct{}
+}
+
+// roster is the servers that a group has had; places are never given out twice.
+type roster struct {
+	servers []*server
+	index   map[ident.ServerID]int
 }
 
 // Group is one database group at one of its owners.
 type Group struct {
 	conf    GroupConfig
-	servers []*server
-	index   map[ident.ServerID]int
+	roster  atomic.Pointer[roster]
 	board   *board
 	events  chan group.Event
 	waiting atomic.Int64
@@ -85,25 +94,15 @@
 // NewGroup starts watching a group.
 func NewGroup(c GroupConfig) *Group {
 	g := &Group{
-		conf: c, index: map[ident.ServerID]int{}, board: newBoard(len(c.Group.Servers)),
+		conf: c, board: newBoard(),
 		events: make(chan group.Event, eventQueue), txs: map[TxID]*transaction{},
 	}
 	g.limits.Store(&c.Defaults)
 	g.rank.Store(int64(c.Rank))
-	limit := poolLimit(c.Group.Connections, c.Owners)
-	for at, s := range c.Group.Servers {
-		target := proto.Target{Server: s.ID, Address: s.Address, Group: c.ID}
-		g.index[s.ID] = at
-		g.servers = append(g.servers, &server{
-			Server: s, at: at, target: target, kick: make(chan struct{}, 1), control: make(chan *controlCall, 8),
-			pool: newPool(poolConfig{target: target, driver: c.Driver}, limit, c.Defaults.QueueLength, c.Now),
-		})
-	}
-	g.noteLeaving(c.Group)
-	for _, s := range g.servers {
-		g.tomb.Go(func() error { return g.watch(s) })
-	}
+	g.roster.Store(&roster{index: map[ident.ServerID]int{}})
 	g.tomb.Go(g.coordinate)
+	g.enroll(c.Group, poolLimit(c.Group.Connections, c.Owners))
+	g.noteLeaving(c.Group)
 	g.tomb.Go(g.reap)
 	return g
 }
@@ -114,20 +113,73 @@
 	return max((connections-owners)/owners, 1)
 }
 
+// enroll starts watching the servers that are new and gives up those that are gone.
+func (g *Group) enroll(c conf.Group, limit int) {
+	old := g.roster.Load()
+	next := &roster{servers: slices.Clone(old.servers), index: map[ident.ServerID]int{}}
+	var fresh []*server
+	for _, s := range c.Servers {
+		if at, known := old.index[s.ID]; known && old.servers[at].Address == s.Address && old.servers[at].Born == s.Born {
+			next.index[s.ID] = at
+			continue
+		}
+		target := proto.Target{Server: s.ID, Address: s.Address, Group: g.conf.ID}
+		added := &server{
+			Server: s, at: len(next.servers), target: target, kick: make(chan struct{}, 1), control: make(chan *controlCall, 8),
+			pool: newPool(poolConfig{target: target, driver: g.conf.Driver}, limit, g.limits.Load().QueueLength, g.conf.Now),
+			gone: make(chan struct{}),
+		}
+		next.index[s.ID] = added.at
+		next.servers = append(next.servers, added)
+		fresh = append(fresh, added)
+	}
+	g.board.extend(len(next.servers))
+	g.roster.Store(next)
+	for id, at := range old.index {
+		if now, kept := next.index[id]; !kept || now != at {
+			g.dismiss(old.servers[at])
+		}
+	}
+	for _, s := range fresh {
+		g.tomb.Go(func() error { return g.watch(s) })
+	}
+}
+
+// dismiss gives up a server that has left the group.
+func (g *Group) dismiss(s *server) {
+	close(s.gone)
+	g.board.dismiss(s.at)
+	s.pool.close()
+	g.note(jrnl.Event{Kind: jrnl.ServerLeaving, Server: s.ID, Evidence: "it is no longer listed"})
+}
+
+// all returns the servers by place, those that are gone included.
+func (g *Group) all() []*server { return g.roster.Load().servers }
+
+// at returns a server by name, nil if it is no server of the group now.
+func (g *Group) at(id ident.ServerID) *server {
+	r := g.roster.Load()
+	if at, ok := r.index[id]; ok {
+		return r.servers[at]
+	}
+	return nil
+}
+
+// present returns the names of the servers that the group has now.
+func (g *Group) present() []ident.ServerID {
+	return slices.Sorted(maps.Keys(g.roster.Load().index))
+}
+
 // Update takes in new limits, the servers that leave and this instance's place
 // among the owners; it reports false if the group must be started anew.
 func (g *Group) Update(c conf.Group, d conf.Defaults, rank, owners int) bool {
-	if len(c.Servers) != len(g.servers) {
+	if c.Synchronous != g.conf.Group.Synchronous || c.Slots != g.conf.Group.Slots {
 		return false
 	}
-	for at, s := range c.Servers {
-		if g.servers[at].ID != s.ID || g.servers[at].Address != s.Address {
-			return false
-		}
-	}
 	g.limits.Store(&d)
 	g.rank.Store(int64(rank))
-	for _, s := range g.servers {
+	g.enroll(c, poolLimit(c.Connections, owners))
+	for _, s := range g.all() {
 		s.pool.resize(poolLimit(c.Connections, owners))
 	}
 	g.noteLeaving(c)
@@ -136,7 +188,7 @@
 
 // yield frees the connections that the group's new owner needs, but one a server.
 func (g *Group) yield() {
-	for _, s := range g.servers {
+	for _, s := range g.all() {
 		s.pool.resize(1)
 		s.pool.dropIdle()
 	}
@@ -153,7 +205,9 @@
 	for id := range leaving {
 		if old == nil || !(*old)[id] {
 			g.note(jrnl.Event{Kind: jrnl.ServerLeaving, Server: id, Evidence: "the configuration says so"})
-			g.servers[g.index[id]].pool.dropIdle()
+			if s := g.at(id); s != nil {
+				s.pool.dropIdle()
+			}
 		}
 	}
 }
@@ -169,13 +223,13 @@
 	if v.primary == noPrimary {
 		return "", 0
 	}
-	return g.servers[v.primary].ID, v.term
+	return g.all()[v.primary].ID, v.term
 }
 
 // Stop ends the watch, refuses those who wait and drops open transactions.
 func (g *Group) Stop() {
 	g.tomb.Kill(nil)
-	for _, s := range g.servers {
+	for _, s := range g.all() {
 		s.pool.close()
 	}
 	g.mu.Lock()
@@ -205,7 +259,7 @@
 
 // pollNow makes every poller ask its server now.
 func (g *Group) pollNow() {
-	for _, s := range g.servers {
+	for _, s := range g.all() {
 		select {
 		case s.kick <- struct{}{}:
 		default:
--- a/internal/owner/read.go
+++ b/internal/owner/read.go
@@ -6,8 +6,10 @@
 
 	"github.com/juju/errors"
 
+	"geraniumseam.dev/internal/clock"
 	"geraniumseam.dev/internal/fault"
 	"geraniumseam.dev/internal/proto"
+	"geraniumseam.dev/internal/rule/conf"
 	"geraniumseam.dev/internal/rule/group"
 	"geraniumseam.dev/internal/rule/route"
 	"geraniumseam.dev/pkg/ident"
@@ -16,6 +18,9 @@
 
 // runRead runs a request on whichever server may serve it at the least cost.
 func (g *Group) runRead(ctx context.Context, w *Work, sink proto.Sink) Result {
+	if w.Reads == conf.LatestReads {
+		return g.runLatest(ctx, w, sink)
+	}
 	floor, ok := g.floorOf(ctx, w)
 	if !ok {
 		return notRun(fault.NoPrimary)
@@ -23,28 +28,95 @@
 	return g.try(ctx, w, func() attempt { return g.readOnce(ctx, w, floor, sink) })
 }
 
+// takeoverTime is less than what passes between the order to lead and the server's
+// taking the lead; the platform speaks of some hundred milliseconds.
+const takeoverTime = 200 * time.Millisecond
+
+// runLatest runs a read on the primary, which must not have been replaced before
+// the read arrived.
+func (g *Group) runLatest(ctx context.Context, w *Work, sink proto.Sink) Result {
+	arrived := clock.Now()
+	return g.try(ctx, w, func() attempt {
+		s, reason := g.awaitLeased(ctx, arrived)
+		if s == nil {
+			return attempt{result: notRun(reason)}
+		}
+		return g.readAt(ctx, w, s, false, ident.Floor{}, sink)
+	})
+}
+
+// awaitLeased returns the primary once it is known to have led at the given time.
+func (g *Group) awaitLeased(ctx context.Context, arrived time.Time) (*server, fault.Reason) {
+	lease := time.Duration(0)
+	if g.conf.Group.Synchronous > 0 {
+		lease = takeoverTime
+	}
+	var found *server
+	ended := g.await(ctx, func(v *view) bool {
+		found = nil
+		if v.primary == noPrimary || !g.canWrite(v, &v.servers[v.primary]) {
+			return false
+		}
+		asked, _, confirmed := v.confirmed()
+		if confirmed && !asked.Before(arrived) || v.leased(lease).After(arrived) {
+			found = g.all()[v.primary]
+		}
+		return found != nil
+	})
+	if ended {
+		return found, fault.None
+	}
+	return nil, fault.NoPrimary
+}
+
+// provenFloor returns what a server must hold to serve a read of stated age, and of
+// the session's own writes where the read asks for them; it is asked of the server itself.
+func (g *Group) provenFloor(ctx context.Context, w *Work) (ident.Floor, bool) {
+	arrived := clock.Now()
+	var aged ident.Floor
+	known := false
+	g.await(ctx, func(*view) bool {
+		aged, known = g.board.agedFloor(arrived, w.MaxAge)
+		return known
+	})
+	if w.Reads == conf.SessionReads {
+		aged = aged.Raise(w.Floor)
+	}
+	return aged, known
+}
+
+// proven reports whether the work's floor is asked of the servers.
+func (g *Group) proven(w *Work) bool { return w.MaxAge > 0 && g.conf.Driver.Proves() }
+
 // stay returns the server that the session read last if it is still the best
 // choice, and whether it is a replica; otherwise nil.
 func (g *Group) stay(w *Work, floor ident.Floor) (*server, bool) {
 	if w.Seen.Server == "" || w.Seen.Owner != g.conf.Self {
 		return nil, false
 	}
-	c, ok := g.pick(requestOf(w, floor, ident.Floor{}), g.board.current.Load()).(route.Serve)
+	c, ok := g.pick(g.requestOf(w, floor, ident.Floor{}), g.board.current.Load()).(route.Serve)
 	if !ok || c.Server != w.Seen.Server {
 		return nil, false
 	}
-	return g.servers[g.index[c.Server]], !c.Primary
+	return g.at(c.Server), !c.Primary
 }
 
-func requestOf(w *Work, floor, elsewhere ident.Floor) route.Request {
+func (g *Group) requestOf(w *Work, floor, elsewhere ident.Floor) route.Request {
+	age := w.MaxAge
+	if g.proven(w) {
+		age = 0
+	}
 	return route.Request{
-		Floor: floor, Elsewhere: elsewhere, MaxAge: w.MaxAge, Wait: w.Limits.ReadWait,
+		Floor: floor, Elsewhere: elsewhere, MaxAge: age, Wait: w.Limits.ReadWait,
 		PrimaryCost: w.Limits.PrimaryCost, Last: w.Seen.Server,
 	}
 }
 
 // floorOf returns the session's floor; one without takes the confirmed primary's position.
 func (g *Group) floorOf(ctx context.Context, w *Work) (ident.Floor, bool) {
+	if g.proven(w) {
+		return g.provenFloor(ctx, w)
+	}
 	if w.Settled || w.MaxAge > 0 || w.Kind == stmt.Set || g.conf.Baseline.FirstReplica {
 		return w.Floor, true
 	}
@@ -70,8 +142,8 @@
 func (g *Group) boundSince(seen Seen) (ident.Floor, bool) {
 	v := g.board.current.Load()
 	ended := time.Unix(0, seen.Mark)
-	if at, ok := g.index[seen.Server]; ok {
-		if r := &v.servers[at]; r.known && r.asked.After(ended) {
+	if s := g.at(seen.Server); s != nil && s.at < len(v.servers) {
+		if r := &v.servers[s.at]; r.known && r.asked.After(ended) {
 			return ident.Floor{Term: r.status.Term, Position: r.status.Applied}, true
 		}
 	}
@@ -93,6 +165,11 @@
 			return attempt{result: notRun(reason)}
 		}
 	}
+	return g.readAt(ctx, w, s, replica, floor, sink)
+}
+
+// readAt runs a read on the chosen server.
+func (g *Group) readAt(ctx context.Context, w *Work, s *server, replica bool, floor ident.Floor, sink proto.Sink) attempt {
 	got := s.pool.acquire(ctx, flowOf(w), w.Weight, min(w.Limits.Queue, untilDeadline(ctx)))
 	if got.conn == nil {
 		again := got.reason == fault.ConnectFailed || got.reason == fault.ServerFull
@@ -108,15 +185,26 @@
 	held := &bufferedSink{sink: sink, whole: g.mayReadUnheld(replica)}
 	request := w.Request
 	request.Position = held.whole
-	began := time.Now()
+	if g.proven(w) && w.Reads != conf.LatestReads && (replica || floor.Term >= g.board.current.Load().term) {
+		request.After = floor
+	}
+	began := clock.Now()
 	answer, err := s.pool.run(ctx, c, &request, held, true)
 	if err != nil {
 		s.pool.release(c, 0)
 		return g.brokenRead(ctx, err, held)
 	}
+	if answer.Refusal.NotRun() || answer.Refusal == proto.Failed && answer.TxStatus == 'I' && !held.passed {
+		s.pool.release(c, clock.Since(began))
+		g.refused(s, answer.Refusal)
+		return attempt{result: Result{Outcome: fault.NotRun, Reason: refusalReasons[answer.Refusal], ErrorCode: answer.ErrorCode}, again: true}
+	}
+	if g.proven(w) || w.Reads == conf.LatestReads {
+		floor = w.Floor
+	}
 	result := Result{
 		Floor: floor, TxStatus: answer.TxStatus, Replica: replica, ErrorCode: answer.ErrorCode,
-		Seen: Seen{Owner: g.conf.Self, Server: s.ID, Mark: time.Now().UnixNano()},
+		Seen: Seen{Owner: g.conf.Self, Server: s.ID, Mark: clock.Now().UnixNano()},
 	}
 	if answer.TxStatus != 'I' {
 		return attempt{result: g.openReading(s, c, result, replica, held)}
@@ -124,8 +212,8 @@
 	if w.Kind == stmt.Set {
 		c.Taint()
 	}
-	s.pool.release(c, time.Since(began))
-	if held.whole && answer.HasStatus && !g.seenHeld(ctx, w, answer.Status) {
+	s.pool.release(c, clock.Since(began))
+	if held.whole && answer.HasStatus && g.conf.Group.Synchronous == 0 && !g.seenHeld(ctx, w, answer.Status) {
 		return attempt{result: notRun(fault.AnswerUnconfirmed), again: true}
 	}
 	if err := held.flush(); err != nil {
@@ -139,7 +227,7 @@
 // three makes a majority with its primary.
 func (g *Group) mayReadUnheld(replica bool) bool {
 	const heldByTwo = 3
-	return !replica || len(g.servers) > heldByTwo
+	return !replica || g.board.current.Load().size() > heldByTwo
 }
 
 // seenHeld waits until a majority holds all that a read may have seen.
@@ -178,16 +266,18 @@
 
 // choose returns a server that may serve the read, waiting where that is the cheapest.
 func (g *Group) choose(ctx context.Context, w *Work, floor, elsewhere ident.Floor) (*server, bool, fault.Reason) {
-	r := requestOf(w, floor, elsewhere)
-	began := time.Now()
+	r := g.requestOf(w, floor, elsewhere)
+	began := clock.Now()
 	for {
 		v := g.board.current.Load()
 		switch c := g.pick(r, v).(type) {
 		case route.Serve:
-			return g.servers[g.index[c.Server]], !c.Primary, fault.None
+			if s := g.at(c.Server); s != nil {
+				return s, !c.Primary, fault.None
+			}
 		case route.Await:
 			g.awaitReplica(ctx, c, floor.Raise(elsewhere))
-			r.Wait = max(0, w.Limits.ReadWait-time.Since(began))
+			r.Wait = max(0, w.Limits.ReadWait-clock.Since(began))
 		case route.None:
 			if !g.awaitAny(ctx, r) {
 				return nil, false, fault.NoServer
@@ -203,9 +293,12 @@
 func (g *Group) awaitReplica(ctx context.Context, c route.Await, floor ident.Floor) {
 	ctx, cancel := context.WithTimeout(ctx, c.For+awaitSlack)
 	defer cancel()
-	at := g.index[c.Server]
+	awaited := g.at(c.Server)
+	if awaited == nil {
+		return
+	}
 	g.await(ctx, func(v *view) bool {
-		s := &v.servers[at].status
+		s := &v.servers[awaited.at].status
 		return floor.ReachedBy(s.Term, s.Applied)
 	})
 }
@@ -221,7 +314,7 @@
 func (g *Group) pick(r route.Request, v *view) route.Choice {
 	switch {
 	case g.conf.Baseline.PrimaryOnly && v.primary != noPrimary:
-		return route.Serve{Server: g.servers[v.primary].ID, Primary: true}
+		return route.Serve{Server: g.all()[v.primary].ID, Primary: true}
 	case g.conf.Baseline.FirstReplica:
 		r.Floor, r.Elsewhere = ident.Floor{}, ident.Floor{}
 	}
@@ -230,13 +323,18 @@
 
 // candidates describes every server to the decision.
 func (g *Group) candidates(r route.Request, v *view) []route.Server {
-	list := make([]route.Server, len(g.servers))
+	servers := g.all()[:len(v.servers)]
+	list := make([]route.Server, 0, len(servers))
 	leaving := *g.leaving.Load()
-	now := time.Now()
-	for at, s := range g.servers {
+	now := clock.Now()
+	for at, s := range servers {
 		report := &v.servers[at]
+		if report.gone {
+			continue
+		}
 		load, service := s.pool.load()
-		c := &list[at]
+		list = append(list, route.Server{})
+		c := &list[len(list)-1]
 		c.ID, c.Primary = s.ID, at == v.primary
 		c.Term, c.Applied = report.status.Term, report.status.Applied
 		c.Usable = g.usable(report, now)
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -6,6 +6,7 @@
 
 	"github.com/juju/errors"
 
+	"geraniumseam.dev/internal/clock"
 	"geraniumseam.dev/internal/fault"
 	"geraniumseam.dev/internal/proto"
 	"geraniumseam.dev/internal/rule/fair"
@@ -26,7 +27,7 @@
 		defer cancel()
 	}
 	g.conf.Budget.Earn()
-	g.used.Store(time.Now().UnixNano())
+	g.used.Store(clock.Now().UnixNano())
 	if w.Tx != 0 {
 		return g.runInTx(ctx, w, sink)
 	}
@@ -109,20 +110,21 @@
 	held := &heldSink{}
 	request := w.Request
 	request.Position = true
-	began := time.Now()
+	began := clock.Now()
 	answer, err := s.pool.run(ctx, got.conn, &request, held, false)
 	if err != nil {
 		s.pool.release(got.conn, 0)
 		return g.brokenWrite(ctx, err)
 	}
-	if refusedByServer(answer) {
+	if answer.Refusal.NotRun() && (answer.TxStatus == 'I' || !got.conn.Clean()) {
 		s.pool.release(got.conn, 0)
-		return attempt{result: notRun(fault.ServerReadOnly), again: true, free: true}
+		g.refused(s, answer.Refusal)
+		return attempt{result: Result{Outcome: fault.NotRun, Reason: refusalReasons[answer.Refusal], ErrorCode: answer.ErrorCode}, again: true, free: true}
 	}
 	if answer.TxStatus != 'I' || w.Pin {
 		return attempt{result: g.open(w, s, got.conn, answer, held, sink)}
 	}
-	s.pool.release(got.conn, time.Since(began))
+	s.pool.release(got.conn, clock.Since(began))
 	return attempt{result: g.finishWrite(ctx, w, answer, held, sink)}
 }
 
@@ -136,6 +138,23 @@
 	return time.Until(deadline)
 }
 
+// refusalReasons gives the reason of a request that a server refused without running it.
+var refusalReasons = map[proto.Refusal]fault.Reason{
+	proto.ReadOnly: fault.ServerReadOnly, proto.Busy: fault.ServerBusy, proto.Behind: fault.FloorUnreached,
+	proto.Unprepared: fault.ConnectionLost, proto.Misdirected: fault.ConnectFailed, proto.Failed: fault.ServerFailed,
+}
+
+// refused reacts to a server that would not run a request: who leads is asked anew
+// after a refused write, idle connections of a server that is another are closed.
+func (g *Group) refused(s *server, r proto.Refusal) {
+	switch r {
+	case proto.ReadOnly, proto.Behind:
+		g.pollNow()
+	case proto.Misdirected:
+		s.pool.dropIdle()
+	}
+}
+
 // refusedByServer reports an answer that says the server takes no writes, outside any transaction: nothing ran.
 func refusedByServer(a proto.Answer) bool {
 	return a.Refusal == proto.ReadOnly && a.TxStatus == 'I'
@@ -163,17 +182,22 @@
 // finishWrite waits until a majority holds the write, then hands the answer on.
 func (g *Group) finishWrite(ctx context.Context, w *Work, a proto.Answer, held *heldSink, sink proto.Sink) Result {
 	result := Result{Floor: w.Floor, TxStatus: a.TxStatus, ErrorCode: a.ErrorCode}
-	if a.ErrorCode == "" && !g.conf.Baseline.AckAtOnce {
+	if a.ErrorCode == "" && !g.acknowledgesItself() {
 		if reason := g.awaitHeld(ctx, w, a.Status); reason != fault.None {
 			return unknown(reason)
 		}
 	}
-	if a.ErrorCode == "" {
+	if a.ErrorCode == "" && a.HasStatus {
 		result.Floor = w.Floor.Raise(ident.Floor{Term: a.Status.Term, Position: a.Status.Received})
 	}
 	return g.hand(result, held.bytes, sink)
 }
 
+// acknowledgesItself reports whether an answer to a write says that the write lasts.
+func (g *Group) acknowledgesItself() bool {
+	return g.conf.Baseline.AckAtOnce || g.conf.Group.Synchronous > 0
+}
+
 func (g *Group) hand(r Result, bytes []byte, sink proto.Sink) Result {
 	if err := sink.Emit(bytes); err != nil {
 		return unknown(fault.PeerLost)
@@ -233,7 +257,7 @@
 	ended := g.await(ctx, func(v *view) bool {
 		found = nil
 		if v.primary != noPrimary && g.canWrite(v, &v.servers[v.primary]) {
-			found = g.servers[v.primary]
+			found = g.all()[v.primary]
 		}
 		return found != nil
 	})
@@ -245,12 +269,12 @@
 
 // canWrite reports whether a primary answered lately and no later term has sealed it.
 func (g *Group) canWrite(v *view, r *report) bool {
-	return !r.missed && r.status.Sealed <= v.term && time.Since(r.got) < g.limits.Load().Silence
+	return !r.missed && r.status.Sealed <= v.term && clock.Since(r.got) < g.limits.Load().Silence
 }
 
 // confirm returns the position that the confirmed primary had after the call began.
 func (g *Group) confirm(ctx context.Context) (ident.Floor, bool) {
-	began := time.Now()
+	began := clock.Now()
 	var floor ident.Floor
 	ok := g.await(ctx, func(v *view) bool {
 		asked, found, confirmed := v.confirmed()
--- a/internal/owner/tx.go
+++ b/internal/owner/tx.go
@@ -7,6 +7,7 @@
 
 	"github.com/juju/errors"
 
+	"geraniumseam.dev/internal/clock"
 	"geraniumseam.dev/internal/fault"
 	"geraniumseam.dev/internal/proto"
 	"geraniumseam.dev/pkg/ident"
@@ -61,7 +62,7 @@
 	for t.id == 0 || g.txs[t.id] != nil {
 		t.id = TxID(g.conf.Random.Uint64())
 	}
-	t.used = time.Now()
+	t.used = clock.Now()
 	g.txs[t.id] = t
 	return t.id
 }
@@ -101,7 +102,7 @@
 	request := w.Request
 	request.Position = !t.replica && w.Kind != stmt.Read
 	answer, err := t.server.pool.run(ctx, t.conn, &request, held, false)
-	t.used = time.Now()
+	t.used = clock.Now()
 	if w.Kind > stmt.Rollback {
 		t.wrote = true
 	}
@@ -132,7 +133,7 @@
 func (g *Group) afterInTx(ctx context.Context, w *Work, t *transaction, a proto.Answer, wrote bool, held *heldSink, sink proto.Sink) Result {
 	result := Result{Floor: w.Floor, TxStatus: a.TxStatus, Tx: t.id, Replica: t.replica, ErrorCode: a.ErrorCode}
 	if t.replica || !a.HasStatus {
-		result.Seen = Seen{Owner: g.conf.Self, Server: t.server.ID, Mark: time.Now().UnixNano()}
+		result.Seen = Seen{Owner: g.conf.Self, Server: t.server.ID, Mark: clock.Now().UnixNano()}
 	}
 	if a.TxStatus == 'I' && !t.pinned {
 		g.giveBack(t)
@@ -145,13 +146,13 @@
 	t.mu.Lock()
 	t.wrote = false
 	t.mu.Unlock()
-	if refusedByServer(a) {
-		return notRun(fault.ServerReadOnly)
+	if refusedByServer(a) || a.Refusal.NotRun() {
+		return notRun(refusalReasons[a.Refusal])
 	}
 	if a.ErrorCode != "" {
 		return g.hand(result, held.bytes, sink)
 	}
-	if !g.conf.Baseline.AckAtOnce {
+	if !g.acknowledgesItself() {
 		if reason := g.awaitHeld(ctx, w, a.Status); reason != fault.None {
 			return unknown(reason)
 		}
@@ -186,7 +187,7 @@
 			return nil
 		case <-ticker.C:
 		}
-		for _, id := range g.stale(time.Now()) {
+		for _, id := range g.stale(clock.Now()) {
 			g.End(id)
 		}
 	}
--- a/internal/owner/view.go
+++ b/internal/owner/view.go
@@ -18,6 +18,8 @@
 	got     time.Time
 	latency time.Duration
 	missed  bool
+	// gone is set once the server has left the group.
+	gone bool
 }
 
 // view is what an owner knows of a group at one moment; it never changes once made.
@@ -31,7 +33,6 @@
 
 // board publishes views and wakes those who wait for a better one.
 type board struct {
-	size    int
 	current atomic.Pointer[view]
 
 	mu      sync.Mutex
@@ -39,19 +40,42 @@
 	changed chan struct{}
 }
 
-func newBoard(size int) *board {
-	b := &board{size: size, changed: make(chan struct{})}
-	b.current.Store(&view{servers: make([]report, size), primary: noPrimary})
+func newBoard() *board {
+	b := &board{changed: make(chan struct{})}
+	b.current.Store(&view{primary: noPrimary})
 	return b
 }
 
+// extend makes room for servers that have joined the group.
+func (b *board) extend(size int) {
+	b.change(func(servers []report) []report {
+		for len(servers) < size {
+			servers = append(servers, report{})
+		}
+		return servers
+	})
+}
+
+// dismiss forgets a server that has left the group.
+func (b *board) dismiss(at int) {
+	b.update(at, func(r *report) { *r = report{gone: true} })
+}
+
 // update replaces one server's report and recomputes who leads.
 func (b *board) update(at int, change func(*report)) {
+	b.change(func(servers []report) []report {
+		if at < len(servers) && !servers[at].gone {
+			change(&servers[at])
+		}
+		return servers
+	})
+}
+
+func (b *board) change(change func([]report) []report) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	old := b.current.Load()
-	next := &view{servers: append([]report(nil), old.servers...), primary: noPrimary}
-	change(&next.servers[at])
+	next := &view{servers: change(append([]report(nil), old.servers...)), primary: noPrimary}
 	for i := range next.servers {
 		r := &next.servers[i]
 		if r.known && r.status.Role == group.Primary && r.status.Term > next.term {
@@ -107,7 +131,7 @@
 			times = append(times, r.asked)
 		}
 	}
-	need := group.Majority(len(v.servers))
+	need := group.Majority(v.size())
 	if len(times) < need || p.status.Sealed > v.term {
 		return time.Time{}, ident.Floor{}, false
 	}
@@ -141,7 +165,40 @@
 			statuses = append(statuses, r.status)
 		}
 	}
-	return group.Held(statuses, len(v.servers), primary.Term)
+	return group.Held(statuses, v.size(), primary.Term)
+}
+
+// size returns how many servers the group has now.
+func (v *view) size() int {
+	count := 0
+	for at := range v.servers {
+		if !v.servers[at].gone {
+			count++
+		}
+	}
+	return count
+}
+
+// leased returns until when reads at the primary see everything acknowledged: no
+// server could lead before that, for none of the group's servers was sealed when asked.
+func (v *view) leased(lease time.Duration) time.Time {
+	if v.primary == noPrimary || lease == 0 {
+		return time.Time{}
+	}
+	var asked time.Time
+	for at := range v.servers {
+		r := &v.servers[at]
+		if r.gone {
+			continue
+		}
+		if !r.known || r.status.Term != v.term || r.status.Sealed > v.term {
+			return time.Time{}
+		}
+		if asked.IsZero() || r.asked.Before(asked) {
+			asked = r.asked
+		}
+	}
+	return asked.Add(lease)
 }
 
 // superseded reports whether a majority has left the term for a later one.
@@ -154,6 +211,14 @@
 	return b.ages.Age(now, term, applied)
 }
 
+// agedFloor returns what held everything acknowledged longer ago than the age; false
+// where nothing proves it.
+func (b *board) agedFloor(now time.Time, age time.Duration) (ident.Floor, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ages.Floor(now.Add(-age))
+}
+
 // arrival estimates how long until a replica in the given state has caught up.
 func (b *board) arrival(r *report) time.Duration {
 	b.mu.Lock()
--- a/internal/owner/watch.go
+++ b/internal/owner/watch.go
@@ -6,9 +6,11 @@
 
 	"github.com/juju/errors"
 
+	"geraniumseam.dev/internal/clock"
 	"geraniumseam.dev/internal/jrnl"
 	"geraniumseam.dev/internal/proto"
 	"geraniumseam.dev/internal/rule/group"
+	"geraniumseam.dev/pkg/ident"
 )
 
 const (
@@ -38,10 +40,18 @@
 	conn    proto.Conn
 	told    time.Time
 	answers bool
+	// heard is when the server last answered, were it only that it is busy.
+	heard time.Time
 }
 
+// GoneError says that a server has left its group.
+type GoneError struct{ Server ident.ServerID }
+
+// Error implements error.
+func (e *GoneError) Error() string { return "server " + string(e.Server) + " has left its group" }
+
 func (g *Group) watch(s *server) error {
-	w := &watcher{group: g, server: s}
+	w := &watcher{group: g, server: s, heard: g.conf.Now()}
 	defer w.drop()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -49,6 +59,8 @@
 		select {
 		case <-g.tomb.Dying():
 			return nil
+		case <-s.gone:
+			return nil
 		case call := <-s.control:
 			w.call(call)
 			continue
@@ -67,7 +79,7 @@
 	switch {
 	case g.waiting.Load() > 0:
 		return waitedPollPause
-	case time.Since(time.Unix(0, g.used.Load())) < usedTime:
+	case clock.Since(time.Unix(0, g.used.Load())) < usedTime:
 		return d.Poll
 	default:
 		return max(d.Poll, d.Silence/idlePolls)
@@ -93,19 +105,41 @@
 		}
 	}
 	if err != nil {
+		if w.alive(err) {
+			return
+		}
 		w.missed()
 		return
 	}
-	w.group.board.observe(w.server.at, status, asked, time.Now())
+	w.heard = w.group.conf.Now()
+	w.group.board.observe(w.server.at, status, asked, clock.Now())
 	w.group.tell(group.Polled{Status: status})
 	w.tellPeers(true)
 }
 
+// alive reports whether a failed poll shows a server that has too much to do rather
+// than one that is gone: it refused politely, or still takes connections.
+func (w *watcher) alive(err error) bool {
+	var refused *proto.RefusedError
+	var dialed *proto.DialError
+	now := w.group.conf.Now()
+	switch {
+	case errors.As(err, &refused):
+		w.heard = now
+	case errors.As(err, &dialed) && dialed.Full:
+		w.heard = now
+	case errors.As(err, &dialed) && dialed.Reached:
+	default:
+		return false
+	}
+	return now.Sub(w.heard) < w.group.limits.Load().PathSilence
+}
+
 func (w *watcher) ask(ctx context.Context) (time.Time, group.Status, error) {
 	if err := w.connect(ctx); err != nil {
 		return time.Time{}, group.Status{}, err
 	}
-	asked := time.Now()
+	asked := clock.Now()
 	status, err := w.conn.Status(ctx)
 	if err != nil {
 		w.drop()
@@ -149,7 +183,7 @@
 	if w.group.conf.Opinion == nil {
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	if answers == w.answers && (answers || now.Sub(w.told) < opinionPause) {
 		return
 	}
@@ -174,6 +208,8 @@
 	c := &controlCall{ctx: ctx, run: f, done: make(chan error, 1)}
 	select {
 	case s.control <- c:
+	case <-s.gone:
+		return &GoneError{Server: s.ID}
 	case <-ctx.Done():
 		return ctx.Err()
 	}
--- a/internal/owner/work.go
+++ b/internal/owner/work.go
@@ -5,6 +5,7 @@
 
 	"geraniumseam.dev/internal/fault"
 	"geraniumseam.dev/internal/proto"
+	"geraniumseam.dev/internal/rule/conf"
 	"geraniumseam.dev/pkg/ident"
 	"geraniumseam.dev/pkg/stmt"
 )
@@ -40,6 +41,10 @@
 	// Pin keeps the connection after the request, for a session whose state lives on it.
 	Pin     bool          `cbor:"14,keyasint,omitempty"`
 	Request proto.Request `cbor:"15,keyasint"`
+	// Reads says which state the work may see.
+	Reads conf.Consistency `cbor:"16,keyasint,omitempty"`
+	// Target is the latency that the caller hopes for; 0 says nothing.
+	Target time.Duration `cbor:"17,keyasint,omitempty"`
 }
 
 // Limits bound one request.
--- a/internal/pgcon/conn.go
+++ b/internal/pgcon/conn.go
@@ -27,6 +27,9 @@
 // PerCustomer implements proto.Driver.
 func (*Driver) PerCustomer() bool { return false }
 
+// Proves implements proto.Driver.
+func (*Driver) Proves() bool { return false }
+
 const (
 	codeTooMany  = "53300"
 	codeReadOnly = "25006"
--- a/internal/proto/conn.go
+++ b/internal/proto/conn.go
@@ -28,6 +28,8 @@
 	Dial(ctx context.Context, t Target) (Conn, error)
 	// PerCustomer reports whether a connection serves one customer only.
 	PerCustomer() bool
+	// Proves reports whether a request can ask the server to hold Request.After.
+	Proves() bool
 	// Promote makes a sealed server lead the term; false means that it refused.
 	Promote(ctx context.Context, c Conn, t Target, term ident.Term, claimant group.Claimant) (bool, error)
 }
--- a/internal/proto/request.go
+++ b/internal/proto/request.go
@@ -139,9 +139,10 @@
 	Server ident.ServerID
 	// Code is the error code that the server gave, empty where it did not answer.
 	Code string
-	// Full is set if the server has no connection left.
-	Full  bool
-	Cause error
+	// Full is set if the server has no connection left, Reached if it took the connection.
+	Full    bool
+	Reached bool
+	Cause   error
 }
 
 // Error implements error.
@@ -152,6 +153,18 @@
 // Unwrap returns what stood in the way.
 func (e *DialError) Unwrap() error { return e.Cause }
 
+// RefusedError says that a server did not do what the proxy itself asked.
+type RefusedError struct {
+	Server  ident.ServerID
+	Refusal Refusal
+	Code    string
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("server %s: refused as %s (%s)", e.Server, e.Refusal, e.Code)
+}
+
 // ProtocolError says that the other end did not keep to the protocol.
 type ProtocolError struct{ What string }
 
--- a/internal/quota/borrow.go
+++ b/internal/quota/borrow.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"geraniumseam.dev/internal/clock"
 	"geraniumseam.dev/internal/rule/share"
 	"geraniumseam.dev/pkg/ident"
 )
@@ -88,12 +89,12 @@
 }
 
 func (q *Quota) ask(ctx context.Context, peer ident.InstanceID, want map[ident.CustomerID]float64) {
-	asked := time.Now()
+	asked := clock.Now()
 	given, err := q.conf.Ask(ctx, peer, want)
 	if err != nil {
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	for customer, amount := range given {
 		if amount <= 0 || amount > want[customer] {
 			continue
@@ -111,7 +112,7 @@
 // Give takes tokens out for a peer; an instance with demand of its own keeps half.
 func (q *Quota) Give(want map[ident.CustomerID]float64) map[ident.CustomerID]float64 {
 	given := map[ident.CustomerID]float64{}
-	now := time.Now()
+	now := clock.Now()
 	for customer, amount := range want {
 		if _, known := q.conf.Snapshot().Customers[customer]; !known || amount <= 0 {
 			continue
--- a/internal/quota/clerk.go
+++ b/internal/quota/clerk.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 	"gopkg.in/tomb.v2"
 
+	"geraniumseam.dev/internal/clock"
 	"geraniumseam.dev/internal/plat"
 	"geraniumseam.dev/internal/rule/share"
 	"geraniumseam.dev/pkg/ident"
@@ -136,7 +137,7 @@
 	}
 	center, terms := c.terms()
 	c.mu.Lock()
-	next, grants := c.rules.Renew(time.Now(), table, center, terms, asks)
+	next, grants := c.rules.Renew(clock.Now(), table, center, terms, asks)
 	c.mu.Unlock()
 	return grants, c.write(ctx, object, next)
 }
--- a/internal/quota/keep.go
+++ b/internal/quota/keep.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"geraniumseam.dev/internal/clock"
 	"geraniumseam.dev/internal/jrnl"
 	"geraniumseam.dev/internal/rule/share"
 )
@@ -78,7 +79,7 @@
 	center, terms := q.terms()
 	want := center / share.Part(max(q.conf.Members(), 1))
 	q.mu.Lock()
-	ask := q.holder.Ask(time.Now(), want, terms)
+	ask := q.holder.Ask(clock.Now(), want, terms)
 	q.mu.Unlock()
 	q.measure()
 	grant, err := q.submit(q.tomb.Context(context.Background()), ask)
@@ -105,7 +106,7 @@
 // measure brings the part that may be spent up to date.
 func (q *Quota) measure() {
 	q.mu.Lock()
-	usable := q.holder.Usable(time.Now())
+	usable := q.holder.Usable(clock.Now())
 	q.mu.Unlock()
 	old := q.part.Swap(int64(usable))
 	if old == int64(usable) {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"gopkg.in/tomb.v2"
 
+	"geraniumseam.dev/internal/clock"
 	"geraniumseam.dev/internal/fault"
 	"geraniumseam.dev/internal/jrnl"
 	"geraniumseam.dev/internal/plat"
@@ -146,7 +147,7 @@
 	if found, ok := q.accounts.Load(customer); ok {
 		return found.(*account)
 	}
-	fresh := &account{bucket: share.NewBucket(time.Now(), 0, 0), wake: make(chan struct{})}
+	fresh := &account{bucket: share.NewBucket(clock.Now(), 0, 0), wake: make(chan struct{})}
 	found, _ := q.accounts.LoadOrStore(customer, fresh)
 	return found.(*account)
 }
@@ -166,7 +167,7 @@
 
 // TakeNow spends one token if it is there.
 func (q *Quota) TakeNow(customer ident.CustomerID) bool {
-	return q.spend(q.account(customer), time.Now(), customer)
+	return q.spend(q.account(customer), clock.Now(), customer)
 }
 
 // Take waits up to wait for a token and spends it; None means that it was spent.
@@ -194,7 +195,7 @@
 		case <-timer.C:
 		}
 		timer.Stop()
-		if q.spend(a, time.Now(), customer) {
+		if q.spend(a, clock.Now(), customer) {
 			return fault.None, 0
 		}
 	}
@@ -221,7 +222,7 @@
 func (q *Quota) nextToken(a *account, customer ident.CustomerID) (<-chan struct{}, time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	q.resize(a, now, customer)
 	return a.wake, a.bucket.Until(now, 1)
 }
--- a/internal/rule/conf/check.go
+++ b/internal/rule/conf/check.go
@@ -100,7 +100,7 @@
 func (k *checker) group(id ident.GroupID, g Group) {
 	section := "group " + string(id)
 	k.name("group", string(id))
-	k.want(len(g.Servers) > 0, section, "servers", "at least one NAME@CENTER/ADDRESS")
+	k.want(len(g.Servers) > 0 || g.Listed, section, "servers", "at least one NAME@CENTER/ADDRESS")
 	k.want(g.Connections >= 2, section, "connections", "a whole number, at least 2")
 	k.want(g.Slots >= 1, section, "slots", "a whole number above 0")
 	for _, s := range g.Servers {
@@ -142,6 +142,8 @@
 	}
 	k.want(r.Worth > 0, section, "worth", "a number above 0")
 	k.want(r.MaxAge >= 0, section, "max-age", "a duration, not negative")
+	k.want(r.Reads != AgedReads || r.MaxAge > 0, section, "max-age", "a duration above 0 for reads of a stated age")
+	k.want(r.Timeout >= 0 && r.Target >= 0, section, "timeout", "durations, not negative")
 }
 
 func (k *checker) customer(id ident.CustomerID, c Customer) {
--- a/internal/rule/conf/config.go
+++ b/internal/rule/conf/config.go
@@ -73,14 +73,43 @@
 	MaxAge time.Duration `json:"max-age,omitempty"`
 	// Worth weighs the route's requests against others of the same customer.
 	Worth float64 `json:"worth"`
+	// Reads says which state reads on the route may see; left out, a route with a
+	// stated age sees data of that age, others see the session's own writes.
+	Reads Consistency `json:"reads,omitempty"`
+	// Timeout bounds one statement on the route; 0 leaves the default.
+	Timeout time.Duration `json:"timeout,omitempty"`
+	// Target is the latency that callers hope for; 0 says nothing.
+	Target time.Duration `json:"target,omitempty"`
 }
 
+//go:generate go tool stringer -type=Consistency -linecomment -output=consistency_string.go
+
+// Consistency says which state a read may see.
+type Consistency uint8
+
+// The consistencies.
+const (
+	// UsualReads sees data of the stated age, or the session's own writes where no age is stated.
+	UsualReads Consistency = iota // usual
+	// AgedReads sees data of the stated age.
+	AgedReads // aged
+	// SessionReads sees the session's own writes, and data of the stated age.
+	SessionReads // session
+	// LatestReads sees everything acknowledged before the read.
+	LatestReads // latest
+)
+
 // Group is a database group.
 type Group struct {
 	Servers []Server `json:"servers"`
 	// Connections is what each server accepts; Slots how many statements it runs at once.
 	Connections int `json:"connections"`
 	Slots       int `json:"slots"`
+	// Synchronous is how many replicas a primary itself waits for before it
+	// acknowledges a write; 0 leaves the wait to the proxy.
+	Synchronous int `json:"synchronous,omitempty"`
+	// Listed says that the servers come from the platform's list, not from here.
+	Listed bool `json:"listed,omitempty"`
 }
 
 // Server is one backend server of a group.
@@ -89,6 +118,8 @@
 	Center  ident.CenterID `json:"center"`
 	Address string         `json:"address"`
 	Leaving bool           `json:"leaving,omitempty"`
+	// Born tells apart two lives of a server under one name; 0 where it isn't told.
+	Born int64 `json:"born,omitempty"`
 }
 
 // Exception overrides one default for one scope, for a reason and perhaps a time.
--- a/internal/rule/conf/snapshot.go
+++ b/internal/rule/conf/snapshot.go
@@ -10,6 +10,8 @@
 type Snapshot struct {
 	Config
 	Version ident.Version
+	// Listed is the version of the platform's list of servers, 0 where none is in use.
+	Listed ident.Version
 
 	byHash map[Hash]ident.KeyID
 }
@@ -23,6 +25,38 @@
 	return s
 }
 
+// Listing is the platform's list of backend servers, by group, as of a version.
+type Listing struct {
+	Version ident.Version
+	Servers map[ident.GroupID][]Server
+}
+
+// WithServers returns the snapshot with the listed servers in the groups that ask for them.
+func (s *Snapshot) WithServers(l Listing) *Snapshot {
+	next := *s
+	next.Listed = l.Version
+	next.Groups = make(map[ident.GroupID]Group, len(s.Groups))
+	for id, g := range s.Groups {
+		if g.Listed {
+			g.Servers = l.Servers[id]
+		}
+		next.Groups[id] = g
+	}
+	return &next
+}
+
+// Holder returns the customer that a key belongs to.
+func (s *Snapshot) Holder(hash Hash) (ident.CustomerID, bool) {
+	id, known := s.byHash[hash]
+	return s.Keys[id].Customer, known
+}
+
+// Serves reports whether callers may name the database.
+func (s *Snapshot) Serves(database ident.ServiceID) bool {
+	_, found := s.routeNamed(database)
+	return found
+}
+
 // Access is what a caller was let in to.
 type Access struct {
 	Customer ident.CustomerID
@@ -34,6 +68,9 @@
 	Group   ident.GroupID
 	MaxAge  time.Duration
 	Worth   float64
+	Reads   Consistency
+	Timeout time.Duration
+	Target  time.Duration
 }
 
 // routeNamed finds a route; every service is a route of its own name.
@@ -69,6 +106,7 @@
 
 func (s *Snapshot) fill(a Access, r Route) Access {
 	a.Service, a.MaxAge, a.Worth = r.Service, r.MaxAge, r.Worth
+	a.Reads, a.Timeout, a.Target = r.Reads, r.Timeout, r.Target
 	a.Group = s.Services[r.Service].Group
 	return a
 }
--- a/internal/rule/group/detect.go
+++ b/internal/rule/group/detect.go
@@ -29,6 +29,9 @@
 // canMove reports whether the servers that stay make a majority and answer.
 func (m *Machine) canMove(now time.Time) bool {
 	staying := 0
+	if m.conf.Synchronous {
+		staying++ // the replicas alone hold every acknowledged write
+	}
 	for id, s := range m.servers {
 		if !m.leaving[id] && m.answers(now, s) {
 			staying++
--- a/internal/rule/group/machine.go
+++ b/internal/rule/group/machine.go
@@ -15,6 +15,9 @@
 	Timing   Timing
 	// Rank is this instance's place among those that watch the group; it can be changed later.
 	Rank int
+	// Synchronous says that a primary acknowledges what one replica holds, whichever
+	// that is, and that terms are counted by the servers.
+	Synchronous bool
 }
 
 // peerViewAge bounds how long another instance's view counts.
@@ -87,6 +90,21 @@
 // SetRank changes this instance's place among those that watch the group.
 func (m *Machine) SetRank(rank int) { m.conf.Rank = rank }
 
+// SetServers takes in which servers the group has now.
+func (m *Machine) SetServers(ids []ident.ServerID) {
+	m.conf.Servers = ids
+	for _, id := range ids {
+		if m.servers[id] == nil {
+			m.servers[id] = &server{}
+		}
+	}
+	for id := range m.servers {
+		if !slices.Contains(ids, id) {
+			delete(m.servers, id)
+		}
+	}
+}
+
 // SetLeaving names the servers that are about to be taken away: a primary among them is replaced, and none of them is chosen.
 func (m *Machine) SetLeaving(leaving map[ident.ServerID]bool) { m.leaving = leaving }
 
@@ -149,7 +167,7 @@
 // accept takes a newer primary as the group's.
 func (m *Machine) accept(s Status) []Action {
 	m.term, m.primary, m.suspected = s.Term, s.Server, false
-	if m.phase != idle && m.attempt <= s.Term {
+	if m.phase != idle && (m.attempt <= s.Term || m.conf.Synchronous) {
 		m.phase = idle
 	}
 	return []Action{m.note(NewPrimary, s.Server, fmt.Sprintf("it reports itself primary of term %d at %s", s.Term, s.Received))}
@@ -235,7 +253,7 @@
 // publishLate records a primary that was promoted while the platform was down,
 // or whose claimant died before it could publish.
 func (m *Machine) publishLate() []Action {
-	if m.primary == "" || m.conf.Rank != 0 {
+	if m.primary == "" || m.conf.Rank != 0 || m.conf.Synchronous {
 		return nil
 	}
 	if m.record.Term > m.term || m.record.Term == m.term && m.record.Settled {
@@ -273,12 +291,17 @@
 		return []Action{m.note(ClaimLost, m.primary, fmt.Sprintf("%s holds term %d", e.Record.Claimant, e.Record.Term))}
 	}
 	var actions []Action
+	if e.Down && m.conf.Synchronous {
+		// The servers know no claimants: without the platform two instances could both order.
+		m.stop(now)
+		return []Action{m.note(StoreDown, m.primary, "the platform did not answer; nobody may order a promotion")}
+	}
 	if e.Down {
 		actions = append(actions, m.note(StoreDown, m.primary, "the platform did not answer; the servers' seals arbitrate"))
 	} else {
 		m.record = Record{Term: e.Term, Primary: m.primary, Claimant: m.conf.Claimant}
 	}
-	if p := m.servers[m.primary]; p != nil && m.leaving[m.primary] && m.answers(now, p) {
+	if p := m.servers[m.primary]; p != nil && m.leaving[m.primary] && m.answers(now, p) && !m.conf.Synchronous {
 		m.phase, m.deadline, m.target = draining, now.Add(m.conf.Timing.StepTime), 0
 		return append(actions, Seal{Server: m.primary, Term: m.attempt, Claimant: m.conf.Claimant})
 	}
@@ -290,7 +313,7 @@
 	m.phase, m.deadline = sealing, now.Add(m.conf.Timing.StepTime)
 	var actions []Action
 	for _, id := range m.conf.Servers {
-		if !m.leaving[id] {
+		if !m.leaving[id] || m.conf.Synchronous {
 			actions = append(actions, Seal{Server: id, Term: m.attempt, Claimant: m.conf.Claimant})
 		}
 	}
@@ -319,7 +342,7 @@
 		return nil
 	}
 	m.sealed[e.Status.Server] = e.Status
-	if len(m.sealed) < Majority(len(m.servers)) {
+	if !m.sealedEnough() {
 		return nil
 	}
 	statuses := make([]Status, 0, len(m.sealed))
@@ -328,7 +351,7 @@
 			statuses = append(statuses, s)
 		}
 	}
-	best := Best(statuses)
+	best := m.best(statuses)
 	m.chosen = best.Server
 	m.phase, m.deadline = promoting, now.Add(m.conf.Timing.StepTime)
 	return []Action{
@@ -337,6 +360,45 @@
 	}
 }
 
+// sealedEnough reports whether the sealed servers hold every acknowledged write.
+func (m *Machine) sealedEnough() bool {
+	if !m.conf.Synchronous {
+		return len(m.sealed) >= Majority(len(m.servers))
+	}
+	// Any replica may be the one that holds a write beside the primary.
+	replicas := 0
+	for id := range m.servers {
+		_, sealed := m.sealed[id]
+		switch {
+		case id == m.primary:
+		case !sealed:
+			return false
+		default:
+			replicas++
+		}
+	}
+	return replicas > 0
+}
+
+// best chooses the server to lead: the most advanced, one that stays before one that leaves.
+func (m *Machine) best(statuses []Status) Status {
+	if !m.conf.Synchronous {
+		return Best(statuses)
+	}
+	best := Status{}
+	for _, s := range statuses {
+		if s.Server == m.primary {
+			continue
+		}
+		ahead := s.LogTerm > best.LogTerm || s.LogTerm == best.LogTerm && s.Received > best.Received
+		level := s.LogTerm == best.LogTerm && s.Received == best.Received
+		if best.Server == "" || ahead || level && m.leaving[best.Server] {
+			best = s
+		}
+	}
+	return best
+}
+
 func describe(statuses []Status) string {
 	text := fmt.Sprintf("%d servers sealed:", len(statuses))
 	slices.SortFunc(statuses, func(a, b Status) int { return int(b.LogTerm) - int(a.LogTerm) })
@@ -355,6 +417,9 @@
 		return []Action{m.note(SealFailed, e.Server, "the chosen server refused to lead: a later term has sealed it")}
 	}
 	m.phase = idle
+	if m.conf.Synchronous {
+		return m.ordered(now, e)
+	}
 	m.term, m.primary, m.suspected = e.Term, e.Server, false
 	leader := m.servers[e.Server]
 	leader.missing = time.Time{}
@@ -374,6 +439,18 @@
 	return actions
 }
 
+// takeoverTime is how long a server that was ordered to lead gets before the order is repeated.
+const takeoverTime = 3 * time.Second
+
+// ordered ends a promotion whose order was accepted: the server leads a little
+// later, and says so itself.
+func (m *Machine) ordered(now time.Time, e Promoted) []Action {
+	m.hold = now.Add(takeoverTime)
+	return []Action{
+		Note{What: Promoting, Server: e.Server, Term: e.Term, Evidence: "it had the most advanced log of the sealed replicas"},
+	}
+}
+
 // drainedTo notes what the sealed primary had last; one that refuses is not waited for.
 func (m *Machine) drainedTo(now time.Time, e Sealed) []Action {
 	if !e.OK {
--- a/internal/rule/route/ages.go
+++ b/internal/rule/route/ages.go
@@ -52,6 +52,17 @@
 	return 0, false
 }
 
+// Floor returns the earliest observed state that held everything acknowledged before
+// the given time; false where none was observed since.
+func (a *Ages) Floor(since time.Time) (ident.Floor, bool) {
+	for at := range a.seen {
+		if o := a.seen[at]; !o.asked.Before(since) {
+			return ident.Floor{Term: o.term, Position: o.position}, true
+		}
+	}
+	return ident.Floor{}, false
+}
+
 // Arrival estimates how long until a replica has caught up. It was asked at the
 // given time and had applied so much; it is expected to take as long again as it
 // had then been without the next position.
