--- a/internal/confs/keeper.go
+++ b/internal/confs/keeper.go
@@ -1,6 +1,8 @@
 package confs
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +20,8 @@
 	checked atomic.Int64
 
 	mu      sync.Mutex
+	plain   *conf.Snapshot
+	listing conf.Listing
 	bundle  Bundle
 	refused ident.Version
 	changed []func(*conf.Snapshot)
@@ -26,7 +30,8 @@
 // NewKeeper returns a keeper with an empty configuration in force.
 func NewKeeper(j *jrnl.Journal, now func() time.Time) *Keeper {
 	k := &Keeper{journal: j, now: now, bundle: Bundle{Pages: map[conf.PageName][]byte{}}}
-	k.current.Store(conf.NewSnapshot(conf.New(), 0))
+	k.plain = conf.NewSnapshot(conf.New(), 0)
+	k.current.Store(k.plain)
 	return k
 }
 
@@ -61,7 +66,8 @@
 		return false
 	}
 	k.bundle = b.only()
-	snapshot := conf.NewSnapshot(c, b.Version)
+	k.plain = conf.NewSnapshot(c, b.Version)
+	snapshot := k.plain.WithServers(k.listing)
 	k.current.Store(snapshot)
 	changed := k.changed
 	k.mu.Unlock()
@@ -75,6 +81,38 @@
 	return true
 }
 
+// OfferServers puts a list of backend servers to use if it is newer.
+func (k *Keeper) OfferServers(l conf.Listing, source string) bool {
+	k.mu.Lock()
+	// Entries that lapsed are given up without a new version.
+	fewer := l.Version == k.listing.Version && l.Count() < k.listing.Count()
+	if l.Version <= k.listing.Version && !fewer {
+		k.mu.Unlock()
+		return false
+	}
+	same := maps.EqualFunc(l.Servers, k.listing.Servers, slices.Equal)
+	k.listing = l
+	snapshot := k.plain.WithServers(l)
+	k.current.Store(snapshot)
+	changed := k.changed
+	k.mu.Unlock()
+	if same {
+		return true
+	}
+	k.journal.Add(jrnl.Event{Kind: jrnl.ServersListed, Version: l.Version, Evidence: "learnt from " + source})
+	for _, f := range changed {
+		f(snapshot)
+	}
+	return true
+}
+
+// Listing returns the list of backend servers in use.
+func (k *Keeper) Listing() conf.Listing {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.listing
+}
+
 func (k *Keeper) refuse(b Bundle, err error, source string) {
 	evidence := "it has mistakes"
 	if err != nil {
--- a/internal/confs/relay.go
+++ b/internal/confs/relay.go
@@ -59,7 +59,7 @@
 	if e.Type == objs.Deleted {
 		return
 	}
-	if name != headName {
+	if name != HeadName {
 		r.known.Pages[name] = []byte(e.Object.Spec)
 		return
 	}
--- a/internal/confs/store.go
+++ b/internal/confs/store.go
@@ -13,8 +13,8 @@
 	"geraniumseam.dev/pkg/objs"
 )
 
-// headName is the object that names the pages in force.
-const headName = "head"
+// HeadName is the object that names the pages in force.
+const HeadName = "head"
 
 // Bundle is a configuration as it travels: a head, its version and its pages.
 type Bundle struct {
@@ -68,12 +68,12 @@
 
 // take adds an object of the platform to the bundle.
 func (b *Bundle) take(o objs.Object) error {
-	if o.Metadata.Name != headName {
+	if o.Metadata.Name != HeadName {
 		b.Pages[conf.PageName(o.Metadata.Name)] = []byte(o.Spec)
 		return nil
 	}
 	if err := json.Unmarshal(o.Spec, &b.Head); err != nil {
-		return &conf.PageError{Page: headName, Want: "JSON of a head: " + err.Error()}
+		return &conf.PageError{Page: HeadName, Want: "JSON of a head: " + err.Error()}
 	}
 	b.Version = o.Version()
 	return nil
@@ -125,7 +125,7 @@
 	if err != nil {
 		return 0, errors.Trace(err)
 	}
-	o := objs.Object{Kind: objs.Configurations, Metadata: objs.Metadata{Name: headName}, Spec: spec}
+	o := objs.Object{Kind: objs.Configurations, Metadata: objs.Metadata{Name: HeadName}, Spec: spec}
 	if based != 0 {
 		o.Metadata.ResourceVersion = fmt.Sprint(uint64(based))
 	}
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -28,7 +28,7 @@
 	list, hash := h.members.list()
 	return peer.Heartbeat{
 		Version: h.keeper.Current().Version, Checked: h.keeper.CheckedAgo(),
-		Leaving: h.draining.Load(), List: list, ListHash: hash,
+		Leaving: h.draining.Load(), List: list, ListHash: hash, Servers: h.keeper.Current().Listed,
 	}
 }
 
@@ -47,6 +47,9 @@
 		if m.Version > h.keeper.Current().Version {
 			h.fetchFrom(from)
 		}
+		if m.Servers > h.keeper.Current().Listed {
+			h.fetchServers(from)
+		}
 		if h.members.behind(m.List, m.ListHash) {
 			h.fetchList(from)
 		}
@@ -70,6 +73,8 @@
 		return peer.TokensGive{Given: h.quota.Give(m.Want)}
 	case peer.ConfigAsk:
 		return h.give(m)
+	case peer.ServersAsk:
+		return peer.ServersGive{Listing: h.keeper.Listing()}
 	case peer.ShareAsk:
 		grant, err := h.quota.Serve(ctx, m.Ask)
 		if err != nil {
@@ -131,6 +136,16 @@
 	})
 }
 
+// fetchServers gets a newer list of backend servers from a peer.
+func (h *handler) fetchServers(from ident.InstanceID) {
+	h.fetchOnce(&h.surveying, func(ctx context.Context) {
+		given, err := peer.AskFor[peer.ServersGive](ctx, h.hub, from, peer.ServersAsk{})
+		if err == nil {
+			h.keeper.OfferServers(given.Listing, "instance "+string(from))
+		}
+	})
+}
+
 func (i *Instance) fetch(ctx context.Context, from ident.InstanceID) (confs.Bundle, bool) {
 	given, err := peer.AskFor[peer.ConfigGive](ctx, i.hub, from, peer.ConfigAsk{Have: i.keeper.Current().Version})
 	if err != nil {
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -9,8 +9,10 @@
 //	everything ──▶ jrnl.Journal ──▶ log, counters, review
 
 import (
+	"bytes"
 	"context"
 	"crypto/tls"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -19,6 +21,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"gopkg.in/tomb.v2"
 
@@ -34,6 +37,7 @@
 	"geraniumseam.dev/internal/rule/group"
 	"geraniumseam.dev/internal/rule/share"
 	"geraniumseam.dev/pkg/ident"
+	"geraniumseam.dev/pkg/objs"
 )
 
 // Config makes an Instance.
@@ -55,6 +59,13 @@
 	// Backends connects to backend servers, Links to other instances.
 	Backends proto.Driver
 	Links    proto.Dialer
+	// Announce writes this instance into the platform's list of instances, for a
+	// platform that keeps none by itself; empty is the address that peers reach.
+	Announce string
+	// Listed says that the platform keeps a list of backend servers.
+	Listed bool
+	// Quiet leaves out the reports of what is in force, where each call has its price.
+	Quiet    bool
 	Seed     uint64
 	Registry *prometheus.Registry
 	Baseline Baseline
@@ -92,8 +103,10 @@
 	// draining is set once shutdown has begun.
 	draining atomic.Bool
 	fetching atomic.Bool
-	listing  atomic.Bool
-	tomb     tomb.Tomb
+	// surveying is set while a list of backend servers is being fetched.
+	surveying atomic.Bool
+	listing   atomic.Bool
+	tomb      tomb.Tomb
 }
 
 // Start brings an instance up; it serves callers as soon as it has a configuration.
@@ -129,6 +142,12 @@
 	i.watchIncidents()
 	i.tomb.Go(i.members.run)
 	i.tomb.Go(i.relay)
+	if c.Listed {
+		i.tomb.Go(i.relayServers)
+	}
+	if c.Announce != "" {
+		i.tomb.Go(i.announce)
+	}
 	i.tomb.Go(i.callers.accept)
 	i.tomb.Go(i.sweep)
 	i.journal.Add(jrnl.Event{Kind: jrnl.Started, Evidence: "callers at " + c.Callers.Addr().String()})
@@ -163,6 +182,8 @@
 		return &NotReadyError{Why: "shutting down"}
 	case i.keeper.Current().Version == 0:
 		return &NotReadyError{Why: "no configuration yet"}
+	case i.conf.Listed && i.keeper.Current().Listed == 0:
+		return &NotReadyError{Why: "no list of backend servers yet"}
 	case i.quota.Part() == 0:
 		return &NotReadyError{Why: "no part of the rates yet"}
 	}
@@ -258,6 +279,55 @@
 	}
 }
 
+// relayServers follows the platform's list of backend servers, like relay.
+func (i *Instance) relayServers() error {
+	l := &confs.Lister{Store: i.conf.Store, Keeper: i.keeper}
+	ctx := i.tomb.Context(context.Background())
+	for {
+		err := l.Once(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		pause := time.Duration(0)
+		switch {
+		case err != nil:
+			pause = relayPause/2 + i.random.duration(relayPause)
+		case !i.members.relays(relaysPerCenter):
+			pause = lookPause/2 + i.random.duration(lookPause)
+		}
+		if !i.rest(pause) {
+			return nil
+		}
+	}
+}
+
+// announce writes this instance into the list of instances, and again for as long as that fails.
+func (i *Instance) announce() error {
+	ctx := i.tomb.Context(context.Background())
+	spec, err := json.Marshal(objs.Machine{Center: i.conf.Center, Address: i.conf.Announce, State: objs.Live})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	o := objs.Object{Kind: objs.Machines, Metadata: objs.Metadata{Name: string(i.conf.Instance)}, Spec: spec}
+	for {
+		_, err := i.conf.Store.Put(ctx, o)
+		var failed *plat.Error
+		if errors.As(err, &failed) && failed.Cause == plat.Conflict {
+			if bytes.Equal(failed.Kept.Spec, spec) {
+				return nil
+			}
+			o.Metadata.ResourceVersion = failed.Kept.Metadata.ResourceVersion
+		}
+		if err == nil {
+			i.members.changed()
+			return nil
+		}
+		if !i.rest(relayPause/2 + i.random.duration(relayPause)) {
+			return nil
+		}
+	}
+}
+
 // peerConfigTime is how long a new instance of a large fleet waits for a peer to tell
 // it the configuration before it asks the platform.
 const peerConfigTime = 3 * time.Second
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -108,7 +108,7 @@
 // report lets the data centre's first relay tell the platform what is in force
 // there: the lowest version among the instances that it hears. It writes on a change only.
 func (m *members) report(ctx context.Context) {
-	if time.Since(m.reported.At) < reportPause || !m.relays(1) {
+	if m.instance.conf.Quiet || time.Since(m.reported.At) < reportPause || !m.relays(1) {
 		return
 	}
 	status := confs.CenterStatus{
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -49,7 +49,7 @@
 		return Reply{Revoked: true, Fault: &fault.Fault{Reason: reason, Outcome: fault.NotRun, Trace: trace, Fatal: true}}
 	}
 	limits := s.instance.keeper.Current().For(began, access.Customer, access.Service)
-	if q.Charged {
+	if q.Charged && (limits.RateUnit == conf.PerStatement || !s.InTx()) {
 		if refusal := s.spendRate(access, limits, trace); refusal != nil {
 			return Reply{Fault: refusal}
 		}
--- a/internal/jrnl/event.go
+++ b/internal/jrnl/event.go
@@ -45,6 +45,7 @@
 	SessionMoved                  // session-moved
 	ConnectionSilent              // connection-silent
 	IncidentUnwritten             // incident-unwritten
+	ServersListed                 // servers-listed
 	kindCount
 )
 
--- a/internal/owner/coordinate.go
+++ b/internal/owner/coordinate.go
@@ -12,6 +12,7 @@
 	"geraniumseam.dev/internal/proto"
 	"geraniumseam.dev/internal/rule/conf"
 	"geraniumseam.dev/internal/rule/group"
+	"geraniumseam.dev/pkg/ident"
 	"geraniumseam.dev/pkg/objs"
 )
 
@@ -61,6 +62,8 @@
 		g.tomb.Go(func() error { g.seal(a); return nil })
 	case group.Promote:
 		g.tomb.Go(func() error { g.promote(a); return nil })
+	case group.Release:
+		g.tomb.Go(func() error { g.release(a.Server); return nil })
 	case group.Follow:
 		g.tomb.Go(func() error { g.follow(a); return nil })
 	}
@@ -197,6 +200,14 @@
 	g.tell(group.Promoted{Term: a.Term, Server: a.Server, OK: leads})
 }
 
+func (g *Group) release(id ident.ServerID) {
+	ctx, cancel := g.stepContext()
+	defer cancel()
+	if s := g.at(id); s != nil {
+		_ = s.run(ctx, func(ctx context.Context, c proto.Conn) error { return c.Release(ctx) })
+	}
+}
+
 func (g *Group) follow(a group.Follow) {
 	ctx, cancel := g.stepContext()
 	defer cancel()
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -40,6 +40,8 @@
 	// List is the version of the sender's list of instances, ListHash its content's hash.
 	List     ident.Version `cbor:"5,keyasint,omitempty"`
 	ListHash uint64        `cbor:"6,keyasint,omitempty"`
+	// Servers is the version of the sender's list of backend servers.
+	Servers ident.Version `cbor:"7,keyasint,omitempty"`
 }
 
 // Opinion says whether a backend server answers the sender.
@@ -72,6 +74,14 @@
 	Pages   map[conf.PageName][]byte `cbor:"3,keyasint,omitempty"`
 }
 
+// ServersAsk asks for the list of backend servers; ServersGive answers.
+type ServersAsk struct{}
+
+// ServersGive carries the list.
+type ServersGive struct {
+	Listing conf.Listing `cbor:"1,keyasint"`
+}
+
 // ShareAsk hands a request for renewal to a clerk; ShareGive answers.
 type ShareAsk struct {
 	Ask share.Ask `cbor:"1,keyasint"`
@@ -134,6 +144,8 @@
 func (ShareGive) isMessage()   {}
 func (MembersAsk) isMessage()  {}
 func (MembersGive) isMessage() {}
+func (ServersAsk) isMessage()  {}
+func (ServersGive) isMessage() {}
 
 // kind is a frame's type on the wire; numbers are never used anew.
 type kind uint8
@@ -155,6 +167,8 @@
 	kindMembersAsk  kind = 14
 	kindMembersGive kind = 15
 	kindSuspect     kind = 16
+	kindServersAsk  kind = 17
+	kindServersGive kind = 18
 	kindWork        kind = 20
 	kindChunk       kind = 21
 	kindResult      kind = 22
@@ -213,6 +227,10 @@
 		return kindMembersAsk
 	case MembersGive:
 		return kindMembersGive
+	case ServersAsk:
+		return kindServersAsk
+	case ServersGive:
+		return kindServersGive
 	}
 	return 0
 }
@@ -252,6 +270,10 @@
 		return into[MembersAsk](body)
 	case kindMembersGive:
 		return into[MembersGive](body)
+	case kindServersAsk:
+		return into[ServersAsk](body)
+	case kindServersGive:
+		return into[ServersGive](body)
 	}
 	return nil, nil
 }
--- a/internal/pgcon/run.go
+++ b/internal/pgcon/run.go
@@ -297,6 +297,9 @@
 	return err
 }
 
+// Release implements proto.Conn; a server's seal ends with the term that it was for.
+func (c *Conn) Release(context.Context) error { return nil }
+
 // Promote implements proto.Driver.
 func (*Driver) Promote(ctx context.Context, c proto.Conn, t proto.Target, term ident.Term, claimant group.Claimant) (bool, error) {
 	conn, ok := c.(*Conn)
--- a/internal/proto/conn.go
+++ b/internal/proto/conn.go
@@ -45,6 +45,8 @@
 	Seal(ctx context.Context, term ident.Term, claimant group.Claimant) (bool, error)
 	// Follow points the server at the primary of a term.
 	Follow(ctx context.Context, term ident.Term, primary ident.ServerID) error
+	// Release lets a sealed server follow its primary again.
+	Release(ctx context.Context) error
 	// Clean reports whether the connection is open and nothing unasked has arrived on it.
 	Clean() bool
 	// Crowded reports that so much state is kept on the connection that it is better closed.
--- a/internal/rule/conf/config.go
+++ b/internal/rule/conf/config.go
@@ -120,6 +120,8 @@
 	Leaving bool           `json:"leaving,omitempty"`
 	// Born tells apart two lives of a server under one name; 0 where it isn't told.
 	Born int64 `json:"born,omitempty"`
+	// Slots is how many statements this server runs at once; 0 leaves what the group says.
+	Slots int `json:"slots,omitempty"`
 }
 
 // Exception overrides one default for one scope, for a reason and perhaps a time.
--- a/internal/rule/conf/defaults.go
+++ b/internal/rule/conf/defaults.go
@@ -27,8 +27,22 @@
 	KeyGrace          time.Duration `json:"key-grace"`
 	RetryRatio        float64       `json:"retry-ratio"`
 	DrainTime         time.Duration `json:"drain-time"`
+	RateUnit          RateUnit      `json:"rate-unit,omitempty"`
 }
 
+//go:generate go tool stringer -type=RateUnit -linecomment -output=rateunit_string.go
+
+// RateUnit says what a customer's rate counts.
+type RateUnit uint8
+
+// The units.
+const (
+	// PerStatement counts each statement but the end of a transaction.
+	PerStatement RateUnit = iota // statement
+	// PerOperation counts a transaction as one.
+	PerOperation // operation
+)
+
 // Usual returns the defaults that a new configuration starts from.
 func Usual() Defaults {
 	return Defaults{
@@ -131,6 +145,19 @@
 	fraction("share-reserve", "fraction of a part that outlasts the lease until the grace is over", func(d *Defaults) *float64 { return &d.ShareReserve }),
 	duration("key-grace", "how long keys are accepted while neither the platform nor a peer that reaches it answers", 30*time.Second, 24*time.Hour, func(d *Defaults) *time.Duration { return &d.KeyGrace }),
 	fraction("retry-ratio", "retries allowed per request", func(d *Defaults) *float64 { return &d.RetryRatio }),
+	{
+		Name: "rate-unit", Want: "statement or operation", Help: "what a rate counts: each statement, or a whole transaction as one",
+		Get: func(d *Defaults) string { return d.RateUnit.String() },
+		Parse: func(d *Defaults, text string) error {
+			for _, u := range []RateUnit{PerStatement, PerOperation} {
+				if u.String() == text {
+					d.RateUnit = u
+					return nil
+				}
+			}
+			return &ValueError{Name: "rate-unit", Text: text, Want: "statement or operation"}
+		},
+	},
 	duration("drain-time", "longest wait for callers at shutdown before their idle connections are closed", 0, time.Hour, func(d *Defaults) *time.Duration { return &d.DrainTime }),
 }
 
--- a/internal/rule/conf/snapshot.go
+++ b/internal/rule/conf/snapshot.go
@@ -31,6 +31,15 @@
 	Servers map[ident.GroupID][]Server
 }
 
+// Count returns how many servers are listed.
+func (l Listing) Count() int {
+	count := 0
+	for _, servers := range l.Servers {
+		count += len(servers)
+	}
+	return count
+}
+
 // WithServers returns the snapshot with the listed servers in the groups that ask for them.
 func (s *Snapshot) WithServers(l Listing) *Snapshot {
 	next := *s
--- a/internal/rule/group/event.go
+++ b/internal/rule/group/event.go
@@ -105,6 +105,9 @@
 	Primary ident.ServerID
 }
 
+// Release lets a sealed server follow its primary again.
+type Release struct{ Server ident.ServerID }
+
 // Note asks for a journal entry.
 type Note struct {
 	What   NoteKind
@@ -119,6 +122,7 @@
 func (Promote) isAction() {}
 func (Publish) isAction() {}
 func (Follow) isAction()  {}
+func (Release) isAction() {}
 func (Note) isAction()    {}
 
 //go:generate go tool stringer -type=NoteKind -linecomment -output=notekind_string.go
--- a/internal/rule/group/machine.go
+++ b/internal/rule/group/machine.go
@@ -46,6 +46,8 @@
 	missing  time.Time
 	fresh    bool
 	followed time.Time
+	// sealed is when a replica was first seen sealed above the term.
+	sealed time.Time
 }
 
 type peerView struct {
@@ -161,9 +163,30 @@
 		m.suspected = false
 		actions = append(actions, m.note(Recovered, s.Server, "it answers again"))
 	}
+	actions = append(actions, m.unseal(now, known)...)
 	return append(actions, m.repoint(now, s)...)
 }
 
+// unseal releases a replica that was sealed for a promotion which nobody brought to
+// an end, while its primary leads on.
+func (m *Machine) unseal(now time.Time, known *server) []Action {
+	s := known.status
+	if !m.conf.Synchronous || s.Role != Replica || s.Sealed <= m.term {
+		known.sealed = time.Time{}
+		return nil
+	}
+	if known.sealed.IsZero() {
+		known.sealed = now
+	}
+	leader := m.servers[m.primary]
+	stalled := now.Sub(known.sealed) > 2*takeoverTime+time.Duration(m.conf.Rank)*m.conf.Timing.Stagger
+	if !stalled || m.phase != idle || leader == nil || !m.answers(now, leader) || leader.status.Role != Primary {
+		return nil
+	}
+	known.sealed = now
+	return []Action{Release{Server: s.Server}}
+}
+
 // accept takes a newer primary as the group's.
 func (m *Machine) accept(s Status) []Action {
 	m.term, m.primary, m.suspected = s.Term, s.Server, false
@@ -176,6 +199,9 @@
 // repoint sends a server that is behind the current term to its primary.
 func (m *Machine) repoint(now time.Time, s Status) []Action {
 	stray := s.Term < m.term || s.Role == Replica && s.Upstream > m.conf.Timing.Silence
+	if m.conf.Synchronous {
+		stray = s.Term < m.term && s.Role == Primary
+	}
 	if !stray || s.Server == m.primary || m.primary == "" || m.suspected || s.Sealed > m.term {
 		return nil
 	}
--- a/pkg/objs/object.go
+++ b/pkg/objs/object.go
@@ -30,6 +30,10 @@
 	Incidents Kind = "incidents"
 	// Machines is the platform's lagging list of live and leaving instances.
 	Machines Kind = "machines"
+	// Servers is the platform's list of backend servers, where it keeps one.
+	Servers Kind = "servers"
+	// Secrets holds what the instances of a fleet prove themselves with.
+	Secrets Kind = "secrets"
 	// Statuses holds what each data centre has in force.
 	Statuses Kind = "statuses"
 )
@@ -115,6 +119,17 @@
 	Leaving MachineState = "leaving"
 )
 
+// Server is one row of the platform's list of backend servers.
+type Server struct {
+	Group   ident.GroupID  `json:"group"`
+	Center  ident.CenterID `json:"center"`
+	Address string         `json:"address"`
+	Slots   int            `json:"slots"`
+	State   MachineState   `json:"state"`
+	// Born is the Unix millisecond of the server's start.
+	Born int64 `json:"born"`
+}
+
 // Machine is one row of the platform's lagging list of instances.
 type Machine struct {
 	Center  ident.CenterID `json:"center"`
