--- a/internal/confs/relay.go
+++ b/internal/confs/relay.go
@@ -25,11 +25,11 @@
 	if !r.ready {
 		return r.load(ctx)
 	}
-	after, err := r.Store.Watch(ctx, objs.Configurations, r.after, func(e objs.Event) { r.see(ctx, e) })
+	seen := false
+	after, err := r.Store.Watch(ctx, objs.Configurations, r.after, func(e objs.Event) { seen = true; r.see(ctx, e) })
+	// A watch that failed, or went on without news, may have missed some.
+	r.ready = err == nil && (seen || after <= r.after)
 	r.after = max(r.after, after)
-	if plat.Is(err, plat.Gone) {
-		r.ready = false
-	}
 	if err == nil {
 		r.Keeper.Confirm(r.known.Version, 0)
 	}
--- a/internal/confs/servers.go
+++ b/internal/confs/servers.go
@@ -45,14 +45,14 @@
 		waits, cancel = context.WithTimeout(ctx, soon)
 		defer cancel()
 	}
-	after, err := l.Store.Watch(waits, objs.Servers, l.after, l.see)
+	seen := false
+	after, err := l.Store.Watch(waits, objs.Servers, l.after, func(e objs.Event) { seen = true; l.see(e) })
 	if waits.Err() != nil && ctx.Err() == nil {
 		err = nil
 	}
+	// A watch that failed, or went on without news, may have missed some.
+	l.ready = err == nil && (seen || after <= l.after)
 	l.after = max(l.after, after)
-	if plat.Is(err, plat.Gone) {
-		l.ready = false
-	}
 	l.offer()
 	return err
 }
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -64,6 +64,8 @@
 	Announce string
 	// Listed says that the platform keeps a list of backend servers.
 	Listed bool
+	// Relays is how many instances of a data centre follow the platform all the time; 0 leaves the usual number.
+	Relays int
 	// Quiet leaves out the reports of what is in force, where each call has its price.
 	Quiet    bool
 	Seed     uint64
@@ -114,6 +116,9 @@
 	if c.Dialect == nil {
 		c.Dialect = postgres{}
 	}
+	if c.Relays == 0 {
+		c.Relays = relaysPerCenter
+	}
 	i := &Instance{conf: c, random: newSeeded(c.Seed), metrics: newMetrics(c.Registry)}
 	i.boot = fmt.Sprintf("%08x", i.random.uint32())
 	i.prefix = string(c.Instance) + "-" + i.boot + "-"
@@ -270,7 +275,7 @@
 		switch {
 		case err != nil:
 			pause = relayPause/2 + i.random.duration(relayPause)
-		case !i.members.relays(relaysPerCenter):
+		case !i.members.relays(i.conf.Relays):
 			pause = lookPause/2 + i.random.duration(lookPause)
 		}
 		if !i.rest(pause) {
@@ -292,7 +297,7 @@
 		switch {
 		case err != nil:
 			pause = relayPause/2 + i.random.duration(relayPause)
-		case !i.members.relays(relaysPerCenter):
+		case !i.members.relays(i.conf.Relays):
 			pause = lookPause/2 + i.random.duration(lookPause)
 		}
 		if !i.rest(pause) {
@@ -354,7 +359,7 @@
 			return false
 		case <-time.After(min(relayPause, time.Until(end))):
 		}
-		if d > 2*relayPause && i.members.relays(relaysPerCenter) {
+		if d > 2*relayPause && i.members.relays(i.conf.Relays) {
 			return true
 		}
 	}
--- a/internal/owner/coordinate.go
+++ b/internal/owner/coordinate.go
@@ -55,7 +55,7 @@
 	case group.Note:
 		g.noteFor(a)
 	case group.Claim:
-		g.tomb.Go(func() error { g.claim(a.Record); return nil })
+		g.tomb.Go(func() error { g.claim(a); return nil })
 	case group.Publish:
 		g.tomb.Go(func() error { g.publish(a.Record); return nil })
 	case group.Seal:
@@ -76,7 +76,8 @@
 // claimPart is the part of a step that the platform gets before the servers arbitrate alone.
 const claimPart = 2
 
-func (g *Group) claim(r group.Record) {
+func (g *Group) claim(a group.Claim) {
+	r := a.Record
 	ctx, cancel := context.WithTimeout(g.tomb.Context(context.Background()), g.limits.Load().StepTime/claimPart)
 	defer cancel()
 	kept, object, err := g.readRecord(ctx)
@@ -84,6 +85,12 @@
 	case err != nil:
 		g.tell(group.Claimed{Term: r.Term, Down: true})
 		return
+	case g.conf.Group.Synchronous > 0:
+		if kept.Claimant != r.Claimant && kept.From >= r.From && kept.Claim > a.Seen {
+			g.tell(group.Claimed{Term: r.Term, Record: kept})
+			return
+		}
+		r.Claim = kept.Claim + 1
 	case kept.Term >= r.Term && kept.Claimant != r.Claimant:
 		g.tell(group.Claimed{Term: r.Term, Record: kept})
 		return
@@ -91,7 +98,7 @@
 	err = g.writeRecord(ctx, object, r)
 	switch {
 	case err == nil:
-		g.tell(group.Claimed{Term: r.Term, Won: true})
+		g.tell(group.Claimed{Term: r.Term, Won: true, Record: r})
 	case plat.Is(err, plat.Conflict):
 		kept, _, _ = g.readRecord(ctx)
 		g.tell(group.Claimed{Term: r.Term, Record: kept})
@@ -186,9 +193,15 @@
 	if s == nil {
 		return
 	}
+	if !a.NotBefore.IsZero() {
+		time.Sleep(a.NotBefore.Sub(g.conf.Now()))
+	}
 	leads := false
 	err := s.run(ctx, func(ctx context.Context, c proto.Conn) (err error) {
-		leads, err = g.conf.Driver.Promote(ctx, c, s.target, a.Term, a.Claimant)
+		leads, err = g.conf.Driver.Promote(ctx, c, s.target, proto.Order{
+			Term: a.Term, Claimant: a.Claimant, Claim: a.Claim,
+			Covered: func() bool { return a.Until.IsZero() || g.conf.Now().Before(a.Until) },
+		})
 		return err
 	})
 	if err != nil {
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -214,9 +214,22 @@
 
 // PeerView takes in another instance's view of a server.
 func (g *Group) PeerView(by ident.InstanceID, s ident.ServerID, answers bool) {
+	if known := g.at(s); known != nil && !answers && g.conf.Opinion != nil && g.reaches(known) {
+		g.conf.Opinion(g.conf.ID, s, true)
+	}
 	g.tell(group.PeerView{Instance: by, Server: s, Answers: answers})
 }
 
+// reaches reports whether a server has answered this instance lately.
+func (g *Group) reaches(s *server) bool {
+	v := g.board.current.Load()
+	if s.at >= len(v.servers) {
+		return false
+	}
+	r := &v.servers[s.at]
+	return r.known && !r.missed && g.conf.Now().Sub(r.got) < g.limits.Load().Silence
+}
+
 // Primary returns the primary and its term as the owner sees them; an empty name means none.
 func (g *Group) Primary() (ident.ServerID, ident.Term) {
 	v := g.board.current.Load()
--- a/internal/owner/read.go
+++ b/internal/owner/read.go
@@ -49,7 +49,7 @@
 func (g *Group) awaitLeased(ctx context.Context, arrived time.Time) (*server, fault.Reason) {
 	lease := time.Duration(0)
 	if g.conf.Group.Synchronous > 0 {
-		lease = takeoverTime
+		lease = group.LeaseWait + takeoverTime
 	}
 	var found *server
 	ended := g.await(ctx, func(v *view) bool {
--- a/internal/owner/watch.go
+++ b/internal/owner/watch.go
@@ -16,12 +16,14 @@
 const (
 	// waitedPollPause is the time between two polls while somebody waits for one.
 	waitedPollPause = time.Millisecond
+	// fewestPolls is the pause instead where each poll has its price.
+	fewestPolls = 20 * time.Millisecond
 	// usedTime is how long a group counts as used after a request.
 	usedTime = time.Second
 	// idlePolls is how often an unused group's server is asked before its silence is noted.
 	idlePolls = 3
-	// pollTime bounds one poll.
-	pollTime = 200 * time.Millisecond
+	// pollsPerSilence is how many polls may go unanswered before a server counts as silent.
+	pollsPerSilence = 2
 	// opinionPause is how often this instance's view of a server is told to peers.
 	opinionPause = 500 * time.Millisecond
 )
@@ -77,6 +79,8 @@
 func (g *Group) pollPause() time.Duration {
 	d := g.limits.Load()
 	switch {
+	case g.waiting.Load() > 0 && g.conf.Driver.PerCustomer():
+		return min(fewestPolls, d.Poll)
 	case g.waiting.Load() > 0:
 		return waitedPollPause
 	case clock.Since(time.Unix(0, g.used.Load())) < usedTime:
@@ -89,6 +93,7 @@
 // poll asks for the server's state; after a failure it tries once more on a new
 // connection, so that one silent connection is not taken for a dead server.
 func (w *watcher) poll() {
+	pollTime := w.group.limits.Load().Silence / pollsPerSilence
 	ctx, cancel := context.WithTimeout(w.group.tomb.Context(context.Background()), pollTime)
 	defer cancel()
 	old := w.conn != nil
@@ -129,6 +134,8 @@
 	case errors.As(err, &dialed) && dialed.Full:
 		w.heard = now
 	case errors.As(err, &dialed) && dialed.Reached:
+	case w.group.conf.Driver.PerCustomer() && !errors.As(err, &dialed):
+		// A new connection was taken; what does not come is only the answer.
 	default:
 		return false
 	}
--- a/internal/pgcon/run.go
+++ b/internal/pgcon/run.go
@@ -301,12 +301,12 @@
 func (c *Conn) Release(context.Context) error { return nil }
 
 // Promote implements proto.Driver.
-func (*Driver) Promote(ctx context.Context, c proto.Conn, t proto.Target, term ident.Term, claimant group.Claimant) (bool, error) {
+func (*Driver) Promote(ctx context.Context, c proto.Conn, _ proto.Target, o proto.Order) (bool, error) {
 	conn, ok := c.(*Conn)
 	if !ok {
 		return false, &proto.ProtocolError{What: "a connection of another dialect"}
 	}
-	return conn.isTrue(ctx, fmt.Sprintf("SELECT group_promote(%d,'%s')", term, claimant))
+	return conn.isTrue(ctx, fmt.Sprintf("SELECT group_promote(%d,'%s')", o.Term, o.Claimant))
 }
 
 func (c *Conn) isTrue(ctx context.Context, text string) (bool, error) {
--- a/internal/proto/conn.go
+++ b/internal/proto/conn.go
@@ -31,7 +31,16 @@
 	// Proves reports whether a request can ask the server to hold Request.After.
 	Proves() bool
 	// Promote makes a sealed server lead the term; false means that it refused.
-	Promote(ctx context.Context, c Conn, t Target, term ident.Term, claimant group.Claimant) (bool, error)
+	Promote(ctx context.Context, c Conn, t Target, o Order) (bool, error)
+}
+
+// Order tells a server to lead a term.
+type Order struct {
+	Term     ident.Term
+	Claimant group.Claimant
+	// Claim numbers the claim that covers the order; Covered reports whether it still does.
+	Claim   uint64
+	Covered func() bool
 }
 
 // Conn is a connection to a server; but for Interrupt it is not safe for concurrent use.
--- a/internal/rule/group/detect.go
+++ b/internal/rule/group/detect.go
@@ -68,6 +68,9 @@
 	if silent < m.conf.Timing.Silence || !p.fresh {
 		return "", false
 	}
+	if m.conf.Synchronous {
+		return m.unreachable(now, silent)
+	}
 	hear, others := m.hearPrimary(now)
 	if others < Majority(len(m.servers)) {
 		return "", false
@@ -82,6 +85,18 @@
 	return "", false
 }
 
+// unreachable decides about a primary that takes no connection, in a group whose
+// replicas don't tell whether they hear it: no peer may reach it either.
+func (m *Machine) unreachable(now time.Time, silent time.Duration) (string, bool) {
+	if !m.peersAgree(now) && silent < patience*m.conf.Timing.PathSilence {
+		return "", false
+	}
+	return fmt.Sprintf("it has taken no connection for %v, and no other instance says that it reaches it", silent.Round(time.Millisecond)), true
+}
+
+// patience is how many path silences a primary is kept that only other instances reach.
+const patience = 4
+
 // hearPrimary counts the other servers that answer, and those among them that still hear the primary.
 func (m *Machine) hearPrimary(now time.Time) (hear, others int) {
 	for id, s := range m.servers {
--- a/internal/rule/group/event.go
+++ b/internal/rule/group/event.go
@@ -16,6 +16,10 @@
 	Claimant Claimant       `json:"claimant"`
 	// Settled is set once the primary has been promoted.
 	Settled bool `json:"settled"`
+	// Claim counts the claims of a group whose servers count their terms by themselves,
+	// and From is the term whose primary was to be replaced.
+	Claim uint64     `json:"claim,omitempty"`
+	From  ident.Term `json:"from,omitempty"`
 }
 
 // Event is something a Machine learns.
@@ -79,7 +83,11 @@
 type Action interface{ isAction() }
 
 // Claim asks the platform for a term by conditional update.
-type Claim struct{ Record Record }
+type Claim struct {
+	Record Record
+	// Seen is the last claim that the claimant had learnt of.
+	Seen uint64
+}
 
 // Seal asks a server to follow no term below the given one.
 type Seal struct {
@@ -93,6 +101,11 @@
 	Server   ident.ServerID
 	Term     ident.Term
 	Claimant Claimant
+	Claim    uint64
+	// NotBefore lets leases on reads at the old primary run out.
+	NotBefore time.Time
+	// Until is when the claim no longer covers the order; zero sets no end.
+	Until time.Time
 }
 
 // Publish records the new primary in the platform.
--- a/internal/rule/group/machine.go
+++ b/internal/rule/group/machine.go
@@ -78,6 +78,11 @@
 	// target is what a leaving primary had last when it was sealed.
 	target ident.Position
 	hold   time.Time
+	// claimedAt is when the last claim was asked for; releases is set if it is to unseal replicas.
+	claimedAt time.Time
+	// sealedAt is when the first server of the attempt was sealed.
+	sealedAt time.Time
+	releases  bool
 }
 
 // New returns a Machine that knows nothing yet.
@@ -179,12 +184,32 @@
 		known.sealed = now
 	}
 	leader := m.servers[m.primary]
+	if now.Before(m.hold) {
+		return nil
+	}
 	stalled := now.Sub(known.sealed) > 2*takeoverTime+time.Duration(m.conf.Rank)*m.conf.Timing.Stagger
 	if !stalled || m.phase != idle || leader == nil || !m.answers(now, leader) || leader.status.Role != Primary {
 		return nil
 	}
 	known.sealed = now
-	return []Action{Release{Server: s.Server}}
+	// Only under a claim is it sure that nobody else relies on the seal.
+	m.releases = true
+	return m.claim(now, "a replica stays sealed although the primary leads on")
+}
+
+// LeaseWait is how long after the first seal an order to lead is held back.
+const LeaseWait = 200 * time.Millisecond
+
+// releaseAll lets every sealed replica follow its primary again.
+func (m *Machine) releaseAll() []Action {
+	m.phase, m.releases = idle, false
+	var actions []Action
+	for _, id := range m.conf.Servers {
+		if s := m.servers[id]; s.known && s.status.Role == Replica && s.status.Sealed > m.term {
+			actions = append(actions, Release{Server: id})
+		}
+	}
+	return actions
 }
 
 // accept takes a newer primary as the group's.
@@ -301,12 +326,20 @@
 	m.attempt = m.nextTerm()
 	m.phase, m.deadline = claiming, now.Add(m.conf.Timing.StepTime)
 	m.sealed, m.chosen = map[ident.ServerID]Status{}, ""
+	m.claimedAt = now
 	return []Action{
 		Note{What: Claiming, Server: m.primary, Term: m.attempt, Evidence: reason},
-		Claim{Record{Term: m.attempt, Primary: m.primary, Claimant: m.conf.Claimant}},
+		Claim{Record: Record{Term: m.attempt, Primary: m.primary, Claimant: m.conf.Claimant, From: m.term}, Seen: m.record.Claim},
 	}
 }
 
+// A claim covers its holder's orders for claimTime from before it was made; nobody
+// else claims the same reign until claimHold after having learnt of it.
+const (
+	claimTime = 2 * time.Second
+	claimHold = claimTime + 1500*time.Millisecond
+)
+
 func (m *Machine) claimed(now time.Time, e Claimed) []Action {
 	if m.phase != claiming || e.Term != m.attempt {
 		return nil
@@ -314,18 +347,25 @@
 	if !e.Won && !e.Down {
 		m.record = e.Record
 		m.stop(now)
+		if m.conf.Synchronous {
+			m.hold, m.releases = now.Add(claimHold), false
+		}
 		return []Action{m.note(ClaimLost, m.primary, fmt.Sprintf("%s holds term %d", e.Record.Claimant, e.Record.Term))}
 	}
 	var actions []Action
 	if e.Down && m.conf.Synchronous {
 		// The servers know no claimants: without the platform two instances could both order.
+		m.releases = false
 		m.stop(now)
 		return []Action{m.note(StoreDown, m.primary, "the platform did not answer; nobody may order a promotion")}
 	}
 	if e.Down {
 		actions = append(actions, m.note(StoreDown, m.primary, "the platform did not answer; the servers' seals arbitrate"))
 	} else {
-		m.record = Record{Term: e.Term, Primary: m.primary, Claimant: m.conf.Claimant}
+		m.record = Record{Term: e.Term, Primary: m.primary, Claimant: m.conf.Claimant, Claim: e.Record.Claim, From: m.term}
+	}
+	if m.releases {
+		return append(actions, m.releaseAll()...)
 	}
 	if p := m.servers[m.primary]; p != nil && m.leaving[m.primary] && m.answers(now, p) && !m.conf.Synchronous {
 		m.phase, m.deadline, m.target = draining, now.Add(m.conf.Timing.StepTime), 0
@@ -367,6 +407,9 @@
 	if m.phase != sealing || e.Term != m.attempt || !e.OK {
 		return nil
 	}
+	if len(m.sealed) == 0 {
+		m.sealedAt = now
+	}
 	m.sealed[e.Status.Server] = e.Status
 	if !m.sealedEnough() {
 		return nil
@@ -380,9 +423,14 @@
 	best := m.best(statuses)
 	m.chosen = best.Server
 	m.phase, m.deadline = promoting, now.Add(m.conf.Timing.StepTime)
+	var until, notBefore time.Time
+	if m.conf.Synchronous {
+		notBefore = m.sealedAt.Add(LeaseWait)
+		until = m.claimedAt.Add(claimTime)
+	}
 	return []Action{
 		Note{What: Sealing, Server: best.Server, Term: m.attempt, Evidence: describe(statuses)},
-		Promote{Server: best.Server, Term: m.attempt, Claimant: m.conf.Claimant},
+		Promote{Server: best.Server, Term: m.attempt, Claimant: m.conf.Claimant, Claim: m.record.Claim, NotBefore: notBefore, Until: until},
 	}
 }
 
@@ -396,6 +444,9 @@
 	for id := range m.servers {
 		_, sealed := m.sealed[id]
 		switch {
+		case id == m.primary && !sealed && m.answered(id):
+			// It could go on acknowledging with a replica that has just joined.
+			return false
 		case id == m.primary:
 		case !sealed:
 			return false
@@ -406,6 +457,12 @@
 	return replicas > 0
 }
 
+// answered reports whether a server was not missing when it was last asked.
+func (m *Machine) answered(id ident.ServerID) bool {
+	s := m.servers[id]
+	return s != nil && s.known && s.missing.IsZero()
+}
+
 // best chooses the server to lead: the most advanced, one that stays before one that leaves.
 func (m *Machine) best(statuses []Status) Status {
 	if !m.conf.Synchronous {
@@ -492,6 +549,7 @@
 		return nil
 	}
 	at := m.phase
+	m.releases = false
 	m.stop(now)
 	return []Action{m.note(SealFailed, m.chosen, fmt.Sprintf("no end of step %q within %v", at, m.conf.Timing.StepTime))}
 }
