An instance that is back no longer counts as leaving

Cause: heartbeats set 'leaving', nothing took it back, and an instance restarts under its name; after a rolling restart each one thought itself alone and opened a whole server's connections (20,099 resets over the cap). Change: a heartbeat that does not say 'leaving' clears it.

--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -218,10 +218,12 @@
 	defer m.mu.Unlock()
 	m.versions[id] = version
 	m.view.Heard(time.Now(), id)
-	if leaving {
-		m.view.Leaving(id)
-		m.changed()
+	if !leaving {
+		m.view.Staying(id)
+		return
 	}
+	m.view.Leaving(id)
+	m.changed()
 }
 
 // told takes in a peer's suspicion and passes it on once.
--- a/internal/rule/membr/view.go
+++ b/internal/rule/membr/view.go
@@ -151,6 +151,13 @@
 	}
 }
 
+// Staying takes back that an instance leaves, as when it has been started anew under its name.
+func (v *View) Staying(id ident.InstanceID) {
+	if s := v.seen[id]; s != nil {
+		s.leaving = false
+	}
+}
+
 // Tick returns what this instance has to tell the others by now.
 func (v *View) Tick(now time.Time) []Suspicion {
 	var news []Suspicion
