Keep four tenths of a server's connections free

Cause: after a power loss the dead instances' connections stay taken at the servers for some seconds, and those that came back found no free one. Change: owners use six tenths of a server's limit.

--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -110,9 +110,14 @@
 // poolLimit divides a server's connections among the owners, after one control connection for each.
 func poolLimit(connections, owners int) int {
 	owners = max(owners, 1)
-	return max((connections-owners)/owners, 1)
+	kept := connections * keptPart / 10
+	return max((kept-owners)/owners, 1)
 }
 
+// keptPart is how many tenths of a server's connections are used in calm: those of
+// instances that lost their power stay taken for a while.
+const keptPart = 6
+
 // enroll starts watching the servers that are new and gives up those that are gone.
 func (g *Group) enroll(c conf.Group, limit int) {
 	old := g.roster.Load()
