--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -195,6 +195,12 @@
 	return nil
 }
 
+// unready reports whether the instance cannot judge callers yet.
+func (i *Instance) unready() bool {
+	s := i.keeper.Current()
+	return s.Version == 0 || i.conf.Listed && s.Listed == 0 || i.keysUnchecked()
+}
+
 // NotReadyError says why an instance does not serve callers.
 type NotReadyError struct{ Why string }
 
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -130,8 +130,23 @@
 	s.instance.journal.Refuse(f, s.access.Customer, s.access.Group)
 }
 
+const (
+	// admitWait is short of what callers wait for a greeting.
+	admitWait = 1500 * time.Millisecond
+	// admitPause spaces looks at whether the instance is ready.
+	admitPause = 20 * time.Millisecond
+)
+
 // Admit lets the caller in to a database; an empty customer means whoever holds the key.
+//
+// An instance that has just started waits for its configuration rather than refuse.
 func (s *Session) Admit(customer ident.CustomerID, database ident.ServiceID, key string) fault.Reason {
+	for end := time.Now().Add(admitWait); s.instance.unready() && time.Now().Before(end); {
+		time.Sleep(admitPause)
+	}
+	if s.instance.unready() {
+		return fault.NotReady
+	}
 	snapshot := s.instance.keeper.Current()
 	hash := conf.HashKey(key)
 	if !snapshot.Serves(database) {
