Every instance looks at the platform once no relay confirms; a primary whose replicas receive nothing is replaced

Change: an instance looks by itself when what is in force has not been confirmed for 1.7 s; a position that no replica receives for the time of silence marks an isolated primary.

--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -260,6 +260,11 @@
 	relaysPerCenter = 2
 	// relayPause spaces the attempts of a relay while the platform does not answer.
 	relayPause = 500 * time.Millisecond
+	// restPause is how often an instance at rest looks whether it has to act.
+	restPause = 200 * time.Millisecond
+	// uncheckedTime is how long an instance trusts that its data centre's relays follow
+	// the platform; a relay confirms what is in force about every second.
+	uncheckedTime = 1700 * time.Millisecond
 	// lookPause is how often an instance that is no relay looks at the platform itself.
 	lookPause = 30 * time.Second
 )
@@ -363,9 +368,9 @@
 		select {
 		case <-i.tomb.Dying():
 			return false
-		case <-time.After(min(relayPause, time.Until(end))):
+		case <-time.After(min(restPause, time.Until(end))):
 		}
-		if d > 2*relayPause && i.members.relays(i.conf.Relays) {
+		if d > 2*relayPause && (i.members.relays(i.conf.Relays) || i.conf.Listed && i.keeper.CheckedAgo() > uncheckedTime) {
 			return true
 		}
 	}
--- a/internal/plat/store.go
+++ b/internal/plat/store.go
@@ -38,6 +38,8 @@
 	Kept objs.Object
 	// Status is the HTTP status, 0 where no answer came.
 	Status int
+	// Detail says what broke the call off, where something did.
+	Detail string
 }
 
 // Error implements error.
--- a/internal/rule/group/detect.go
+++ b/internal/rule/group/detect.go
@@ -23,6 +23,9 @@
 	if p.status.Role != Primary {
 		return fmt.Sprintf("it answers as a replica of term %d", p.status.Term), m.reachable(now) >= Majority(len(m.servers))
 	}
+	if m.conf.Synchronous && !m.aheadSince.IsZero() && now.Sub(m.aheadSince) > m.conf.Timing.Silence && m.reachable(now) >= Majority(len(m.servers)) {
+		return fmt.Sprintf("no replica has received its position %s for %v", m.ahead, now.Sub(m.aheadSince).Round(time.Millisecond)), true
+	}
 	return m.leaderless(now, p)
 }
 
--- a/internal/rule/group/machine.go
+++ b/internal/rule/group/machine.go
@@ -80,6 +80,9 @@
 	hold   time.Time
 	// claimedAt is when the last claim was asked for; releases is set if it is to unseal replicas.
 	claimedAt time.Time
+	// ahead is a position that the primary has had since aheadSince and no replica has received.
+	ahead      ident.Position
+	aheadSince time.Time
 	// sealedAt is when the first server of the attempt was sealed.
 	sealedAt time.Time
 	releases  bool
@@ -158,6 +161,9 @@
 	known.status, known.known = s, true
 	known.answered, known.missing, known.fresh = now, time.Time{}, false
 	var actions []Action
+	if m.conf.Synchronous {
+		m.compare(now)
+	}
 	if m.phase == promoting && s.Role == Primary && s.Term == m.attempt && s.Server == m.chosen {
 		return m.promoted(now, Promoted{Term: s.Term, Server: s.Server, OK: true})
 	}
@@ -212,6 +218,28 @@
 	return actions
 }
 
+// compare notes since when the primary has had a position that no replica has received.
+func (m *Machine) compare(now time.Time) {
+	leader := m.servers[m.primary]
+	if leader == nil || leader.status.Role != Primary {
+		m.aheadSince = time.Time{}
+		return
+	}
+	var received ident.Position
+	for id, s := range m.servers {
+		if id != m.primary && s.known && s.status.LogTerm == leader.status.LogTerm {
+			received = max(received, s.status.Received)
+		}
+	}
+	switch {
+	case !m.aheadSince.IsZero() && received < m.ahead:
+	case received < leader.status.Received:
+		m.ahead, m.aheadSince = leader.status.Received, now
+	default:
+		m.aheadSince = time.Time{}
+	}
+}
+
 // accept takes a newer primary as the group's.
 func (m *Machine) accept(s Status) []Action {
 	m.term, m.primary, m.suspected = s.Term, s.Server, false
