--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -66,6 +66,9 @@
 	Listed bool
 	// Relays is how many instances of a data centre follow the platform all the time; 0 leaves the usual number.
 	Relays int
+	// LameDuck is how long a stopping instance goes on taking callers, for a balancer
+	// that is slow to see that it is no longer ready.
+	LameDuck time.Duration
 	// Quiet leaves out the reports of what is in force, where each call has its price.
 	Quiet    bool
 	Seed     uint64
@@ -222,6 +225,10 @@
 	}
 	i.journal.Add(jrnl.Event{Kind: jrnl.Stopping})
 	i.hub.TellLinked(ctx, (*handler)(i).Heartbeat(""))
+	select {
+	case <-time.After(i.conf.LameDuck):
+	case <-ctx.Done():
+	}
 	i.callers.drain(ctx, i.keeper.Current().Defaults.DrainTime)
 	i.quota.Stop(ctx)
 	i.members.settle(ctx)
--- a/internal/rule/group/machine.go
+++ b/internal/rule/group/machine.go
@@ -85,7 +85,7 @@
 	aheadSince time.Time
 	// sealedAt is when the first server of the attempt was sealed.
 	sealedAt time.Time
-	releases  bool
+	releases bool
 }
 
 // New returns a Machine that knows nothing yet.
--- a/internal/rule/membr/view_test.go
+++ b/internal/rule/membr/view_test.go
@@ -177,3 +177,19 @@
 		t.Fatal("the cut data centre gave up its live instance")
 	}
 }
+
+// TestRestartedInstanceWorksAgain: after a rolling restart under the same names each
+// instance once took itself for the only one.
+func TestRestartedInstanceWorksAgain(t *testing.T) {
+	v := NewView(Config{Self: "i000", Silence: time.Second, Refresh: time.Second}, 0)
+	now := time.Unix(1000, 0)
+	v.Listed(now, members(3))
+	v.Leaving("i001")
+	if len(v.Working(now)) != 2 {
+		t.Fatalf("a leaving instance works: %v", v.Working(now))
+	}
+	v.Staying("i001")
+	if len(v.Working(now)) != 3 {
+		t.Fatalf("an instance that is back does not work: %v", v.Working(now))
+	}
+}
