Only owners replace a primary; an unlisted server that answers stays in its group

Change: a yielded group follows the list and claims nothing; a server that has lost only its place in the list counts as leaving for as long as it answers.

--- a/internal/owner/coordinate.go
+++ b/internal/owner/coordinate.go
@@ -35,6 +35,9 @@
 		case event = <-g.events:
 		case <-ticker.C:
 			event = group.Tick{}
+			if g.yielded.Load() {
+				continue
+			}
 			machine.SetRank(int(g.rank.Load()))
 			machine.SetServers(g.present())
 			machine.SetLeaving(*g.leaving.Load())
@@ -55,6 +58,9 @@
 	case group.Note:
 		g.noteFor(a)
 	case group.Claim:
+		if g.yielded.Load() {
+			return
+		}
 		g.tomb.Go(func() error { g.claim(a); return nil })
 	case group.Publish:
 		g.tomb.Go(func() error { g.publish(a.Record); return nil })
@@ -65,7 +71,7 @@
 	case group.Release:
 		g.tomb.Go(func() error { g.release(a.Server); return nil })
 	case group.Follow:
-		g.tomb.Go(func() error { g.follow(a); return nil })
+		g.tomb.Go(func() error { g.repoint(a); return nil })
 	}
 }
 
@@ -221,7 +227,7 @@
 	}
 }
 
-func (g *Group) follow(a group.Follow) {
+func (g *Group) repoint(a group.Follow) {
 	ctx, cancel := g.stepContext()
 	defer cancel()
 	s := g.at(a.Server)
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -81,6 +81,8 @@
 	limits  atomic.Pointer[conf.Defaults]
 	leaving atomic.Pointer[map[ident.ServerID]bool]
 	rank    atomic.Int64
+	// yielded is set while another instance owns the group; only owners replace a primary.
+	yielded atomic.Bool
 	tomb    tomb.Tomb
 
 	mu       sync.Mutex
@@ -138,6 +140,12 @@
 		next.servers = append(next.servers, added)
 		fresh = append(fresh, added)
 	}
+	for id, at := range old.index {
+		// A server that has lost only its place in the list may still acknowledge writes.
+		if _, listed := next.index[id]; !listed && c.Listed && g.reaches(old.servers[at]) {
+			next.index[id] = at
+		}
+	}
 	g.board.extend(len(next.servers))
 	g.roster.Store(next)
 	for id, at := range old.index {
@@ -183,6 +191,7 @@
 	}
 	g.limits.Store(&d)
 	g.rank.Store(int64(rank))
+	g.yielded.Store(false)
 	g.enroll(c, poolLimit(c.Connections, owners))
 	for _, s := range g.all() {
 		s.pool.resize(poolLimit(c.Connections, owners))
@@ -191,8 +200,16 @@
 	return true
 }
 
+// follow keeps a group that this instance no longer owns up to date with its servers.
+func (g *Group) follow(c conf.Group, d conf.Defaults) {
+	g.limits.Store(&d)
+	g.enroll(c, 1)
+	g.noteLeaving(c)
+}
+
 // yield frees the connections that the group's new owner needs, but one a server.
 func (g *Group) yield() {
+	g.yielded.Store(true)
 	for _, s := range g.all() {
 		s.pool.resize(1)
 		s.pool.dropIdle()
@@ -201,9 +218,12 @@
 
 func (g *Group) noteLeaving(c conf.Group) {
 	leaving := map[ident.ServerID]bool{}
+	for _, id := range g.present() {
+		leaving[id] = true
+	}
 	for _, s := range c.Servers {
-		if s.Leaving {
-			leaving[s.ID] = true
+		if !s.Leaving {
+			delete(leaving, s.ID)
 		}
 	}
 	old := g.leaving.Swap(&leaving)
--- a/internal/owner/host.go
+++ b/internal/owner/host.go
@@ -108,6 +108,7 @@
 	case rank < 0 && was == nil:
 		return nil, nil
 	case rank < 0:
+		was.group.follow(g, d)
 		return h.linger(was)
 	case was != nil && was.group.Update(g, d, rank, owners):
 		return &held{group: was.group, conf: g}, nil
--- /dev/null
+++ b/internal/owner/roster_test.go
@@ -0,0 +1,179 @@
+package owner
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"geraniumseam.dev/internal/clock"
+	"geraniumseam.dev/internal/jrnl"
+	"geraniumseam.dev/internal/plat"
+	"geraniumseam.dev/internal/proto"
+	"geraniumseam.dev/internal/rule/conf"
+	"geraniumseam.dev/internal/rule/group"
+	"geraniumseam.dev/internal/rule/retry"
+	"geraniumseam.dev/pkg/ident"
+	"geraniumseam.dev/pkg/objs"
+)
+
+// fakeDriver connects to servers that only tell their state.
+type fakeDriver struct {
+	mu      sync.Mutex
+	down    map[ident.ServerID]bool
+	primary ident.ServerID
+	dials   map[ident.CustomerID]int
+}
+
+func (d *fakeDriver) set(id ident.ServerID, down bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.down[id] = down
+}
+
+func (d *fakeDriver) isDown(id ident.ServerID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.down[id]
+}
+
+func (d *fakeDriver) Dial(_ context.Context, t proto.Target) (proto.Conn, error) {
+	if d.isDown(t.Server) {
+		return nil, &proto.DialError{Server: t.Server}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.dials[t.Customer]++
+	return &fakeConn{driver: d, server: t.Server}, nil
+}
+
+func (*fakeDriver) PerCustomer() bool { return true }
+func (*fakeDriver) Proves() bool      { return true }
+
+func (*fakeDriver) Promote(context.Context, proto.Conn, proto.Target, proto.Order) (bool, error) {
+	return true, nil
+}
+
+type fakeConn struct {
+	driver *fakeDriver
+	server ident.ServerID
+	closed bool
+}
+
+func (c *fakeConn) Run(context.Context, *proto.Request, proto.Sink) (proto.Answer, error) {
+	return proto.Answer{TxStatus: 'I'}, nil
+}
+
+func (c *fakeConn) Status(context.Context) (group.Status, error) {
+	if c.driver.isDown(c.server) {
+		return group.Status{}, &proto.RunError{Server: c.server}
+	}
+	s := group.Status{Server: c.server, Term: 1, LogTerm: 1}
+	if c.server == c.driver.primary {
+		s.Role = group.Primary
+	}
+	return s, nil
+}
+
+func (c *fakeConn) Seal(context.Context, ident.Term, group.Claimant) (bool, error) { return true, nil }
+func (c *fakeConn) Follow(context.Context, ident.Term, ident.ServerID) error       { return nil }
+func (c *fakeConn) Release(context.Context) error                                  { return nil }
+func (c *fakeConn) Clean() bool                                                    { return !c.closed }
+func (c *fakeConn) Crowded() bool                                                  { return false }
+func (c *fakeConn) Taint()                                                         {}
+func (c *fakeConn) Interrupt()                                                     {}
+func (c *fakeConn) Close()                                                         { c.closed = true }
+
+// countingStore fails every call and counts the writes.
+type countingStore struct {
+	plat.Store
+	mu     sync.Mutex
+	writes int
+}
+
+func (s *countingStore) Get(context.Context, objs.Kind, string) (objs.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes++
+	return objs.Object{}, &plat.Error{Cause: plat.Unreachable}
+}
+
+func (s *countingStore) asked() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writes
+}
+
+func server3(ids ...ident.ServerID) conf.Group {
+	g := conf.Group{Connections: 20, Slots: 3, Synchronous: 1, Listed: true}
+	for _, id := range ids {
+		g.Servers = append(g.Servers, conf.Server{ID: id, Address: "127.0.0.1:1"})
+	}
+	return g
+}
+
+func startGroup(t *testing.T, d *fakeDriver, s plat.Store) *Group {
+	t.Helper()
+	limits := conf.Usual()
+	limits.Poll, limits.Silence, limits.PathSilence, limits.Stagger = 10*time.Millisecond, 100*time.Millisecond, 200*time.Millisecond, 20*time.Millisecond
+	g := NewGroup(GroupConfig{
+		ID: "g", Group: server3("a", "b", "c"), Defaults: limits, Self: "i", Claimant: "i-1", Owners: 1, Driver: d, Store: s,
+		Journal: jrnl.New(jrnl.Config{Instance: "i", Capacity: 100, Now: time.Now}), Budget: retry.NewBudget(0.1, 10),
+		Random: rand.New(rand.NewPCG(1, 1)), Now: clock.Now,
+	})
+	t.Cleanup(g.Stop)
+	return g
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("not within 10 s: " + what)
+		}
+	}
+}
+
+func newDriver() *fakeDriver {
+	return &fakeDriver{down: map[ident.ServerID]bool{}, primary: "a", dials: map[ident.CustomerID]int{}}
+}
+
+// TestUnlistedServerThatAnswersStays: a primary that was cut off from the platform lost
+// its place in the list; nobody sealed it, and it went on acknowledging writes as a
+// replica of its successor.
+func TestUnlistedServerThatAnswersStays(t *testing.T) {
+	d := newDriver()
+	g := startGroup(t, d, &countingStore{})
+	eventually(t, "all answer", func() bool {
+		v := g.board.current.Load()
+		return len(v.servers) == 3 && v.servers[0].known && v.servers[1].known && v.servers[2].known
+	})
+	g.Update(server3("a", "b"), *g.limits.Load(), 0, 1)
+	if !slices.Contains(g.present(), "c") || !(*g.leaving.Load())["c"] {
+		t.Fatalf("present %v, leaving %v: want c to stay as one that leaves", g.present(), *g.leaving.Load())
+	}
+	d.set("c", true)
+	eventually(t, "c is given up once it does not answer", func() bool {
+		g.Update(server3("a", "b"), *g.limits.Load(), 0, 1)
+		return !slices.Contains(g.present(), "c")
+	})
+}
+
+// TestOnlyOwnersReplaceAPrimary: an instance that had ceased to own a group, and knew
+// its servers no more, ordered a promotion.
+func TestOnlyOwnersReplaceAPrimary(t *testing.T) {
+	d := newDriver()
+	store := &countingStore{}
+	g := startGroup(t, d, store)
+	eventually(t, "the primary is known", func() bool { id, _ := g.Primary(); return id == "a" })
+	g.yield()
+	d.set("a", true)
+	time.Sleep(time.Second)
+	if store.asked() > 0 {
+		t.Fatal("a claim by an instance that does not own the group")
+	}
+	g.Update(server3("a", "b", "c"), *g.limits.Load(), 0, 1)
+	eventually(t, "the owner claims", func() bool { return store.asked() > 0 })
+}
