--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"geraniumseam.dev/internal/fault"
@@ -21,13 +22,16 @@
 	hosting := s.Groups[w.Group].Hosting()
 	var last owner.Result
 	for attempt := 0; ; attempt++ {
-		owners := i.members.owners(w.Group, hosting)
+		owners := i.towardsPrimary(w, i.members.owners(w.Group, hosting))
 		if len(owners) == 0 {
 			last = owner.Result{Outcome: fault.NotRun, Reason: fault.NoOwner}
 		} else {
 			id := owners[attempt%len(owners)]
 			guard := &guarded{sink: sink}
 			last = i.runAt(ctx, id, w, guard)
+			if last.Lead != "" {
+				i.leads.Store(w.Group, last.Lead)
+			}
 			if !retriable(w, last, guard.passed) {
 				return last, id
 			}
@@ -39,6 +43,22 @@
 	}
 }
 
+// towardsPrimary puts the owner in the primary's data centre first for work that only the primary can run.
+func (i *Instance) towardsPrimary(w *owner.Work, owners []ident.InstanceID) []ident.InstanceID {
+	lead, known := i.leads.Load(w.Group)
+	if !known || !w.NeedsPrimary() || len(owners) < 2 {
+		return owners
+	}
+	view := i.members.current.Load()
+	for at, id := range owners {
+		if view.all[id].Center != lead || !view.reach[id] && id != i.conf.Instance {
+			continue
+		}
+		return append([]ident.InstanceID{id}, slices.Delete(slices.Clone(owners), at, at+1)...)
+	}
+	return owners
+}
+
 // guarded notes whether anything of an answer has been handed on.
 type guarded struct {
 	sink   proto.Sink
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -105,6 +105,8 @@
 	boot    string
 	// prefix begins every trace id of this life of the instance.
 	prefix string
+	// leads holds the data centre of each group's primary, as owners last told it.
+	leads sync.Map
 	// draining is set once shutdown has begun.
 	draining atomic.Bool
 	fetching atomic.Bool
@@ -132,7 +134,7 @@
 	i.members = newMembers(i)
 	i.callers = newCallers(i)
 	i.host = owner.NewHost(owner.HostConfig{
-		Self: c.Instance, Claimant: group.Claimant(string(c.Instance) + "-" + i.boot), Driver: c.Backends,
+		Self: c.Instance, Center: c.Center, Claimant: group.Claimant(string(c.Instance) + "-" + i.boot), Driver: c.Backends,
 		Store: c.Store, Journal: i.journal, Random: i.random.fork(),
 		Now: clock.Now, Opinion: i.tellOpinion, Registry: c.Registry, Baseline: c.Baseline.Baseline,
 	})
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -25,6 +25,7 @@
 	Group    conf.Group
 	Defaults conf.Defaults
 	Self     ident.InstanceID
+	Center   ident.CenterID
 	Claimant group.Claimant
 	// Rank is this instance's place among the owners, Owners their number.
 	Rank    int
@@ -103,25 +104,38 @@
 	g.rank.Store(int64(c.Rank))
 	g.roster.Store(&roster{index: map[ident.ServerID]int{}})
 	g.tomb.Go(g.coordinate)
-	g.enroll(c.Group, poolLimit(c.Group.Connections, c.Owners))
+	g.enroll(c.Group)
+	g.resize(c.Group.Connections, c.Owners)
 	g.noteLeaving(c.Group)
 	g.tomb.Go(g.reap)
 	return g
 }
 
 // poolLimit divides a server's connections among the owners, after one control connection for each.
-func poolLimit(connections, owners int) int {
+//
+// The owner in a server's own data centre gets the larger part: what needs that server
+// comes to it, and its connections open without a way between data centres.
+func poolLimit(connections, owners int, near bool) int {
 	owners = max(owners, 1)
-	kept := connections * keptPart / 10
-	return max((kept-owners)/owners, 1)
+	kept := connections*keptPart/10 - owners
+	if owners == 1 {
+		return max(kept, 1)
+	}
+	if near {
+		return max(kept*nearPart/10, 1)
+	}
+	return max(kept*(10-nearPart)/10/(owners-1), 1)
 }
 
+// nearPart is how many tenths of the connections go to the owner in the server's data centre.
+const nearPart = 6
+
 // keptPart is how many tenths of a server's connections are used in calm: those of
 // instances that lost their power stay taken for a while.
 const keptPart = 6
 
 // enroll starts watching the servers that are new and gives up those that are gone.
-func (g *Group) enroll(c conf.Group, limit int) {
+func (g *Group) enroll(c conf.Group) {
 	old := g.roster.Load()
 	next := &roster{servers: slices.Clone(old.servers), index: map[ident.ServerID]int{}}
 	var fresh []*server
@@ -133,7 +147,7 @@
 		target := proto.Target{Server: s.ID, Address: s.Address, Group: g.conf.ID}
 		added := &server{
 			Server: s, at: len(next.servers), target: target, kick: make(chan struct{}, 1), control: make(chan *controlCall, 8),
-			pool: newPool(poolConfig{target: target, driver: g.conf.Driver}, limit, g.limits.Load().QueueLength, g.conf.Now),
+			pool: newPool(poolConfig{target: target, driver: g.conf.Driver}, 1, g.limits.Load().QueueLength, g.conf.Now),
 			gone: make(chan struct{}),
 		}
 		next.index[s.ID] = added.at
@@ -192,18 +206,23 @@
 	g.limits.Store(&d)
 	g.rank.Store(int64(rank))
 	g.yielded.Store(false)
-	g.enroll(c, poolLimit(c.Connections, owners))
-	for _, s := range g.all() {
-		s.pool.resize(poolLimit(c.Connections, owners))
-	}
+	g.enroll(c)
+	g.resize(c.Connections, owners)
 	g.noteLeaving(c)
 	return true
 }
 
+// resize divides the servers' connections among the owners.
+func (g *Group) resize(connections, owners int) {
+	for _, s := range g.all() {
+		s.pool.resize(poolLimit(connections, owners, s.Center == g.conf.Center))
+	}
+}
+
 // follow keeps a group that this instance no longer owns up to date with its servers.
 func (g *Group) follow(c conf.Group, d conf.Defaults) {
 	g.limits.Store(&d)
-	g.enroll(c, 1)
+	g.enroll(c)
 	g.noteLeaving(c)
 }
 
--- a/internal/owner/host.go
+++ b/internal/owner/host.go
@@ -24,6 +24,7 @@
 // HostConfig makes a Host.
 type HostConfig struct {
 	Self     ident.InstanceID
+	Center   ident.CenterID
 	Claimant group.Claimant
 	Driver   proto.Driver
 	Store    plat.Store
@@ -114,7 +115,7 @@
 		return &held{group: was.group, conf: g}, nil
 	}
 	started := NewGroup(GroupConfig{
-		ID: id, Group: g, Defaults: d, Self: h.conf.Self, Claimant: h.conf.Claimant, Rank: rank, Owners: owners,
+		ID: id, Group: g, Defaults: d, Self: h.conf.Self, Center: h.conf.Center, Claimant: h.conf.Claimant, Rank: rank, Owners: owners,
 		Driver: h.conf.Driver, Store: h.conf.Store, Journal: h.conf.Journal,
 		Budget: h.budget, Random: rand.New(rand.NewPCG(h.conf.Random.Uint64(), h.conf.Random.Uint64())),
 		Now: h.conf.Now, Opinion: h.conf.Opinion, Baseline: h.conf.Baseline,
--- a/internal/owner/pool.go
+++ b/internal/owner/pool.go
@@ -22,7 +22,7 @@
 
 // sameStreak is how often in a row a connection may go to waiters of its own
 // customer while somebody else's turn it is: changing customers costs a handshake.
-const sameStreak = 4
+const sameStreak = 16
 
 // poolConfig says where a pool's connections lead.
 type poolConfig struct {
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -21,6 +21,21 @@
 // Run runs the work and hands its answer to sink. Nothing reaches sink unless the
 // outcome is Done, or the answer of a read was cut short.
 func (g *Group) Run(ctx context.Context, w *Work, sink proto.Sink) Result {
+	result := g.run(ctx, w, sink)
+	result.Lead = g.lead()
+	return result
+}
+
+// lead returns the data centre of the primary, as far as it is known.
+func (g *Group) lead() ident.CenterID {
+	v := g.board.current.Load()
+	if v.primary == noPrimary {
+		return ""
+	}
+	return g.all()[v.primary].Center
+}
+
+func (g *Group) run(ctx context.Context, w *Work, sink proto.Sink) Result {
 	if untilDeadline(ctx) > w.Limits.Run {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, w.Limits.Run)
--- a/internal/owner/work.go
+++ b/internal/owner/work.go
@@ -70,6 +70,19 @@
 	Replica bool `cbor:"8,keyasint,omitempty"`
 	// ErrorCode is the SQLSTATE that the server answered with, if any.
 	ErrorCode string `cbor:"9,keyasint,omitempty"`
+	// Lead is the data centre of the primary as the owner sees it.
+	Lead ident.CenterID `cbor:"10,keyasint,omitempty"`
+}
+
+// NeedsPrimary reports whether only the primary can run the work.
+func (w *Work) NeedsPrimary() bool {
+	switch w.Kind {
+	case stmt.Empty, stmt.Read, stmt.Show, stmt.Set:
+		return w.Pin || w.Reads == conf.LatestReads
+	case stmt.Begin:
+		return w.Pin || !w.ReadOnly || w.Reads == conf.LatestReads
+	}
+	return true
 }
 
 func notRun(r fault.Reason) Result { return Result{Outcome: fault.NotRun, Reason: r} }
