A transaction begins only at a primary that is known to lead

Change: opening a transaction waits for a leased or confirmed primary. The test fails without the change.

--- a/internal/owner/roster_test.go
+++ b/internal/owner/roster_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"geraniumseam.dev/internal/clock"
+	"geraniumseam.dev/internal/fault"
 	"geraniumseam.dev/internal/jrnl"
 	"geraniumseam.dev/internal/plat"
 	"geraniumseam.dev/internal/proto"
@@ -17,6 +18,7 @@
 	"geraniumseam.dev/internal/rule/retry"
 	"geraniumseam.dev/pkg/ident"
 	"geraniumseam.dev/pkg/objs"
+	"geraniumseam.dev/pkg/stmt"
 )
 
 // fakeDriver connects to servers that only tell their state.
@@ -177,3 +179,28 @@
 	g.Update(server3("a", "b", "c"), *g.limits.Load(), 0, 1)
 	eventually(t, "the owner claims", func() bool { return store.asked() > 0 })
 }
+
+// TestTransactionNeedsAPrimaryThatLed: a transaction read at a primary that had been
+// replaced behind a partition and still answered.
+func TestTransactionNeedsAPrimaryThatLed(t *testing.T) {
+	for _, kind := range []stmt.Kind{stmt.Begin, stmt.Read} {
+		d := newDriver()
+		g := startGroup(t, d, &countingStore{})
+		run := func() Result {
+			ctx, cancel := context.WithTimeout(context.Background(), 400*time.Millisecond)
+			defer cancel()
+			w := &Work{
+				Kind: kind, Reads: conf.LatestReads, Customer: "c", Limits: Limits{Run: 400 * time.Millisecond, Queue: 400 * time.Millisecond},
+				Request: proto.Request{Opening: proto.OpenWriting},
+			}
+			return g.Run(ctx, w, &heldSink{})
+		}
+		eventually(t, "the work runs while the group is whole", func() bool { return run().Outcome == fault.Done })
+		d.set("b", true)
+		d.set("c", true)
+		time.Sleep(group.LeaseWait + takeoverTime + 100*time.Millisecond)
+		if r := run(); r.Outcome != fault.NotRun || r.Reason != fault.NoPrimary {
+			t.Fatalf("%s at a primary whose replicas are out of sight: %s %s", kind, r.Outcome, r.Reason)
+		}
+	}
+}
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -109,11 +109,21 @@
 // runWrite runs a request on the primary and holds its answer back until a
 // majority of servers has what it wrote.
 func (g *Group) runWrite(ctx context.Context, w *Work, sink proto.Sink) Result {
-	return g.try(ctx, w, func() attempt { return g.writeOnce(ctx, w, sink) })
+	arrived := clock.Now()
+	return g.try(ctx, w, func() attempt { return g.writeOnce(ctx, w, arrived, sink) })
 }
 
-func (g *Group) writeOnce(ctx context.Context, w *Work, sink proto.Sink) attempt {
-	s, reason := g.awaitPrimary(ctx)
+// primaryFor returns the primary; one that was replaced may still answer the reads of
+// a transaction, so that those need one that is known to have led when they arrived.
+func (g *Group) primaryFor(ctx context.Context, w *Work, arrived time.Time) (*server, fault.Reason) {
+	if w.Kind == stmt.Begin && g.conf.Group.Synchronous > 0 {
+		return g.awaitLeased(ctx, arrived)
+	}
+	return g.awaitPrimary(ctx)
+}
+
+func (g *Group) writeOnce(ctx context.Context, w *Work, arrived time.Time, sink proto.Sink) attempt {
+	s, reason := g.primaryFor(ctx, w, arrived)
 	if s == nil {
 		return attempt{result: notRun(reason)}
 	}
