--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -103,6 +103,7 @@
 	random  *seeded
 	traces  atomic.Uint64
 	boot    string
+	started time.Time
 	// prefix begins every trace id of this life of the instance.
 	prefix string
 	// leads holds the data centre of each group's primary, as owners last told it.
@@ -125,6 +126,7 @@
 		c.Relays = relaysPerCenter
 	}
 	i := &Instance{conf: c, random: newSeeded(c.Seed), metrics: newMetrics(c.Registry)}
+	i.started = clock.Now()
 	i.boot = fmt.Sprintf("%08x", i.random.uint32())
 	i.prefix = string(c.Instance) + "-" + i.boot + "-"
 	i.journal = jrnl.New(jrnl.Config{
--- a/internal/quota/keep.go
+++ b/internal/quota/keep.go
@@ -113,9 +113,21 @@
 		return
 	}
 	q.sizes.Add(1)
+	q.openAccounts()
 	q.conf.Journal.Add(jrnl.Event{Kind: jrnl.ShareChanged, Evidence: evidence(share.Part(old), usable)})
 }
 
+// openAccounts lets every customer's tokens count from now on, not from its first request.
+func (q *Quota) openAccounts() {
+	now := clock.Now()
+	for customer := range q.conf.Snapshot().Customers {
+		a := q.account(customer)
+		a.mu.Lock()
+		q.resize(a, now, customer)
+		a.mu.Unlock()
+	}
+}
+
 func evidence(old, now share.Part) string {
 	if now == 0 {
 		return "the lease lapsed: nothing may be spent"
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -61,9 +61,11 @@
 
 // account is one customer's bucket here.
 type account struct {
-	mu      sync.Mutex
-	bucket  *share.Bucket
-	sized   uint64
+	mu     sync.Mutex
+	bucket *share.Bucket
+	sized  uint64
+	// started is set once the account has had its part of what a restart may spend.
+	started bool
 	waiting float64
 	demand  float64
 	spent   time.Time
@@ -163,6 +165,10 @@
 	c := s.Customers[customer]
 	part := float64(q.part.Load()) / float64(share.Whole)
 	a.bucket.Resize(now, share.Rate(c.Rate*part), share.Tokens(c.Burst*part))
+	if part > 0 && !a.started {
+		a.started = true
+		a.bucket.Add(now, share.Tokens(c.Restart*part))
+	}
 }
 
 // TakeNow spends one token if it is there.
--- a/internal/rule/conf/check.go
+++ b/internal/rule/conf/check.go
@@ -151,6 +151,7 @@
 	k.name("customer", string(id))
 	k.want(c.Rate > 0, section, "rate", "requests a second, above 0")
 	k.want(c.Burst >= 1, section, "burst", "requests, at least 1")
+	k.want(c.Restart >= 0, section, "restart", "requests, not negative")
 	k.want(c.Weight > 0, section, "weight", "a number above 0")
 }
 
--- a/internal/rule/conf/config.go
+++ b/internal/rule/conf/config.go
@@ -28,9 +28,12 @@
 
 // Customer is a tenant with a rate in requests a second and a burst in requests.
 type Customer struct {
-	Rate   float64 `json:"rate"`
-	Burst  float64 `json:"burst"`
-	Weight float64 `json:"weight"`
+	Rate  float64 `json:"rate"`
+	Burst float64 `json:"burst"`
+	// Restart is what the fleet may spend beyond rate and burst when instances start
+	// anew, in requests: a new instance does not know what was spent before it.
+	Restart float64 `json:"restart,omitempty"`
+	Weight  float64 `json:"weight"`
 }
 
 // Hash is the SHA-256 of a key.
--- a/internal/rule/share/bucket.go
+++ b/internal/rule/share/bucket.go
@@ -38,6 +38,13 @@
 	b.clip()
 }
 
+// Add puts tokens into the bucket, as far as they fit.
+func (b *Bucket) Add(now time.Time, amount Tokens) {
+	b.refill(now)
+	b.tokens += amount
+	b.clip()
+}
+
 // refill adds what came since the last look. Tokens that came while the room of
 // lent ones was kept empty are clipped before that room is free again.
 func (b *Bucket) refill(now time.Time) {
