No promotion without a successor that holds every acknowledged write

Change: nothing is sealed unless all replicas answer and one holds what the primary had after the last server left; the primary is sealed last.

--- a/internal/rule/group/claims_test.go
+++ b/internal/rule/group/claims_test.go
@@ -110,16 +110,60 @@
 		t.Fatal("a leaving primary is not replaced")
 	}
 	s.step(Claimed{Term: claim.Record.Term, Won: true, Record: Record{Claim: 1}})
+	var last []Action
 	for _, id := range []ident.ServerID{"a", "b"} {
-		if _, early := find[Promote](s.step(Sealed{Term: claim.Record.Term, OK: true, Status: Status{Server: id, Term: 1, LogTerm: 1, Received: 7}})); early {
+		last = s.step(Sealed{Term: claim.Record.Term, OK: true, Status: Status{Server: id, Term: 1, LogTerm: 1, Received: 7}})
+		if _, early := find[Promote](last); early {
 			t.Fatal("ordered while the old primary may acknowledge")
 		}
 	}
+	if seal, ok := find[Seal](last); !ok || seal.Server != "p" {
+		t.Fatalf("the primary is not sealed after its replicas: %v", last)
+	}
 	if _, ok := find[Promote](s.step(Sealed{Term: claim.Record.Term, OK: true, Status: Status{Server: "p", Term: 1, LogTerm: 1, Received: 8}})); !ok {
 		t.Fatal("no order once all were sealed")
 	}
 }
 
+// TestDeafReplicaIsNoSuccessor: the replicas that had acknowledged a primary's writes
+// left, and the one that remained had received nothing; it was promoted.
+func TestDeafReplicaIsNoSuccessor(t *testing.T) {
+	s := newScene(t)
+	s.poll("p", Primary, 30)
+	s.poll("b", Replica, 30)
+	s.m.SetServers([]ident.ServerID{"p", "a"})
+	s.poll("p", Primary, 31)
+	alone := func() { s.poll("p", Primary, 40); s.poll("a", Replica, 7) }
+	if claim, ok := find[Claim](s.pass(5*time.Second, alone)); ok {
+		t.Fatalf("claimed with nobody to follow the primary: %+v", claim)
+	}
+	dead := func() { s.step(Missed{Server: "p", Fresh: true}); s.poll("a", Replica, 7) }
+	if claim, ok := find[Claim](s.pass(5*time.Second, dead)); ok {
+		t.Fatalf("claimed though the replica lacks acknowledged writes: %+v", claim)
+	}
+	caughtUp := func() { s.step(Missed{Server: "p", Fresh: true}); s.poll("a", Replica, 31) }
+	if _, ok := find[Claim](s.pass(5*time.Second, caughtUp)); !ok {
+		t.Fatal("no claim once the replica holds all that may have been acknowledged")
+	}
+}
+
+// TestPrimaryIsNotStoppedForNothing: a primary was sealed although one of its replicas
+// did not answer, and the group had no leader until that one was given up.
+func TestPrimaryIsNotStoppedForNothing(t *testing.T) {
+	s := newScene(t)
+	actions := s.pass(5*time.Second, func() {
+		s.poll("p", Primary, 9)
+		s.poll("a", Replica, 7)
+		s.step(Missed{Server: "b", Fresh: true})
+	})
+	if seal, ok := find[Seal](actions); ok {
+		t.Fatalf("sealed: %+v", seal)
+	}
+	if claim, ok := find[Claim](actions); ok {
+		t.Fatalf("claimed: %+v", claim)
+	}
+}
+
 // TestStaleSealIsReleasedUnderAClaim: a replica was once released into another
 // instance's promotion and acknowledged beyond the sealed position.
 func TestStaleSealIsReleasedUnderAClaim(t *testing.T) {
--- a/internal/rule/group/machine.go
+++ b/internal/rule/group/machine.go
@@ -80,6 +80,12 @@
 	hold   time.Time
 	// claimedAt is when the last claim was asked for; releases is set if it is to unseal replicas.
 	claimedAt time.Time
+	// need is the position that a successor must hold; it is asked of the primary anew
+	// after a server has left.
+	need        ident.Position
+	needUnknown bool
+	// reshaped is set when a server joins.
+	reshaped bool
 	// ahead is a position that the primary has had since aheadSince and no replica has received.
 	ahead      ident.Position
 	aheadSince time.Time
@@ -106,11 +112,13 @@
 	for _, id := range ids {
 		if m.servers[id] == nil {
 			m.servers[id] = &server{}
+			m.reshaped = true
 		}
 	}
 	for id := range m.servers {
 		if !slices.Contains(ids, id) {
 			delete(m.servers, id)
+			m.needUnknown = true
 		}
 	}
 }
@@ -163,6 +171,7 @@
 	var actions []Action
 	if m.conf.Synchronous {
 		m.compare(now)
+		m.require(s)
 	}
 	if m.phase == promoting && s.Role == Primary && s.Term == m.attempt && s.Server == m.chosen {
 		return m.promoted(now, Promoted{Term: s.Term, Server: s.Server, OK: true})
@@ -240,9 +249,44 @@
 	}
 }
 
+// require notes what a successor must hold: all that the primary had once a server
+// had left the group, for that one may have been the only other to hold it.
+func (m *Machine) require(s Status) {
+	if !m.needUnknown || s.Server != m.primary || s.Role != Primary {
+		return
+	}
+	m.need, m.needUnknown = s.Received, false
+}
+
+// needed returns what a successor must hold; where the primary was lost before it could
+// be asked again, all that it last reported.
+func (m *Machine) needed() ident.Position {
+	if leader := m.servers[m.primary]; m.needUnknown && leader != nil {
+		return max(m.need, leader.status.Received)
+	}
+	return m.need
+}
+
+// successor reports whether a promotion can be brought to an end: every replica that may
+// hold an acknowledged write answers, and one of them holds what a successor must.
+func (m *Machine) successor(now time.Time) bool {
+	found := false
+	for id, s := range m.servers {
+		if id == m.primary {
+			continue
+		}
+		if !m.answers(now, s) {
+			return false
+		}
+		found = found || s.status.Received >= m.needed()
+	}
+	return found
+}
+
 // accept takes a newer primary as the group's.
 func (m *Machine) accept(s Status) []Action {
 	m.term, m.primary, m.suspected = s.Term, s.Server, false
+	m.need, m.needUnknown = s.Received, false
 	if m.phase != idle && (m.attempt <= s.Term || m.conf.Synchronous) {
 		m.phase = idle
 	}
@@ -322,6 +366,9 @@
 		m.suspected, m.since = true, now
 		actions = append(actions, m.note(Suspected, m.primary, reason))
 	}
+	if m.conf.Synchronous && m.primary != "" && !m.successor(now) {
+		return actions
+	}
 	wait := time.Duration(m.conf.Rank) * m.conf.Timing.Stagger
 	if now.Before(m.since.Add(wait)) || now.Before(m.hold) {
 		return actions
@@ -404,10 +451,10 @@
 
 // sealAll asks every server that stays to follow no lower term.
 func (m *Machine) sealAll(now time.Time) []Action {
-	m.phase, m.deadline = sealing, now.Add(m.conf.Timing.StepTime)
+	m.phase, m.deadline, m.reshaped = sealing, now.Add(m.conf.Timing.StepTime), false
 	var actions []Action
 	for _, id := range m.conf.Servers {
-		if !m.leaving[id] || m.conf.Synchronous {
+		if !m.leaving[id] && !m.conf.Synchronous || m.conf.Synchronous && id != m.primary {
 			actions = append(actions, Seal{Server: id, Term: m.attempt, Claimant: m.conf.Claimant})
 		}
 	}
@@ -440,7 +487,7 @@
 	}
 	m.sealed[e.Status.Server] = e.Status
 	if !m.sealedEnough() {
-		return nil
+		return m.sealPrimary(now)
 	}
 	statuses := make([]Status, 0, len(m.sealed))
 	for _, id := range m.conf.Servers {
@@ -449,6 +496,10 @@
 		}
 	}
 	best := m.best(statuses)
+	if m.conf.Synchronous && best.Received < m.needed() {
+		m.stop(now)
+		return []Action{m.note(SealFailed, best.Server, fmt.Sprintf("it has %s, a successor needs %s", best.Received, m.needed()))}
+	}
 	m.chosen = best.Server
 	m.phase, m.deadline = promoting, now.Add(m.conf.Timing.StepTime)
 	var until, notBefore time.Time
@@ -485,6 +536,30 @@
 	return replicas > 0
 }
 
+// sealPrimary stops a primary that still answers, once its replicas are sealed and one
+// of them can follow it; a server that joined meanwhile starts the attempt anew.
+func (m *Machine) sealPrimary(now time.Time) []Action {
+	if !m.conf.Synchronous || m.primary == "" || !m.answered(m.primary) {
+		return nil
+	}
+	found := false
+	for id := range m.servers {
+		if id == m.primary {
+			continue
+		}
+		s, sealed := m.sealed[id]
+		if !sealed {
+			return nil
+		}
+		found = found || s.Received >= m.needed()
+	}
+	if !found || m.reshaped {
+		m.stop(now)
+		return []Action{m.note(SealFailed, m.primary, "no sealed replica can follow the primary")}
+	}
+	return []Action{Seal{Server: m.primary, Term: m.attempt, Claimant: m.conf.Claimant}}
+}
+
 // answered reports whether a server was not missing when it was last asked.
 func (m *Machine) answered(id ident.ServerID) bool {
 	s := m.servers[id]
