--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -126,9 +126,13 @@
 	if near {
 		return max(kept*nearPart/10, 1)
 	}
-	return max(kept*(10-nearPart)/10/(owners-1), 1)
+	return max(2*kept*(10-nearPart)/10/(owners-1), 1)
 }
 
+// farIdle is how long a connection to a server in another data centre is kept unused:
+// an owner may have twice its part of those while its own server is of no use.
+const farIdle = 2 * time.Second
+
 // nearPart is how many tenths of the connections go to the owner in the server's data centre.
 const nearPart = 6
 
--- a/internal/owner/pool.go
+++ b/internal/owner/pool.go
@@ -36,6 +36,7 @@
 	proto.Conn
 	customer ident.CustomerID
 	streak   int
+	used     time.Time
 }
 
 // grant is what a waiter gets: a connection or a reason.
@@ -299,6 +300,7 @@
 		return
 	}
 	p.busy.Add(-1)
+	c.used = p.now()
 	p.idle = append(p.idle, c)
 	p.growNext()
 }
@@ -424,6 +426,22 @@
 	}
 }
 
+// prune closes the connections that have been idle for longer than the time.
+func (p *pool) prune(most time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if p.now().Sub(c.used) <= most {
+			kept = append(kept, c)
+			continue
+		}
+		c.Close()
+		p.open--
+	}
+	p.idle = kept
+}
+
 // dropIdle closes idle connections, as when the server behind them is suspected.
 func (p *pool) dropIdle() {
 	p.mu.Lock()
--- a/internal/owner/watch.go
+++ b/internal/owner/watch.go
@@ -70,6 +70,9 @@
 		case <-timer.C:
 		}
 		w.poll()
+		if s.Center != g.conf.Center && g.conf.Driver.PerCustomer() {
+			s.pool.prune(farIdle)
+		}
 		timer.Reset(g.pollPause())
 	}
 }
