--- /dev/null
+++ b/cmd/geraniumnode/doc.go
@@ -0,0 +1,2 @@
+// Command geraniumnode runs one entry instance on the users' platform.
+package main
--- a/cmd/geraniumnode/main.go
+++ b/cmd/geraniumnode/main.go
@@ -1,4 +1,3 @@
-// Command geraniumnode runs one entry instance on the users' platform.
 package main
 
 import (
--- /dev/null
+++ b/internal/entry/relay.go
@@ -0,0 +1,143 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/juju/errors"
+
+	"geraniumseam.dev/internal/confs"
+	"geraniumseam.dev/internal/jrnl"
+	"geraniumseam.dev/internal/plat"
+	"geraniumseam.dev/pkg/objs"
+)
+
+const (
+	relaysPerCenter = 2
+	// relayPause spaces the attempts of a relay while the platform does not answer.
+	relayPause = 500 * time.Millisecond
+	// restPause is how often an instance at rest looks whether it has to act.
+	restPause = 200 * time.Millisecond
+	// uncheckedTime is how long an instance trusts that its data centre's relays follow
+	// the platform; a relay confirms what is in force about every second.
+	uncheckedTime = 1700 * time.Millisecond
+	// lookPause is how often an instance that is no relay looks at the platform itself.
+	lookPause = 30 * time.Second
+)
+
+// relay follows the platform's configuration.
+func (i *Instance) relay() error {
+	r := &confs.Relay{Store: i.conf.Store, Keeper: i.keeper}
+	lost := false
+	i.awaitPeerConfig()
+	return i.keepUp(func(ctx context.Context) error {
+		err := r.Once(ctx)
+		if ctx.Err() == nil {
+			lost = i.notePlatform(err, lost)
+		}
+		return err
+	})
+}
+
+// relayServers follows the platform's list of backend servers.
+func (i *Instance) relayServers() error {
+	return i.keepUp((&confs.Lister{Store: i.conf.Store, Keeper: i.keeper}).Once)
+}
+
+// keepUp follows something that the platform keeps: as one of the data centre's
+// relays all the time, otherwise at the start and now and then.
+func (i *Instance) keepUp(once func(context.Context) error) error {
+	ctx := i.tomb.Context(context.Background())
+	for {
+		err := once(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		pause := time.Duration(0)
+		switch {
+		case err != nil:
+			pause = relayPause/2 + i.random.duration(relayPause)
+		case !i.members.relays(i.conf.Relays):
+			pause = lookPause/2 + i.random.duration(lookPause)
+		}
+		if !i.rest(pause) {
+			return nil
+		}
+	}
+}
+
+// announce writes this instance into the list of instances, and again for as long as that fails.
+func (i *Instance) announce() error {
+	ctx := i.tomb.Context(context.Background())
+	spec, err := json.Marshal(objs.Machine{Center: i.conf.Center, Address: i.conf.Announce, State: objs.Live})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	o := objs.Object{Kind: objs.Machines, Metadata: objs.Metadata{Name: string(i.conf.Instance)}, Spec: spec}
+	for {
+		_, err := i.conf.Store.Put(ctx, o)
+		var failed *plat.Error
+		if errors.As(err, &failed) && failed.Cause == plat.Conflict {
+			if bytes.Equal(failed.Kept.Spec, spec) {
+				return nil
+			}
+			o.Metadata.ResourceVersion = failed.Kept.Metadata.ResourceVersion
+		}
+		if err == nil {
+			i.members.changed()
+			return nil
+		}
+		if !i.rest(relayPause/2 + i.random.duration(relayPause)) {
+			return nil
+		}
+	}
+}
+
+// peerConfigTime is how long a new instance of a large fleet waits for a peer to tell
+// it the configuration before it asks the platform.
+const peerConfigTime = 3 * time.Second
+
+// awaitPeerConfig spares the platform: in a large fleet a heartbeat brings the
+// configuration sooner than a megabyte from the platform would.
+func (i *Instance) awaitPeerConfig() {
+	for end := time.Now().Add(peerConfigTime); time.Now().Before(end) && i.tomb.Alive(); {
+		known, _ := i.members.list()
+		large := len(i.members.current.Load().all) > meshSize
+		if i.keeper.Current().Version > 0 || known > 0 && !large {
+			return
+		}
+		time.Sleep(viewPause / 10)
+	}
+}
+
+// rest waits and reports false once the instance ends; becoming a relay ends the wait.
+func (i *Instance) rest(d time.Duration) bool {
+	end := time.Now().Add(d)
+	for time.Now().Before(end) {
+		select {
+		case <-i.tomb.Dying():
+			return false
+		case <-time.After(min(restPause, time.Until(end))):
+		}
+		if d > 2*relayPause && (i.members.relays(i.conf.Relays) || i.conf.Listed && i.keeper.CheckedAgo() > uncheckedTime) {
+			return true
+		}
+	}
+	return i.tomb.Alive()
+}
+
+func (i *Instance) notePlatform(err error, lost bool) bool {
+	unreachable := plat.Is(err, plat.Unreachable)
+	if unreachable && !lost {
+		i.journal.Add(jrnl.Event{Kind: jrnl.PlatformLost, Evidence: err.Error()})
+	}
+	if err == nil && lost {
+		i.journal.Add(jrnl.Event{Kind: jrnl.PlatformBack})
+	}
+	if err == nil {
+		return false
+	}
+	return lost || unreachable
+}
--- a/internal/owner/pool.go
+++ b/internal/owner/pool.go
@@ -336,63 +336,6 @@
 	return turn
 }
 
-// silentGrace is how long a write on an old connection may still be answered once
-// another connection of that age has gone silent.
-const silentGrace = time.Second
-
-// request is one run of a connection.
-type request struct{ reads bool }
-
-// run lets a request be stopped if its connection turns out to be silent.
-func (p *pool) run(ctx context.Context, c *pooled, r *proto.Request, sink proto.Sink, reads bool) (proto.Answer, error) {
-	p.begin(c, reads)
-	defer p.end(c)
-	return c.Run(ctx, r, sink)
-}
-
-func (p *pool) begin(c *pooled, reads bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.running[c] = &request{reads: reads}
-}
-
-func (p *pool) end(c *pooled) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	delete(p.running, c)
-}
-
-func isSilent(err error) bool {
-	var failed *proto.RunError
-	return errors.As(err, &failed) && failed.Silent
-}
-
-// silent reacts to a connection that went silent while a new one works: others of
-// its age are likely silent too. Idle ones close; reads are stopped, to be run
-// anew; writes get a little time.
-func (p *pool) silent() {
-	p.dropIdle()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for c, r := range p.running {
-		if r.reads {
-			c.Interrupt()
-			continue
-		}
-		time.AfterFunc(silentGrace, func() { p.stopIfRunning(c, r) })
-	}
-}
-
-// stopIfRunning stops a request, but not a later one on the same connection:
-// that the connection took another shows that it is not silent.
-func (p *pool) stopIfRunning(c *pooled, r *request) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.running[c] == r {
-		c.Interrupt()
-	}
-}
-
 // yield sends those who wait to the group's new owner and frees what is idle.
 func (p *pool) yield() {
 	p.resize(1)
--- a/internal/pgcon/conn.go
+++ b/internal/pgcon/conn.go
@@ -5,13 +5,9 @@
 	"context"
 	"encoding/binary"
 	"io"
-	"net"
-	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
-	"github.com/juju/errors"
 
 	"geraniumseam.dev/internal/proto"
 	"geraniumseam.dev/pkg/ident"
@@ -46,16 +42,13 @@
 
 // Conn is a connection to a backend server; it is not safe for concurrent use.
 type Conn struct {
-	server   ident.ServerID
-	net      net.Conn
+	link     *proto.Link
 	reader   *bufio.Reader
 	prepared map[string]bool
 	settings string
-	broken   bool
 	out      []byte
 	in       []byte
 	txStatus byte
-	silent   atomic.Bool
 	// Opened is when the connection was made.
 	Opened time.Time
 }
@@ -70,7 +63,7 @@
 		_ = raw.SetDeadline(deadline)
 	}
 	conn := &Conn{
-		server: t.Server, net: raw, reader: bufio.NewReaderSize(raw, readBuffer),
+		link: proto.NewLink(t.Server, raw), reader: bufio.NewReaderSize(raw, readBuffer),
 		prepared: map[string]bool{}, Opened: time.Now(),
 	}
 	stop := context.AfterFunc(ctx, func() { _ = raw.SetDeadline(time.Unix(1, 0)) })
@@ -84,18 +77,18 @@
 }
 
 func (c *Conn) start(d *Driver, t proto.Target) error {
-	front := pgproto3.NewFrontend(c.reader, c.net)
+	front := pgproto3.NewFrontend(c.reader, c.link)
 	front.Send(&pgproto3.StartupMessage{
 		ProtocolVersion: pgproto3.ProtocolVersion30,
 		Parameters:      map[string]string{"user": d.User, "database": string(t.Group), "application_name": "geraniumseam"},
 	})
 	if err := front.Flush(); err != nil {
-		return &proto.DialError{Server: c.server, Cause: err}
+		return &proto.DialError{Server: c.link.Server(), Cause: err}
 	}
 	for {
 		kind, body, err := c.readFrame()
 		if err != nil {
-			return &proto.DialError{Server: c.server, Cause: err}
+			return &proto.DialError{Server: c.link.Server(), Cause: err}
 		}
 		switch kind {
 		case 'R':
@@ -103,7 +96,7 @@
 				return err
 			}
 		case 'E':
-			return &proto.DialError{Server: c.server, Code: errorCode(body), Full: errorCode(body) == codeTooMany, Cause: &proto.ProtocolError{What: "refused at start-up"}}
+			return &proto.DialError{Server: c.link.Server(), Code: errorCode(body), Full: errorCode(body) == codeTooMany, Cause: &proto.ProtocolError{What: "refused at start-up"}}
 		case 'Z':
 			return nil
 		}
@@ -117,7 +110,7 @@
 
 func (c *Conn) authenticate(front *pgproto3.Frontend, body []byte, password string) error {
 	if len(body) < 4 {
-		return &proto.DialError{Server: c.server, Cause: &proto.ProtocolError{What: "short authentication request"}}
+		return &proto.DialError{Server: c.link.Server(), Cause: &proto.ProtocolError{What: "short authentication request"}}
 	}
 	switch binary.BigEndian.Uint32(body) {
 	case authOK:
@@ -125,53 +118,11 @@
 	case authCleartext:
 		front.Send(&pgproto3.PasswordMessage{Password: password})
 		if err := front.Flush(); err != nil {
-			return &proto.DialError{Server: c.server, Cause: err}
+			return &proto.DialError{Server: c.link.Server(), Cause: err}
 		}
 		return nil
 	}
-	return &proto.DialError{Server: c.server, Cause: &proto.ProtocolError{What: "unsupported authentication method"}}
-}
-
-// Server returns the server's name.
-func (c *Conn) Server() ident.ServerID { return c.server }
-
-// Close ends the connection at once.
-func (c *Conn) Close() {
-	c.broken = true
-	c.net.Close()
-}
-
-// Interrupt stops the request that runs because the connection seems to have gone
-// silent; unlike the other methods it may be called by another goroutine.
-func (c *Conn) Interrupt() {
-	c.silent.Store(true)
-	_ = c.net.SetDeadline(time.Unix(1, 0))
-}
-
-// Clean reports whether the connection is open and nothing unasked has arrived on it.
-func (c *Conn) Clean() bool {
-	if c.broken || c.silent.Load() || c.reader.Buffered() > 0 {
-		return false
-	}
-	if wrapped, ok := c.net.(interface{ Quiet() bool }); ok {
-		return wrapped.Quiet()
-	}
-	raw, ok := c.net.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	var quiet bool
-	var one [1]byte
-	err = control.Read(func(fd uintptr) bool {
-		_, _, e := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(e, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && quiet
+	return &proto.DialError{Server: c.link.Server(), Cause: &proto.ProtocolError{What: "unsupported authentication method"}}
 }
 
 // readFrame reads one message whole; the body is valid until the next read.
@@ -207,3 +158,16 @@
 	}
 	return e.Code
 }
+
+// Server returns the server's name.
+func (c *Conn) Server() ident.ServerID { return c.link.Server() }
+
+// Close ends the connection at once.
+func (c *Conn) Close() { _ = c.link.Close() }
+
+// Interrupt stops the request that runs because the connection seems to have gone
+// silent; unlike the other methods it may be called by another goroutine.
+func (c *Conn) Interrupt() { c.link.Interrupt() }
+
+// Clean reports whether the connection is open and nothing unasked has arrived on it.
+func (c *Conn) Clean() bool { return c.reader.Buffered() == 0 && c.link.Quiet() }
--- a/internal/pgcon/conn_test.go
+++ b/internal/pgcon/conn_test.go
@@ -140,7 +140,7 @@
 // TestUnsentIsToldFromSent runs a request on a connection that is closed already.
 func TestUnsentIsToldFromSent(t *testing.T) {
 	c := server(t, row("x"))
-	c.net.Close()
+	c.link.Close()
 	_, _, err := run(t, c, time.Second)
 	var failed *proto.RunError
 	if !errors.As(err, &failed) || failed.Stage != proto.Unsent {
--- a/internal/pgcon/run.go
+++ b/internal/pgcon/run.go
@@ -29,59 +29,36 @@
 	if err := c.adjust(ctx, r.Settings); err != nil {
 		return proto.Answer{}, err
 	}
-	release := c.bound(ctx)
+	release := c.link.Bound(ctx)
 	defer release()
 	out, injected := c.encode(r)
 	parsed := 0
 	defer func() { c.forget(injected, parsed) }()
-	if n, err := c.net.Write(out); err != nil {
+	if n, err := c.link.Write(out); err != nil {
 		stage := proto.Sent
 		if n == 0 {
 			stage = proto.Unsent
 		}
-		return proto.Answer{}, c.fail(ctx, stage, err)
+		return proto.Answer{}, c.link.Fail(ctx, stage, err)
 	}
 	answer, stage, err := c.read(sink, len(injected), r.Inserts, &parsed)
 	if err != nil {
-		return answer, c.fail(ctx, stage, err)
+		return answer, c.link.Fail(ctx, stage, err)
 	}
 	c.txStatus = answer.TxStatus
 	if r.Position {
 		answer.Status, err = c.readStatus()
 		if err != nil {
-			return answer, c.fail(ctx, proto.Answering, err)
+			return answer, c.link.Fail(ctx, proto.Answering, err)
 		}
 		answer.HasStatus = true
 	}
 	if c.reader.Buffered() > 0 {
-		c.broken = true
+		c.link.Break()
 	}
 	return answer, nil
 }
 
-// bound ties the connection's deadline to ctx; what it returns unties it.
-func (c *Conn) bound(ctx context.Context) func() {
-	deadline, _ := ctx.Deadline()
-	_ = c.net.SetDeadline(deadline)
-	if ctx.Done() == nil {
-		return func() {}
-	}
-	stop := context.AfterFunc(ctx, func() { _ = c.net.SetDeadline(time.Unix(1, 0)) })
-	return func() {
-		if !stop() {
-			c.broken = true
-		}
-	}
-}
-
-func (c *Conn) fail(ctx context.Context, stage proto.Stage, err error) error {
-	c.Close()
-	if ctx.Err() != nil {
-		err = ctx.Err()
-	}
-	return &proto.RunError{Server: c.server, Stage: stage, Silent: c.silent.Load(), Cause: err}
-}
-
 // encode puts the statements that the connection lacks before the request, and
 // the question for the server's state behind it.
 func (c *Conn) encode(r *proto.Request) (out []byte, injected []string) {
@@ -256,15 +233,15 @@
 
 // simple runs a statement of the proxy's own; any error of it leaves the request unsent.
 func (c *Conn) simple(ctx context.Context, text string) error {
-	release := c.bound(ctx)
+	release := c.link.Bound(ctx)
 	defer release()
 	query := pgproto3.Query{String: text}
 	out, err := query.Encode(nil)
 	if err == nil {
-		_, err = c.net.Write(out)
+		_, err = c.link.Write(out)
 	}
 	if err != nil {
-		return c.fail(ctx, proto.Unsent, err)
+		return c.link.Fail(ctx, proto.Unsent, err)
 	}
 	parsed := 0
 	answer, _, err := c.read(discard{}, 0, nil, &parsed)
@@ -272,7 +249,7 @@
 		err = &proto.ProtocolError{What: "session settings refused with " + answer.ErrorCode}
 	}
 	if err != nil {
-		return c.fail(ctx, proto.Unsent, err)
+		return c.link.Fail(ctx, proto.Unsent, err)
 	}
 	return nil
 }
@@ -316,19 +293,19 @@
 
 // Control runs one of the group's control functions and returns its first row.
 func (c *Conn) Control(ctx context.Context, text string) ([]string, error) {
-	release := c.bound(ctx)
+	release := c.link.Bound(ctx)
 	defer release()
 	query := pgproto3.Query{String: text}
 	out, err := query.Encode(nil)
 	if err == nil {
-		_, err = c.net.Write(out)
+		_, err = c.link.Write(out)
 	}
 	if err != nil {
-		return nil, c.fail(ctx, proto.Sent, err)
+		return nil, c.link.Fail(ctx, proto.Sent, err)
 	}
 	row, err := c.readRow()
 	if err != nil {
-		return nil, c.fail(ctx, proto.Sent, err)
+		return nil, c.link.Fail(ctx, proto.Sent, err)
 	}
 	return row, nil
 }
--- a/internal/rule/conf/config.go
+++ b/internal/rule/conf/config.go
@@ -26,7 +26,7 @@
 	Part int `json:"part"`
 }
 
-// Customer is a tenant with a rate in requests a second and a burst in requests.
+// Customer owns keys and has a rate in requests a second and a burst in requests.
 type Customer struct {
 	Rate  float64 `json:"rate"`
 	Burst float64 `json:"burst"`
