Near connections only where they are scarce; a group knows its servers before its first tick

TestOnlyOwnersReplaceAPrimary: the machine was made before the group had servers, and a yielded group skipped the tick that tells them. Change: the near owner and its larger part only for drivers whose connections serve one customer; servers are enrolled first and told on each tick.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -43,10 +43,11 @@
 	}
 }
 
-// towardsPrimary puts the owner in the primary's data centre first for work that only the primary can run.
+// towardsPrimary puts the owner in the primary's data centre first for work that only
+// the primary can run, where far connections are few: each serves one customer.
 func (i *Instance) towardsPrimary(w *owner.Work, owners []ident.InstanceID) []ident.InstanceID {
 	lead, known := i.leads.Load(w.Group)
-	if !known || !w.NeedsPrimary() || len(owners) < 2 {
+	if !known || !w.NeedsPrimary() || len(owners) < 2 || !i.conf.Backends.PerCustomer() {
 		return owners
 	}
 	view := i.members.current.Load()
--- a/internal/owner/coordinate.go
+++ b/internal/owner/coordinate.go
@@ -35,13 +35,13 @@
 		case event = <-g.events:
 		case <-ticker.C:
 			event = group.Tick{}
-			if g.yielded.Load() {
-				continue
-			}
 			machine.SetRank(int(g.rank.Load()))
 			machine.SetServers(g.present())
 			machine.SetListed(*g.listed.Load())
 			machine.SetLeaving(*g.leaving.Load())
+			if g.yielded.Load() {
+				continue
+			}
 		}
 		for _, a := range machine.Step(g.conf.Now(), event) {
 			g.carryOut(a)
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -105,19 +105,25 @@
 	g.limits.Store(&c.Defaults)
 	g.rank.Store(int64(c.Rank))
 	g.roster.Store(&roster{index: map[ident.ServerID]int{}})
-	g.tomb.Go(g.coordinate)
 	g.enroll(c.Group)
 	g.resize(c.Group.Connections, c.Owners)
 	g.noteLeaving(c.Group)
+	g.tomb.Go(g.coordinate)
 	g.tomb.Go(g.reap)
 	return g
 }
 
 // poolLimit divides a server's connections among the owners, after one control connection for each.
+func poolLimit(connections, owners int) int {
+	owners = max(owners, 1)
+	return max((connections-owners)/owners, 1)
+}
+
+// nearLimit is poolLimit where a connection serves one customer only.
 //
 // The owner in a server's own data centre gets the larger part: what needs that server
 // comes to it, and its connections open without a way between data centres.
-func poolLimit(connections, owners int, near bool) int {
+func nearLimit(connections, owners int, near bool) int {
 	owners = max(owners, 1)
 	kept := connections*keptPart/10 - owners
 	if owners == 1 {
@@ -232,7 +238,11 @@
 // resize divides the servers' connections among the owners.
 func (g *Group) resize(connections, owners int) {
 	for _, s := range g.all() {
-		s.pool.resize(poolLimit(connections, owners, s.Center == g.conf.Center))
+		if g.conf.Driver.PerCustomer() {
+			s.pool.resize(nearLimit(connections, owners, s.Center == g.conf.Center))
+			continue
+		}
+		s.pool.resize(poolLimit(connections, owners))
 	}
 }
 
