--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"geraniumseam.dev/internal/clock"
@@ -47,7 +48,9 @@
 	access, reason := s.mayRun()
 	if reason != fault.None {
 		s.revokeNow(reason)
-		return Reply{Revoked: true, Fault: &fault.Fault{Reason: reason, Outcome: fault.NotRun, Trace: trace, Fatal: true}}
+		return Reply{Revoked: true, Fault: &fault.Fault{
+			Reason: reason, Outcome: fault.NotRun, Trace: trace, Fatal: true, Evidence: s.instance.inForce(),
+		}}
 	}
 	limits := s.instance.keeper.Current().For(began, access.Customer, access.Service)
 	if q.Charged && (limits.RateUnit == conf.PerStatement || !s.InTx()) {
@@ -63,13 +66,18 @@
 		reply.raised = s.advance(w, result, at)
 		return reply
 	}
-	reply.Fault = &fault.Fault{Reason: result.Reason, Outcome: result.Outcome, Trace: trace, RetryAfter: result.RetryAfter}
+	reply.Fault = &fault.Fault{Reason: result.Reason, Outcome: result.Outcome, Trace: trace, RetryAfter: result.RetryAfter, Evidence: result.Evidence}
 	if result.Outcome == fault.Unknown && s.tx == 0 && w.Kind <= stmt.Show {
 		reply.Fault.Outcome = fault.NotRun
 	}
 	return reply
 }
 
+// inForce names the configuration that a decision about keys and routes rests on.
+func (i *Instance) inForce() string {
+	return fmt.Sprintf("configuration %d, confirmed %v ago", i.keeper.Current().Version, i.keeper.CheckedAgo().Round(time.Millisecond))
+}
+
 // advance brings the session up to date; it reports whether the floor rose.
 func (s *Session) advance(w *owner.Work, r owner.Result, at ident.InstanceID) bool {
 	s.status, s.tx = TxStatus(r.TxStatus), r.Tx
@@ -128,6 +136,9 @@
 
 // Refuse counts and logs a refusal before the dialect sends it.
 func (s *Session) Refuse(f *fault.Fault) {
+	if f.Evidence == "" {
+		f.Evidence = s.instance.inForce()
+	}
 	s.instance.journal.Refuse(f, s.access.Customer, s.access.Group)
 }
 
@@ -216,7 +227,10 @@
 	if reason == fault.None {
 		return nil
 	}
-	return &fault.Fault{Reason: reason, Outcome: fault.NotRun, Trace: trace, RetryAfter: after}
+	return &fault.Fault{
+		Reason: reason, Outcome: fault.NotRun, Trace: trace, RetryAfter: after,
+		Evidence: fmt.Sprintf("a part of %d millionths of all rates is held here; waited %v", s.instance.quota.Part(), wait),
+	}
 }
 
 // newTime is how long an instance counts as just started.
--- a/internal/fault/reason.go
+++ b/internal/fault/reason.go
@@ -102,6 +102,8 @@
 	RetryAfter time.Duration
 	// Fatal ends the caller's connection.
 	Fatal bool
+	// Evidence is what the decision rested on, with its age, for the log.
+	Evidence string
 }
 
 // Error implements error.
--- a/internal/jrnl/event.go
+++ b/internal/jrnl/event.go
@@ -91,5 +91,5 @@
 	if f.Outcome == fault.Unknown {
 		kind = Lost
 	}
-	return Event{Kind: kind, Trace: f.Trace, Customer: customer, Group: group, Reason: f.Reason.String()}
+	return Event{Kind: kind, Trace: f.Trace, Customer: customer, Group: group, Reason: f.Reason.String(), Evidence: f.Evidence}
 }
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/juju/errors"
@@ -23,9 +24,24 @@
 func (g *Group) Run(ctx context.Context, w *Work, sink proto.Sink) Result {
 	result := g.run(ctx, w, sink)
 	result.Lead = g.lead()
+	if result.Outcome != fault.Done {
+		result.Evidence = g.evidence()
+	}
 	return result
 }
 
+// evidence says what is known of the group's primary, and how old that is.
+func (g *Group) evidence() string {
+	v := g.board.current.Load()
+	if v.primary == noPrimary {
+		return fmt.Sprintf("no primary is known among %d servers", v.size())
+	}
+	s, r := g.all()[v.primary], &v.servers[v.primary]
+	load, service := s.pool.load()
+	return fmt.Sprintf("primary %s of term %d answered %v ago, missed %t, sealed for term %d; %d run or wait there, %v each",
+		s.ID, v.term, clock.Since(r.got).Round(time.Millisecond), r.missed, r.status.Sealed, load, service.Round(time.Millisecond))
+}
+
 // lead returns the data centre of the primary, as far as it is known.
 func (g *Group) lead() ident.CenterID {
 	v := g.board.current.Load()
--- a/internal/owner/work.go
+++ b/internal/owner/work.go
@@ -72,6 +72,8 @@
 	ErrorCode string `cbor:"9,keyasint,omitempty"`
 	// Lead is the data centre of the primary as the owner sees it.
 	Lead ident.CenterID `cbor:"10,keyasint,omitempty"`
+	// Evidence is what a refusal rested on, with its age.
+	Evidence string `cbor:"11,keyasint,omitempty"`
 }
 
 // NeedsPrimary reports whether only the primary can run the work.
