--- a/internal/owner/pool.go
+++ b/internal/owner/pool.go
@@ -252,13 +252,7 @@
 	if full {
 		reason = fault.ServerFull
 	}
-	for {
-		turn := p.pop()
-		if turn == nil {
-			return
-		}
-		turn.Value.(chan grant) <- grant{reason: reason, wait: fullPause}
-	}
+	p.dismiss(grant{reason: reason, wait: fullPause})
 }
 
 // pop returns whose turn it is and tells those that waited too long; the caller holds mu.
@@ -343,17 +337,17 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.yielded = true
-	p.dismiss()
+	p.dismiss(grant{reason: fault.NoOwner})
 }
 
 // dismiss refuses everybody who waits; the caller holds mu.
-func (p *pool) dismiss() {
+func (p *pool) dismiss(refusal grant) {
 	for {
 		turn := p.pop()
 		if turn == nil {
 			return
 		}
-		turn.Value.(chan grant) <- grant{reason: fault.NoOwner}
+		turn.Value.(chan grant) <- refusal
 	}
 }
 
@@ -407,5 +401,5 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
-	p.dismiss()
+	p.dismiss(grant{reason: fault.NoOwner})
 }
--- a/internal/proto/request.go
+++ b/internal/proto/request.go
@@ -75,7 +75,7 @@
 	Busy // busy
 	// Behind: nothing ran, for the server's log lacks what the request asked for.
 	Behind // behind
-	// Unknown statement: nothing ran, for the connection lacks a prepared statement.
+	// Unprepared: nothing ran, for the connection lacks a prepared statement.
 	Unprepared // unprepared
 	// Misdirected: nothing ran, for the server is another than was meant.
 	Misdirected // misdirected
