Take a lost request for not run only if its transaction is known to be rolled back

Callers were told ABORTED (platform) or 40001 with outcome not-run (PostgreSQL), and a backend server had committed. Cause: when a connection with an open transaction or a pinned session was lost, the outcome came from the owner's own bookkeeping. A COMMIT counted as not run if wrote was false, and wrote stayed false when BEGIN was sent together with the first write. On a pinned connection only COMMIT and statements that pin were thought to take effect, so an INSERT that committed by itself counted as not run.

Now a lost request has not run if nothing of it was sent; if a transaction was open by the server's last answer and the text can't end it (keepsTx reads it without regard to quoting); or if the protocol rules out that any request on the connection wrote. All else is unknown.

--- a/internal/entry/pgbatch.go
+++ b/internal/entry/pgbatch.go
@@ -39,6 +39,8 @@
 	parsedUnnamed bool
 	// simple is set if the batch consists of a Query message.
 	simple bool
+	// mayEndTx is set if a statement may end the open transaction or run one of its own.
+	mayEndTx bool
 }
 
 func (b *batch) reset() {
@@ -60,6 +62,7 @@
 func (b *batch) add(c stmt.Class) {
 	b.executes++
 	b.leavesState = b.leavesState || c.LeavesState
+	b.mayEndTx = b.mayEndTx || !c.KeepsTx
 	if b.executes == 1 {
 		b.kind, b.class = c.Kind, c
 		return
--- a/internal/entry/pgserve.go
+++ b/internal/entry/pgserve.go
@@ -161,7 +161,7 @@
 	b := &s.batch
 	q := &Request{
 		Kind: b.kind, ReadOnly: b.class.ReadOnly, Charged: b.charged(), Pin: b.leavesState,
-		Content: proto.Request{Messages: b.messages, Statements: b.required, Injected: b.injected},
+		Content: proto.Request{Messages: b.messages, Statements: b.required, Injected: b.injected, KeepsTx: !b.mayEndTx},
 	}
 	if b.executes == 0 {
 		q.Kind = stmt.Read
--- a/internal/owner/read.go
+++ b/internal/owner/read.go
@@ -229,7 +229,7 @@
 		LastRead: LastRead{Owner: g.conf.Self, Server: s.ID, EndedAt: clock.Now().UnixNano()},
 	}
 	if answer.TxStatus != 'I' {
-		return attempt{result: g.openReadTx(s, c, result, replica, buffer)}
+		return attempt{result: g.openReadTx(w, s, c, result, replica, buffer)}
 	}
 	if w.Kind == stmt.Set {
 		c.InvalidateSettings()
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -6,8 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/juju/errors"
-
 	"geraniumseam.dev/internal/clock"
 	"geraniumseam.dev/internal/fault"
 	"geraniumseam.dev/internal/proto"
@@ -232,8 +230,7 @@
 // failedWrite handles a write whose connection failed: it may be retried if nothing of
 // it was sent; otherwise its outcome is unknown.
 func (g *Group) failedWrite(ctx context.Context, err error) attempt {
-	var failed *proto.RunError
-	if errors.As(err, &failed) && failed.Stage == proto.Unsent {
+	if unsent(err) {
 		return attempt{result: notRun(fault.ConnectionLost), retryable: true}
 	}
 	return attempt{result: unknown(lostAnswerReason(ctx, err))}
--- a/internal/owner/tx.go
+++ b/internal/owner/tx.go
@@ -27,6 +27,10 @@
 	pinned bool
 	// wrote is set if the transaction may have written.
 	wrote bool
+	// open is set if a transaction was open on the connection after the server's last answer.
+	open bool
+	// readsOnly is set as long as no request that may write was run on the connection.
+	readsOnly bool
 	// lastUsed is when the transaction last ran a request.
 	lastUsed time.Time
 }
@@ -47,13 +51,15 @@
 // passes the answer on.
 func (g *Group) openTx(w *Work, s *server, c *pooledConn, a proto.Answer, buffer *bufferSink, sink proto.Sink) Result {
 	result := Result{Floor: w.Floor, TxStatus: a.TxStatus, ErrorCode: a.ErrorCode}
-	result.Tx = g.registerTx(&transaction{server: s, conn: c, pinned: w.Pin, wrote: w.Kind > stmt.Begin})
+	result.Tx = g.registerTx(&transaction{
+		server: s, conn: c, pinned: w.Pin, wrote: w.Kind > stmt.Begin, open: a.TxStatus != 'I', readsOnly: w.Request.WritesNothing,
+	})
 	return g.deliver(result, buffer.bytes, sink)
 }
 
 // openReadTx registers a read-only transaction and passes the answer on.
-func (g *Group) openReadTx(s *server, c *pooledConn, r Result, replica bool, buffer *delayedSink) Result {
-	r.Tx = g.registerTx(&transaction{server: s, conn: c, replica: replica})
+func (g *Group) openReadTx(w *Work, s *server, c *pooledConn, r Result, replica bool, buffer *delayedSink) Result {
+	r.Tx = g.registerTx(&transaction{server: s, conn: c, replica: replica, open: true, readsOnly: w.Request.WritesNothing})
 	if err := buffer.flush(); err != nil {
 		g.End(r.Tx)
 		return notRun(fault.PeerLost)
@@ -108,6 +114,8 @@
 	buffer := &bufferSink{}
 	request := w.Request
 	request.WantStatus = !t.replica && w.Kind != stmt.Read
+	wasOpen := t.open
+	t.readsOnly = t.readsOnly && request.WritesNothing
 	answer, err := t.server.pool.run(ctx, t.conn, &request, buffer, false)
 	t.lastUsed = clock.Now()
 	if w.Kind > stmt.Rollback {
@@ -116,25 +124,25 @@
 	if w.Kind == stmt.Set {
 		t.conn.InvalidateSettings()
 	}
-	wrote := t.wrote
+	wrote, readsOnly := t.wrote, t.readsOnly
+	if err == nil {
+		t.open = answer.TxStatus != 'I'
+	}
 	t.mu.Unlock()
 	if err != nil {
 		g.End(w.Tx)
-		return g.failedTx(ctx, w, wrote, err)
+		if unsent(err) || wasOpen && request.KeepsTx || readsOnly {
+			return notRun(fault.TransactionLost)
+		}
+		return unknown(lostAnswerReason(ctx, err))
 	}
 	return g.finishInTx(ctx, w, t, answer, wrote, buffer, sink)
 }
 
-// failedTx returns the result of a request whose transaction lost its connection. The
-// server rolls the transaction back, unless a commit may have reached it.
-func (g *Group) failedTx(ctx context.Context, w *Work, wrote bool, err error) Result {
+// unsent reports whether the connection failed before any byte of the request was sent.
+func unsent(err error) bool {
 	var failed *proto.RunError
-	unsent := errors.As(err, &failed) && failed.Stage == proto.Unsent
-	mayCommit := w.Kind == stmt.Commit || w.Kind == stmt.Pin
-	if mayCommit && wrote && !unsent {
-		return unknown(lostAnswerReason(ctx, err))
-	}
-	return notRun(fault.TransactionLost)
+	return errors.As(err, &failed) && failed.Stage == proto.Unsent
 }
 
 // finishInTx passes on the answer to a request in a transaction. If the request ended a
--- a/internal/proto/request.go
+++ b/internal/proto/request.go
@@ -56,6 +56,12 @@
 	// RequiredFloor is the floor that the server's log must have reached to run the request,
 	// for drivers whose servers check it.
 	RequiredFloor ident.Floor `cbor:"7,keyasint,omitempty"`
+	// KeepsTx is set if nothing in the request can end a transaction that is open on its
+	// connection, nor run one of its own.
+	KeepsTx bool `cbor:"8,keyasint,omitempty"`
+	// WritesNothing is set if the protocol rules out that the request itself writes: it reads, or
+	// ends a transaction, which keeps no more than earlier requests wrote.
+	WritesNothing bool `cbor:"9,keyasint,omitempty"`
 }
 
 // InjectedMessage is an answer message without a body, given by the proxy itself.
--- a/pkg/stmt/classify.go
+++ b/pkg/stmt/classify.go
@@ -31,6 +31,12 @@
 // Classify classifies a request's text. Several statements in one text get the most
 // restrictive kind among them.
 func Classify(text string) Class {
+	class := classify(text)
+	class.KeepsTx = keepsTx(text)
+	return class
+}
+
+func classify(text string) Class {
 	tokens, ok := tokenize(text)
 	if !ok {
 		return Class{Kind: Pin, LeavesState: true}
--- a/pkg/stmt/kind.go
+++ b/pkg/stmt/kind.go
@@ -31,6 +31,8 @@
 	// Setting is the setting of a SET, RESET or SHOW. Value is the new value of a SET.
 	Setting string
 	Value   string
+	// KeepsTx is set if the text can't end a transaction, nor run one of its own.
+	KeepsTx bool
 }
 
 // Idempotent reports whether the statement may safely be run more than once.
