Promise nothing about a cancelled request that committed before it kept its connection

A request that the entry instance cancelled at its deadline was reported as not run whenever its result held a connection. Cause: Tx != 0 was taken for an open transaction that the rollback undoes, but a pinned connection outside a transaction holds one too, and a text may commit before it opens the transaction that is left. Now it has not run only if the server's status says that a transaction is open and nothing in the text can end one.

The test's case opened says now that its text keeps the transaction, which is what its name claims; two cases are added, both of which failed before: "outcome not-run, reason deadline-passed", want unknown. go test ./internal/peer passes.

--- a/internal/peer/hub_test.go
+++ b/internal/peer/hub_test.go
@@ -217,7 +217,8 @@
 
 // TestStoppedRequestReportsOutcome cancels requests that run at a peer. A request that was
 // still in the peer's queue is reported as not run, one whose outcome the peer does not report
-// in time as unknown, and a transaction opened after the cancellation is rolled back.
+// in time as unknown, and a transaction opened after the cancellation is rolled back. What ran
+// outside that transaction is unknown.
 func TestStoppedRequestReportsOutcome(t *testing.T) {
 	queued := func(ctx context.Context, _ *owner.Work, _ proto.Sink) owner.Result {
 		<-ctx.Done()
@@ -232,15 +233,23 @@
 		<-ctx.Done()
 		return owner.Result{Tx: 7, TxStatus: 'T'}
 	}
+	committed := func(ctx context.Context, _ *owner.Work, _ proto.Sink) owner.Result {
+		<-ctx.Done()
+		return owner.Result{Tx: 7, TxStatus: 'I'}
+	}
+	keepsTx := proto.Request{KeepsTx: true}
 	for _, c := range []struct {
 		name    string
+		request proto.Request
 		work    func(context.Context, *owner.Work, proto.Sink) owner.Result
 		outcome fault.Outcome
 		reason  fault.Reason
 	}{
-		{"queued", queued, fault.NotRun, fault.QueueLate},
-		{"mute", unresponsive, fault.Unknown, fault.DeadlinePassed},
-		{"opened", opened, fault.NotRun, fault.DeadlinePassed},
+		{"queued", keepsTx, queued, fault.NotRun, fault.QueueLate},
+		{"mute", keepsTx, unresponsive, fault.Unknown, fault.DeadlinePassed},
+		{"opened", keepsTx, opened, fault.NotRun, fault.DeadlinePassed},
+		{"opened after a commit", proto.Request{}, opened, fault.Unknown, fault.DeadlinePassed},
+		{"committed on a pinned connection", keepsTx, committed, fault.Unknown, fault.DeadlinePassed},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			a, b := newTestInstance(t, "a", nil), newTestInstance(t, "b", nil)
@@ -251,11 +260,11 @@
 			}
 			ctx, cancel := context.WithTimeout(testContext(t), 50*time.Millisecond)
 			defer cancel()
-			r := a.hub.Run(ctx, "b", &owner.Work{}, &countingSink{})
+			r := a.hub.Run(ctx, "b", &owner.Work{Request: c.request}, &countingSink{})
 			if r.Outcome != c.outcome || r.Reason != c.reason || r.Tx != 0 {
 				t.Errorf("outcome %s, reason %s, transaction %d", r.Outcome, r.Reason, r.Tx)
 			}
-			if c.name == "opened" {
+			if c.name != "queued" && c.name != "mute" {
 				waitFor(t, func() bool { b.mu.Lock(); defer b.mu.Unlock(); return len(b.rolledBack) == 1 && b.rolledBack[0] == 7 })
 			}
 		})
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -106,7 +106,7 @@
 			// The peer cancelled the request before it learned of the transaction that was
 			// opened, so it cannot roll it back itself.
 			l.hub.conf.Handler.HandleNotification(l.peer, TxRollback{Group: w.Group, Tx: r.Tx})
-			r = owner.Result{Outcome: fault.NotRun, Reason: fault.DeadlinePassed}
+			r = undeliveredResult(&w, r)
 			sink.bytes = nil
 		}
 		if err := l.send(l.tomb.Context(context.Background()), kindResult, f.Stream, result{Result: r, Bytes: sink.bytes}); err != nil && r.Tx != 0 {
@@ -117,6 +117,15 @@
 	return nil
 }
 
+// undeliveredResult returns the result of a request that the peer cancelled and whose connection
+// has been closed: nothing of it is kept if all of it ran in the transaction that it left open.
+func undeliveredResult(w *owner.Work, r owner.Result) owner.Result {
+	if (r.TxStatus == 'T' || r.TxStatus == 'E') && w.Request.KeepsTx {
+		return owner.Result{Outcome: fault.NotRun, Reason: fault.DeadlinePassed}
+	}
+	return owner.Result{Outcome: fault.Unknown, Reason: fault.DeadlinePassed}
+}
+
 // cancelRequest cancels a request that runs for the peer.
 func (l *link) cancelRequest(stream uint64) {
 	l.mu.Lock()
