Take a server's refusal only for what the refused transaction undoes

A message of PostgreSQL that had committed one statement and was then refused with 25006 was tried again, and reported as not run in the end: the first statement ran twice. Cause: the refusal is that of the first error in the message, and it was taken for the whole of it. A procedure that commits before it is refused is the same case.

Now a refusal counts for the request if all of it ran in the transaction that the error undoes: the text can't end a transaction, or writes nothing by the protocol, or the transaction was open before and no statement of the request had completed.

--- a/internal/owner/read.go
+++ b/internal/owner/read.go
@@ -214,7 +214,8 @@
 		s.pool.release(c)
 		return g.failedRead(ctx, err, buffer)
 	}
-	if answer.Refusal.NotRun() || answer.Refusal == proto.ServerError && answer.TxStatus == 'I' && !buffer.forwarded {
+	failed := answer.Refusal == proto.ServerError && w.Request.WritesNothing && answer.TxStatus == 'I'
+	if w.refused(answer) || failed && !buffer.forwarded {
 		s.pool.release(c)
 		g.handleRefusal(s, answer.Refusal)
 		return attempt{result: Result{
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -178,7 +178,7 @@
 		s.pool.release(got.conn)
 		return g.failedWrite(ctx, err)
 	}
-	if answer.Refusal.NotRun() && (answer.TxStatus == 'I' || !got.conn.Clean()) {
+	if w.refused(answer) && (answer.TxStatus == 'I' || !got.conn.Clean()) {
 		s.pool.release(got.conn)
 		g.handleRefusal(s, answer.Refusal)
 		return attempt{result: Result{Outcome: fault.NotRun, Reason: refusalReasons[answer.Refusal], ErrorCode: answer.ErrorCode}, retryable: true, uncharged: true}
@@ -221,12 +221,6 @@
 	}
 }
 
-// refusedReadOnly reports whether the server refused the request as read-only outside
-// any transaction, so that nothing ran.
-func refusedReadOnly(a proto.Answer) bool {
-	return a.Refusal == proto.ReadOnly && a.TxStatus == 'I'
-}
-
 // failedWrite handles a write whose connection failed: it may be retried if nothing of
 // it was sent; otherwise its outcome is unknown.
 func (g *Group) failedWrite(ctx context.Context, err error) attempt {
--- a/internal/owner/tx.go
+++ b/internal/owner/tx.go
@@ -136,7 +136,7 @@
 		}
 		return unknown(lostAnswerReason(ctx, err))
 	}
-	return g.finishInTx(ctx, w, t, answer, wrote, buffer, sink)
+	return g.finishInTx(ctx, w, t, answer, wrote, wasOpen, buffer, sink)
 }
 
 // unsent reports whether the connection failed before any byte of the request was sent.
@@ -147,7 +147,7 @@
 
 // finishInTx passes on the answer to a request in a transaction. If the request ended a
 // transaction that may have written, it first waits until a majority holds the writes.
-func (g *Group) finishInTx(ctx context.Context, w *Work, t *transaction, a proto.Answer, wrote bool, buffer *bufferSink, sink proto.Sink) Result {
+func (g *Group) finishInTx(ctx context.Context, w *Work, t *transaction, a proto.Answer, wrote, wasOpen bool, buffer *bufferSink, sink proto.Sink) Result {
 	result := Result{Floor: w.Floor, TxStatus: a.TxStatus, Tx: t.id, Replica: t.replica, ErrorCode: a.ErrorCode}
 	if t.replica || !a.HasStatus {
 		result.LastRead = LastRead{Owner: g.conf.Self, Server: t.server.ID, EndedAt: clock.Now().UnixNano()}
@@ -163,7 +163,7 @@
 	t.mu.Lock()
 	t.wrote = false
 	t.mu.Unlock()
-	if refusedReadOnly(a) || a.Refusal.NotRun() {
+	if w.refused(a) || wasOpen && a.Refusal.NotRun() && !a.Completed {
 		return notRun(refusalReasons[a.Refusal])
 	}
 	if a.ErrorCode != "" {
--- a/internal/owner/work.go
+++ b/internal/owner/work.go
@@ -96,6 +96,12 @@
 	return true
 }
 
+// refused reports whether the server said that nothing of the request took effect. The error that
+// says so undoes the transaction in which the request ran, but not what the request committed before.
+func (w *Work) refused(a proto.Answer) bool {
+	return a.Refusal.NotRun() && (w.Request.KeepsTx || w.Request.WritesNothing)
+}
+
 func notRun(r fault.Reason) Result { return Result{Outcome: fault.NotRun, Reason: r} }
 
 func unknown(r fault.Reason) Result { return Result{Outcome: fault.Unknown, Reason: r} }
--- a/internal/pgcon/run.go
+++ b/internal/pgcon/run.go
@@ -128,6 +128,7 @@
 		switch kind {
 		case 'C':
 			answer.Tag = strings.TrimRight(string(body), "\x00")
+			answer.Completed = answer.Completed || answer.ErrorCode == ""
 		case 'E':
 			if answer.ErrorCode == "" {
 				answer.ErrorCode = errorCode(body)
--- a/internal/proto/request.go
+++ b/internal/proto/request.go
@@ -107,6 +107,8 @@
 	ErrorCode string
 	// Refusal classifies the error code.
 	Refusal Refusal
+	// Completed is set if a statement of the request had completed before the first error.
+	Completed bool
 	// Tag is the last command tag.
 	Tag string
 	// Status is the server's status right after the request, if HasStatus is set; in
--- a/pkg/stmt/ending.go
+++ b/pkg/stmt/ending.go
@@ -3,8 +3,9 @@
 import "strings"
 
 // endingWords are the words without which no text can end a transaction or run one of its
-// own: transaction control, and the calls of procedures, which may commit.
-var endingWords = wordSet("commit", "end", "rollback", "abort", "prepare", "call", "do")
+// own: transaction control, the calls of procedures, which may commit, and maintenance.
+var endingWords = wordSet("commit", "end", "rollback", "abort", "prepare", "call", "do",
+	"vacuum", "cluster", "reindex", "concurrently", "database", "tablespace", "subscription", "system")
 
 // keepsTx reports whether the text can't end a transaction, whatever the quoting and comments
 // in it: none of endingWords occurs in it, not even in a literal.
