Report a lost read as unknown unless the protocol rules out that it writes

A PostgreSQL query whose answer was lost counted as not run because its text looked like a read, and the result of the last attempt hid an earlier one that may have run. Cause: the kind of a statement was taken for a proof. A view or an operator can call a function that writes.

Now a lost read has not run only where the protocol says so (READ on the platform), and a result says unknown if any attempt before it may have run. Reads are tried again as before. go test of owner, entry, fleet and bench passes.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -25,19 +25,20 @@
 	for attempt := 0; ; attempt++ {
 		owners := i.preferPrimaryCenter(w, i.members.owners(w.Group, serverCenters))
 		if len(owners) == 0 {
-			last = owner.Result{Outcome: fault.NotRun, Reason: fault.NoOwner}
+			last = owner.Result{Outcome: fault.NotRun, Reason: fault.NoOwner}.After(last)
 		} else {
 			id := owners[attempt%len(owners)]
 			tracker := &trackingSink{sink: sink}
-			last = i.runAt(ctx, id, w, tracker)
-			if last.PrimaryCenter != "" {
-				i.primaryCenters.Store(w.Group, last.PrimaryCenter)
+			result := i.runAt(ctx, id, w, tracker)
+			if result.PrimaryCenter != "" {
+				i.primaryCenters.Store(w.Group, result.PrimaryCenter)
 			}
-			if last.Reason == fault.OtherOwnerPreferred {
-				if last, id = i.redirect(ctx, w, last.PreferredCenter, owners, id, tracker); last.PrimaryCenter != "" {
-					i.primaryCenters.Store(w.Group, last.PrimaryCenter)
+			if result.Reason == fault.OtherOwnerPreferred {
+				if result, id = i.redirect(ctx, w, result.PreferredCenter, owners, id, tracker); result.PrimaryCenter != "" {
+					i.primaryCenters.Store(w.Group, result.PrimaryCenter)
 				}
 			}
+			last = result.After(last)
 			if !retriable(w, last, tracker.emitted) {
 				return last, id
 			}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -72,8 +72,7 @@
 		return reply
 	}
 	reply.Fault = &fault.Fault{Reason: result.Reason, Outcome: result.Outcome, Trace: trace, RetryAfter: result.RetryAfter, Evidence: result.Evidence}
-	// A read outside a transaction has no effect, so it counts as not run.
-	if result.Outcome == fault.Unknown && s.tx == 0 && w.Kind <= stmt.Show {
+	if result.Outcome == fault.Unknown && s.tx == 0 && w.Request.WritesNothing {
 		reply.Fault.Outcome = fault.NotRun
 	}
 	return reply
--- a/internal/owner/read.go
+++ b/internal/owner/read.go
@@ -212,7 +212,7 @@
 	answer, err := s.pool.run(ctx, c, &request, buffer, true)
 	if err != nil {
 		s.pool.release(c)
-		return g.failedRead(ctx, err, buffer)
+		return g.failedRead(ctx, w, err, buffer)
 	}
 	failed := answer.Refusal == proto.ServerError && w.Request.WritesNothing && answer.TxStatus == 'I'
 	if w.refused(answer) || failed && !buffer.forwarded {
@@ -237,10 +237,10 @@
 	}
 	s.pool.release(c)
 	if buffer.bufferAll && answer.HasStatus && g.conf.Group.Synchronous == 0 && !g.awaitReadReplicated(ctx, w, answer.Status) {
-		return attempt{result: notRun(fault.AnswerUnconfirmed), retryable: true}
+		return attempt{result: w.lost(fault.AnswerUnconfirmed), retryable: true}
 	}
 	if err := buffer.flush(); err != nil {
-		return attempt{result: notRun(fault.PeerLost)}
+		return attempt{result: w.lost(fault.PeerLost)}
 	}
 	return attempt{result: result}
 }
@@ -272,18 +272,21 @@
 
 // failedRead handles a read whose connection failed: it may be retried unless a part
 // of its answer has been passed on.
-func (g *Group) failedRead(ctx context.Context, err error, buffer *delayedSink) attempt {
-	var failed *proto.RunError
-	if ctx.Err() != nil {
-		return attempt{result: notRun(contextReason(ctx))}
+func (g *Group) failedRead(ctx context.Context, w *Work, err error, buffer *delayedSink) attempt {
+	result := w.lost
+	if unsent(err) {
+		result = notRun
 	}
-	if buffer.forwarded || !errors.As(err, &failed) {
+	var failed *proto.RunError
+	switch {
+	case ctx.Err() != nil:
+		return attempt{result: result(contextReason(ctx))}
+	case buffer.forwarded || !errors.As(err, &failed):
 		return attempt{result: unknown(fault.AnswerLost)}
+	case isSilent(err):
+		return attempt{result: result(fault.ConnectionSilent), retryable: true}
 	}
-	if isSilent(err) {
-		return attempt{result: notRun(fault.ConnectionSilent), retryable: true}
-	}
-	return attempt{result: notRun(fault.ConnectionLost), retryable: true}
+	return attempt{result: result(fault.ConnectionLost), retryable: true}
 }
 
 // catchUpSlack is how much longer than estimated a read waits for a replica to catch up
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -88,18 +88,20 @@
 
 // withRetries retries a request that has not run, within the retry budget and the deadline.
 func (g *Group) withRetries(ctx context.Context, w *Work, attemptOnce func() attempt) Result {
+	var last Result
 	for count := 0; ; count++ {
 		a := attemptOnce()
+		last = a.result.After(last)
 		if !a.retryable {
-			return a.result
+			return last
 		}
 		if ctx.Err() != nil || !a.uncharged && !g.conf.Budget.Spend() {
-			return a.result
+			return last
 		}
-		g.conf.Journal.RecordRetry(a.result.Reason, w.Trace, w.Customer, w.Group)
+		g.conf.Journal.RecordRetry(last.Reason, w.Trace, w.Customer, w.Group)
 		g.pollNow()
 		if !g.waitBackoff(ctx, count) {
-			return a.result
+			return last
 		}
 	}
 }
--- a/internal/owner/tx.go
+++ b/internal/owner/tx.go
@@ -62,7 +62,10 @@
 	r.Tx = g.registerTx(&transaction{server: s, conn: c, replica: replica, open: true, readsOnly: w.Request.WritesNothing})
 	if err := buffer.flush(); err != nil {
 		g.End(r.Tx)
-		return notRun(fault.PeerLost)
+		if w.Request.KeepsTx {
+			return notRun(fault.PeerLost)
+		}
+		return w.lost(fault.PeerLost)
 	}
 	return r
 }
--- a/internal/owner/work.go
+++ b/internal/owner/work.go
@@ -102,6 +102,23 @@
 	return a.Refusal.NotRun() && (w.Request.KeepsTx || w.Request.WritesNothing)
 }
 
+// lost returns the result of a request that was sent and whose answer did not reach the caller.
+func (w *Work) lost(r fault.Reason) Result {
+	if w.Request.WritesNothing {
+		return notRun(r)
+	}
+	return unknown(r)
+}
+
+// After returns the result of a request that was tried before with another result: what may
+// have run then may have run, whatever became of the later attempt.
+func (r Result) After(earlier Result) Result {
+	if r.Outcome == fault.NotRun && earlier.Outcome == fault.Unknown {
+		r.Outcome = fault.Unknown
+	}
+	return r
+}
+
 func notRun(r fault.Reason) Result { return Result{Outcome: fault.NotRun, Reason: r} }
 
 func unknown(r fault.Reason) Result { return Result{Outcome: fault.Unknown, Reason: r} }
