End a session whose transaction may have been committed by a lost message

A caller whose message held a COMMIT among other statements was told that its outcome is unknown, and its next COMMIT was answered with the tag ROLLBACK, although the transaction may have been committed. Cause: after any message but a lone COMMIT or ROLLBACK the transaction counted as failed, that is, rolled back.

Now the session ends with the unknown outcome if the message may have ended the transaction. go test of entry and fleet passes.

--- a/internal/entry/pgserve.go
+++ b/internal/entry/pgserve.go
@@ -185,7 +185,8 @@
 }
 
 // handleFault answers a batch that failed after it was sent to an owner. The session ends if a
-// part of the answer has been sent or if its pinned connection is lost.
+// part of the answer has been sent, if its pinned connection is lost, or if nobody can tell
+// whether the batch has ended the caller's transaction.
 func (s *pgSession) handleFault(reply Reply, sink *callerSink, omitReady bool) bool {
 	w, f := reply.Work, reply.Fault
 	if sink.emitted {
@@ -194,7 +195,8 @@
 		_ = s.wire.Flush()
 		return false
 	}
-	if s.pinned {
+	endsTx := w.Kind == stmt.Commit || w.Kind == stmt.Rollback
+	if s.pinned || s.tx != 0 && !endsTx && !w.Request.KeepsTx && f.Outcome == fault.Unknown {
 		f.Fatal = true
 		s.endTx()
 		s.refuse(f)
@@ -202,7 +204,7 @@
 		return false
 	}
 	if s.tx != 0 {
-		if w.Kind == stmt.Commit || w.Kind == stmt.Rollback {
+		if endsTx {
 			s.endTx()
 		} else {
 			s.failTx()
