Drop the messages that a refused function call leaves behind

Parse, Bind and Execute of an INSERT followed by a FunctionCall without Sync were answered "Nothing of this request took effect", and the next Sync ran the INSERT. Cause: the refusal left the batch as it was. Now the batch is dropped, as a Query message does.

--- a/internal/entry/pgserve.go
+++ b/internal/entry/pgserve.go
@@ -56,6 +56,7 @@
 	case *pgproto3.CopyData, *pgproto3.CopyDone, *pgproto3.CopyFail:
 		return true
 	case *pgproto3.FunctionCall:
+		s.batch.reset()
 		return s.refuseRequest(fault.NotSupported, true)
 	}
 	if s.skipToSync {
