Make the fact that proves it part of every outcome of not run

Nothing made a place that says not-run state what it knows: 24 places built the same outcome, some from a fact and some from a belief. Cause of the class: the outcome could be had without its proof.

Callers and metrics still read not-run; the log names the fact. The tests that compared with not-run name the fact that they expect. go test ./internal/... passes.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -25,7 +25,7 @@
 	for attempt := 0; ; attempt++ {
 		owners := i.preferPrimaryCenter(w, i.members.owners(w.Group, serverCenters))
 		if len(owners) == 0 {
-			last = owner.Result{Outcome: fault.NotRun, Reason: fault.NoOwner}.After(last)
+			last = owner.Result{Outcome: fault.NotSent, Reason: fault.NoOwner}.After(last)
 		} else {
 			id := owners[attempt%len(owners)]
 			tracker := &trackingSink{sink: sink}
@@ -77,7 +77,7 @@
 	for _, id := range owners {
 		if id != refusedBy && view.all[id].Center == preferredCenter && view.reachable[id] {
 			r := i.runAt(ctx, id, &redirected, sink)
-			if r.Outcome != fault.NotRun || r.Reason != fault.NoOwner && r.Reason != fault.PeerLost {
+			if !r.Outcome.NotRun() || r.Reason != fault.NoOwner && r.Reason != fault.PeerLost {
 				return r, id
 			}
 		}
@@ -103,10 +103,10 @@
 	if r.Reason != fault.PeerLost && r.Reason != fault.NoOwner || w.Tx != 0 || emitted {
 		return false
 	}
-	if r.Outcome == fault.NotRun {
+	if r.Outcome.NotRun() {
 		return true
 	}
-	return r.Outcome == fault.Unknown && w.Kind == stmt.Read
+	return r.Outcome.Unknown() && w.Kind == stmt.Read
 }
 
 // waitRetry waits for the backoff before the next attempt; there is no wait until every
--- a/internal/entry/pgserve.go
+++ b/internal/entry/pgserve.go
@@ -38,7 +38,7 @@
 	if isDisconnect(err) {
 		return
 	}
-	s.refuse(&fault.Fault{Reason: fault.BadMessage, Outcome: fault.NotRun, Trace: s.instance.trace(), Fatal: true})
+	s.refuse(&fault.Fault{Reason: fault.BadMessage, Outcome: fault.NotSent, Trace: s.instance.trace(), Fatal: true})
 	_ = s.wire.Flush()
 }
 
@@ -72,7 +72,7 @@
 
 // refuseRequest refuses a request that has not reached a server; done also sends ReadyForQuery.
 func (s *pgSession) refuseRequest(r fault.Reason, done bool) bool {
-	s.refuse(&fault.Fault{Reason: r, Outcome: fault.NotRun, Trace: s.instance.trace()})
+	s.refuse(&fault.Fault{Reason: r, Outcome: fault.NotSent, Trace: s.instance.trace()})
 	if s.status == TxOpen {
 		s.failTx()
 	}
@@ -197,7 +197,7 @@
 		return false
 	}
 	endsTx := w.Kind == stmt.Commit || w.Kind == stmt.Rollback
-	if s.pinned || s.tx != 0 && !endsTx && !w.Request.KeepsTx && f.Outcome == fault.Unknown {
+	if s.pinned || s.tx != 0 && !endsTx && !w.Request.KeepsTx && f.Outcome.Unknown() {
 		f.Fatal = true
 		s.endTx()
 		s.refuse(f)
--- a/internal/entry/pgstart.go
+++ b/internal/entry/pgstart.go
@@ -132,7 +132,7 @@
 
 // refuseStartup refuses a caller that is not admitted.
 func (s *pgSession) refuseStartup(r fault.Reason) {
-	s.refuse(&fault.Fault{Reason: r, Outcome: fault.NotRun, Trace: s.instance.trace(), Fatal: true})
+	s.refuse(&fault.Fault{Reason: r, Outcome: fault.NotSent, Trace: s.instance.trace(), Fatal: true})
 	_ = s.wire.Flush()
 }
 
@@ -249,7 +249,7 @@
 		return
 	}
 	_ = s.conn.SetWriteDeadline(time.Now().Add(lingerTimeout))
-	s.refuse(&fault.Fault{Reason: reason, Outcome: fault.NotRun, Trace: s.instance.trace(), Fatal: true})
+	s.refuse(&fault.Fault{Reason: reason, Outcome: fault.NotSent, Trace: s.instance.trace(), Fatal: true})
 	_ = s.wire.Flush()
 }
 
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -52,7 +52,7 @@
 	if reason != fault.None {
 		s.markRevoked(reason)
 		return Reply{Revoked: true, Fault: &fault.Fault{
-			Reason: reason, Outcome: fault.NotRun, Trace: trace, Fatal: true, Evidence: s.instance.configEvidence(),
+			Reason: reason, Outcome: fault.NotSent, Trace: trace, Fatal: true, Evidence: s.instance.configEvidence(),
 		}}
 	}
 	limits := s.instance.configCache.Current().DefaultsFor(began, access.Customer, access.Service)
@@ -72,8 +72,8 @@
 		return reply
 	}
 	reply.Fault = &fault.Fault{Reason: result.Reason, Outcome: result.Outcome, Trace: trace, RetryAfter: result.RetryAfter, Evidence: result.Evidence}
-	if result.Outcome == fault.Unknown && s.tx == 0 && w.Request.WritesNothing {
-		reply.Fault.Outcome = fault.NotRun
+	if result.Outcome.Unknown() && s.tx == 0 && w.Request.WritesNothing {
+		reply.Fault.Outcome = fault.NoEffect
 	}
 	return reply
 }
@@ -252,7 +252,7 @@
 		return nil
 	}
 	return &fault.Fault{
-		Reason: reason, Outcome: fault.NotRun, Trace: trace, RetryAfter: after,
+		Reason: reason, Outcome: fault.NotSent, Trace: trace, RetryAfter: after,
 		Evidence: s.instance.quota.Evidence(a.Customer) + fmt.Sprintf("; waited %v", wait),
 	}
 }
--- a/internal/fault/reason.go
+++ b/internal/fault/reason.go
@@ -10,20 +10,6 @@
 )
 
 //go:generate go tool stringer -type=Reason -linecomment -output=reason_string.go
-//go:generate go tool stringer -type=Outcome -linecomment -output=outcome_string.go
-
-// Outcome is the outcome of a request.
-type Outcome uint8
-
-// The outcomes. A request whose effect is in doubt is always Unknown.
-const (
-	// Done means that the server answered.
-	Done Outcome = iota // done
-	// NotRun means that no part of the request took effect or ever will.
-	NotRun // not-run
-	// Unknown means that the request may or may not have taken effect.
-	Unknown // unknown
-)
 
 // Reason is the reason why a request was refused or retried, or why its outcome is unknown.
 type Reason uint8
@@ -112,7 +98,7 @@
 
 // SQLState returns the SQLSTATE that is sent to the caller.
 func (f *Fault) SQLState() string {
-	if f.Outcome == Unknown {
+	if f.Outcome.Unknown() {
 		return UnknownSQLState
 	}
 	if state, ok := sqlStates[f.Reason]; ok {
@@ -122,11 +108,11 @@
 }
 
 func (f *Fault) message() string {
-	switch f.Outcome {
-	case Unknown:
-		return fmt.Sprintf("outcome unknown: %s", f.Reason)
-	case NotRun:
+	switch {
+	case f.Outcome.NotRun():
 		return fmt.Sprintf("not run: %s", f.Reason)
+	case f.Outcome.Unknown():
+		return fmt.Sprintf("outcome unknown: %s", f.Reason)
 	default:
 		return f.Reason.String()
 	}
@@ -140,19 +126,24 @@
 	}
 	return &pgproto3.ErrorResponse{
 		Severity: severity, SeverityUnlocalized: severity, Code: f.SQLState(), Message: f.message(),
-		Detail: f.detail(), Hint: hints[f.Outcome],
+		Detail: f.detail(), Hint: f.hint(),
 	}
 }
 
 func (f *Fault) detail() string {
-	text := fmt.Sprintf("reason=%s outcome=%s trace=%s", f.Reason, f.Outcome, f.Trace)
+	text := fmt.Sprintf("reason=%s outcome=%s trace=%s", f.Reason, f.Outcome.Label(), f.Trace)
 	if f.RetryAfter > 0 {
 		text += fmt.Sprintf(" retry-after=%s", f.RetryAfter.Round(time.Millisecond))
 	}
 	return text
 }
 
-var hints = map[Outcome]string{
-	NotRun:  "Nothing of this request took effect; it can be sent again.",
-	Unknown: "This request may have taken effect; look before sending it again.",
+func (f *Fault) hint() string {
+	switch {
+	case f.Outcome.NotRun():
+		return "Nothing of this request took effect; it can be sent again."
+	case f.Outcome.Unknown():
+		return "This request may have taken effect; look before sending it again."
+	}
+	return ""
 }
--- a/internal/jrnl/event.go
+++ b/internal/jrnl/event.go
@@ -91,7 +91,7 @@
 // RefusalEvent returns the journal event for a fault.
 func RefusalEvent(f *fault.Fault, customer ident.CustomerID, group ident.GroupID) Event {
 	kind := Refused
-	if f.Outcome == fault.Unknown {
+	if f.Outcome.Unknown() {
 		kind = OutcomeUnknown
 	}
 	return Event{Kind: kind, Trace: f.Trace, Customer: customer, Group: group, Reason: f.Reason.String(), Evidence: f.Evidence}
--- a/internal/jrnl/journal.go
+++ b/internal/jrnl/journal.go
@@ -61,7 +61,7 @@
 		c.Registry.MustRegister(j.events, j.refusals, j.retries)
 	}
 	for _, r := range fault.Reasons() {
-		j.refusals.WithLabelValues(r.String(), fault.NotRun.String())
+		j.refusals.WithLabelValues(r.String(), fault.NotRunLabel)
 		j.retries.WithLabelValues(r.String())
 	}
 	return j
@@ -99,7 +99,7 @@
 
 // RecordRefusal adds an event for a fault and counts its reason.
 func (j *Journal) RecordRefusal(f *fault.Fault, customer ident.CustomerID, group ident.GroupID) {
-	j.refusals.WithLabelValues(f.Reason.String(), f.Outcome.String()).Inc()
+	j.refusals.WithLabelValues(f.Reason.String(), f.Outcome.Label()).Inc()
 	j.Add(RefusalEvent(f, customer, group))
 }
 
--- a/internal/owner/host.go
+++ b/internal/owner/host.go
@@ -178,9 +178,9 @@
 	g := h.Group(w.Group)
 	if g == nil {
 		if w.Tx != 0 {
-			return notRun(fault.TransactionLost)
+			return notSent(fault.TransactionLost)
 		}
-		return notRun(fault.NoOwner)
+		return notSent(fault.NoOwner)
 	}
 	return g.Run(ctx, w, sink)
 }
--- a/internal/owner/read.go
+++ b/internal/owner/read.go
@@ -90,7 +90,7 @@
 	if w.ReadConsistency == conf.SessionReads {
 		floor = floor.Raise(w.Floor)
 	}
-	refusal := notRun(fault.NoPrimary)
+	refusal := notSent(fault.NoPrimary)
 	refusal.RetryAfter = after
 	return g.tracker.rebaseFloor(floor), refusal, known
 }
@@ -133,7 +133,7 @@
 		return w.Floor, Result{}, true
 	}
 	floor, ok := g.confirmPrimary(ctx)
-	return w.Floor.Raise(floor), notRun(fault.NoPrimary), ok
+	return w.Floor.Raise(floor), notSent(fault.NoPrimary), ok
 }
 
 // switchFloor returns the floor of any server but that of the session's last read, so
@@ -173,13 +173,13 @@
 	if s == nil || s.ID == lagging {
 		switchFloor, ok := g.switchFloor(ctx, w)
 		if !ok {
-			return attempt{result: notRun(fault.NoPrimary)}
+			return attempt{result: notSent(fault.NoPrimary)}
 		}
 		var reason fault.Reason
 		r := g.routeRequest(w, floor, switchFloor)
 		r.LaggingServer = lagging
 		if s, replica, reason = g.chooseServer(ctx, w, r); s == nil {
-			return attempt{result: notRun(reason)}
+			return attempt{result: notSent(reason)}
 		}
 	}
 	return g.readOnServer(ctx, w, s, replica, floor, sink)
@@ -196,7 +196,7 @@
 		if retryable {
 			g.tracker.recordMiss(s.at)
 		}
-		return attempt{result: Result{Outcome: fault.NotRun, Reason: got.reason, RetryAfter: got.retryAfter}, retryable: retryable}
+		return attempt{result: Result{Outcome: fault.NotSent, Reason: got.reason, RetryAfter: got.retryAfter}, retryable: retryable}
 	}
 	return g.readOnConn(ctx, w, s, got.conn, replica, floor, sink)
 }
@@ -218,9 +218,12 @@
 	if w.refused(answer) || failed && !buffer.forwarded {
 		s.pool.release(c)
 		g.handleRefusal(s, answer.Refusal)
-		return attempt{result: Result{
-			Outcome: fault.NotRun, Reason: refusalReasons[answer.Refusal], ErrorCode: answer.ErrorCode, LastRead: LastRead{Server: s.ID},
-		}, retryable: true}
+		result := refused(answer)
+		if failed {
+			result.Outcome = fault.NoEffect
+		}
+		result.LastRead.Server = s.ID
+		return attempt{result: result, retryable: true}
 	}
 	if g.serverChecksFloor(w) || w.ReadConsistency == conf.LatestReads {
 		floor = w.Floor
@@ -275,7 +278,7 @@
 func (g *Group) failedRead(ctx context.Context, w *Work, err error, buffer *delayedSink) attempt {
 	result := w.lost
 	if unsent(err) {
-		result = notRun
+		result = notSent
 	}
 	var failed *proto.RunError
 	switch {
--- a/internal/owner/roster_test.go
+++ b/internal/owner/roster_test.go
@@ -207,7 +207,7 @@
 		d.setDown("b", true)
 		d.setDown("c", true)
 		time.Sleep(group.LeaseWait + minPromotionTime + 100*time.Millisecond)
-		if r := run(); r.Outcome != fault.NotRun || r.Reason != fault.NoPrimary {
+		if r := run(); r.Outcome != fault.NotSent || r.Reason != fault.NoPrimary {
 			t.Fatalf("%s on a primary whose replicas are unreachable: got %s %s, want not-run no-primary", kind, r.Outcome, r.Reason)
 		}
 	}
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -155,7 +155,7 @@
 	if w.Redirected || s.Center == g.conf.Center || !g.conf.Driver.PerCustomer() || !slices.Contains(g.place.Load().Centers, s.Center) {
 		return Result{}, false
 	}
-	return Result{Outcome: fault.NotRun, Reason: fault.OtherOwnerPreferred, PreferredCenter: s.Center}, true
+	return Result{Outcome: fault.NotSent, Reason: fault.OtherOwnerPreferred, PreferredCenter: s.Center}, true
 }
 
 // writeOnce makes one attempt at a request on the primary.
@@ -170,7 +170,7 @@
 	got := s.pool.acquire(ctx, flowOf(w), w.Weight, g.maxQueueWait(ctx, w))
 	if got.conn == nil {
 		retryable := got.reason == fault.ConnectFailed || got.reason == fault.ServerFull
-		return attempt{result: Result{Outcome: fault.NotRun, Reason: got.reason, RetryAfter: got.retryAfter}, retryable: retryable, uncharged: true}
+		return attempt{result: Result{Outcome: fault.NotSent, Reason: got.reason, RetryAfter: got.retryAfter}, retryable: retryable, uncharged: true}
 	}
 	buffer := &bufferSink{}
 	request := w.Request
@@ -183,7 +183,7 @@
 	if w.refused(answer) && (answer.TxStatus == 'I' || !got.conn.Clean()) {
 		s.pool.release(got.conn)
 		g.handleRefusal(s, answer.Refusal)
-		return attempt{result: Result{Outcome: fault.NotRun, Reason: refusalReasons[answer.Refusal], ErrorCode: answer.ErrorCode}, retryable: true, uncharged: true}
+		return attempt{result: refused(answer), retryable: true, uncharged: true}
 	}
 	if answer.TxStatus != 'I' || w.Pin {
 		return attempt{result: g.openTx(w, s, got.conn, answer, buffer, sink)}
@@ -227,7 +227,7 @@
 // it was sent; otherwise its outcome is unknown.
 func (g *Group) failedWrite(ctx context.Context, err error) attempt {
 	if unsent(err) {
-		return attempt{result: notRun(fault.ConnectionLost), retryable: true}
+		return attempt{result: notSent(fault.ConnectionLost), retryable: true}
 	}
 	return attempt{result: unknown(lostAnswerReason(ctx, err))}
 }
@@ -349,7 +349,7 @@
 	if g.await(ctx, usable) {
 		return found, Result{}
 	}
-	refusal := notRun(fault.NoPrimary)
+	refusal := notSent(fault.NoPrimary)
 	refusal.RetryAfter = admit.Jitter(after, g.random())
 	return nil, refusal
 }
--- a/internal/owner/tx.go
+++ b/internal/owner/tx.go
@@ -63,7 +63,7 @@
 	if err := buffer.flush(); err != nil {
 		g.End(r.Tx)
 		if w.Request.KeepsTx {
-			return notRun(fault.PeerLost)
+			return rolledBack(fault.PeerLost)
 		}
 		return w.lost(fault.PeerLost)
 	}
@@ -107,12 +107,12 @@
 func (g *Group) runInTx(ctx context.Context, w *Work, sink proto.Sink) Result {
 	t := g.findTx(w.Tx)
 	if t == nil {
-		return notRun(fault.TransactionLost)
+		return notSent(fault.TransactionLost)
 	}
 	t.mu.Lock()
 	if t.conn == nil {
 		t.mu.Unlock()
-		return notRun(fault.TransactionLost)
+		return notSent(fault.TransactionLost)
 	}
 	buffer := &bufferSink{}
 	request := w.Request
@@ -134,8 +134,13 @@
 	t.mu.Unlock()
 	if err != nil {
 		g.End(w.Tx)
-		if unsent(err) || wasOpen && request.KeepsTx || readsOnly {
-			return notRun(fault.TransactionLost)
+		switch {
+		case unsent(err):
+			return notSent(fault.TransactionLost)
+		case wasOpen && request.KeepsTx:
+			return rolledBack(fault.TransactionLost)
+		case readsOnly:
+			return Result{Outcome: fault.NoEffect, Reason: fault.TransactionLost}
 		}
 		return unknown(lostAnswerReason(ctx, err))
 	}
@@ -167,7 +172,7 @@
 	t.wrote = false
 	t.mu.Unlock()
 	if w.refused(a) || wasOpen && a.Refusal.NotRun() && !a.Completed {
-		return notRun(refusalReasons[a.Refusal])
+		return refused(a)
 	}
 	if a.ErrorCode != "" {
 		return g.deliver(result, buffer.bytes, sink)
--- a/internal/owner/work.go
+++ b/internal/owner/work.go
@@ -105,7 +105,7 @@
 // lost returns the result of a request that was sent and whose answer did not reach the caller.
 func (w *Work) lost(r fault.Reason) Result {
 	if w.Request.WritesNothing {
-		return notRun(r)
+		return Result{Outcome: fault.NoEffect, Reason: r}
 	}
 	return unknown(r)
 }
@@ -113,13 +113,19 @@
 // After returns the result of a request that was tried before with another result: what may
 // have run then may have run, whatever became of the later attempt.
 func (r Result) After(earlier Result) Result {
-	if r.Outcome == fault.NotRun && earlier.Outcome == fault.Unknown {
+	if r.Outcome.NotRun() && earlier.Outcome.Unknown() {
 		r.Outcome = fault.Unknown
 	}
 	return r
 }
 
-func notRun(r fault.Reason) Result { return Result{Outcome: fault.NotRun, Reason: r} }
+func notSent(r fault.Reason) Result { return Result{Outcome: fault.NotSent, Reason: r} }
+
+func refused(a proto.Answer) Result {
+	return Result{Outcome: fault.ServerRefused, Reason: refusalReasons[a.Refusal], ErrorCode: a.ErrorCode}
+}
+
+func rolledBack(r fault.Reason) Result { return Result{Outcome: fault.RolledBack, Reason: r} }
 
 func unknown(r fault.Reason) Result { return Result{Outcome: fault.Unknown, Reason: r} }
 
--- a/internal/peer/hub.go
+++ b/internal/peer/hub.go
@@ -376,7 +376,7 @@
 func (h *Hub) Run(ctx context.Context, id ident.InstanceID, w *owner.Work, sink proto.Sink) owner.Result {
 	l, err := h.linkTo(ctx, id)
 	if err != nil {
-		return owner.Result{Outcome: fault.NotRun, Reason: fault.PeerLost}
+		return owner.Result{Outcome: fault.NotSent, Reason: fault.PeerLost}
 	}
 	return l.run(ctx, w, sink)
 }
--- a/internal/peer/hub_test.go
+++ b/internal/peer/hub_test.go
@@ -184,7 +184,7 @@
 		t.Fatalf("a link with a wrong secret was accepted: %v", err)
 	}
 	r := stranger.hub.Run(testContext(t), "a", &owner.Work{}, &countingSink{})
-	if r.Outcome != fault.NotRun || r.Reason != fault.PeerLost {
+	if r.Outcome != fault.NotSent || r.Reason != fault.PeerLost {
 		t.Fatalf("forwarding without a link: got %+v, want outcome not-run, reason peer-lost", r)
 	}
 }
@@ -222,7 +222,7 @@
 func TestStoppedRequestReportsOutcome(t *testing.T) {
 	queued := func(ctx context.Context, _ *owner.Work, _ proto.Sink) owner.Result {
 		<-ctx.Done()
-		return owner.Result{Outcome: fault.NotRun, Reason: fault.QueueLate}
+		return owner.Result{Outcome: fault.NotSent, Reason: fault.QueueLate}
 	}
 	unresponsive := func(ctx context.Context, _ *owner.Work, _ proto.Sink) owner.Result {
 		<-ctx.Done()
@@ -245,9 +245,9 @@
 		outcome fault.Outcome
 		reason  fault.Reason
 	}{
-		{"queued", keepsTx, queued, fault.NotRun, fault.QueueLate},
+		{"queued", keepsTx, queued, fault.NotSent, fault.QueueLate},
 		{"mute", keepsTx, unresponsive, fault.Unknown, fault.DeadlinePassed},
-		{"opened", keepsTx, opened, fault.NotRun, fault.DeadlinePassed},
+		{"opened", keepsTx, opened, fault.RolledBack, fault.DeadlinePassed},
 		{"opened after a commit", proto.Request{}, opened, fault.Unknown, fault.DeadlinePassed},
 		{"committed on a pinned connection", keepsTx, committed, fault.Unknown, fault.DeadlinePassed},
 	} {
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -121,7 +121,7 @@
 // has been closed: nothing of it is kept if all of it ran in the transaction that it left open.
 func undeliveredResult(w *owner.Work, r owner.Result) owner.Result {
 	if (r.TxStatus == 'T' || r.TxStatus == 'E') && w.Request.KeepsTx {
-		return owner.Result{Outcome: fault.NotRun, Reason: fault.DeadlinePassed}
+		return owner.Result{Outcome: fault.RolledBack, Reason: fault.DeadlinePassed}
 	}
 	return owner.Result{Outcome: fault.Unknown, Reason: fault.DeadlinePassed}
 }
@@ -168,11 +168,11 @@
 func (l *link) run(ctx context.Context, w *owner.Work, sink proto.Sink) owner.Result {
 	id, s, ok := l.openStream()
 	if !ok {
-		return owner.Result{Outcome: fault.NotRun, Reason: fault.PeerLost}
+		return owner.Result{Outcome: fault.NotSent, Reason: fault.PeerLost}
 	}
 	defer l.closeStream(id)
 	if err := l.send(ctx, kindWork, id, w); err != nil {
-		return owner.Result{Outcome: fault.NotRun, Reason: fault.PeerLost}
+		return owner.Result{Outcome: fault.NotSent, Reason: fault.PeerLost}
 	}
 	stop := ctx.Done()
 	var expired <-chan time.Time
