Give a caller the server's own error for a statement that fails in a transaction

An INSERT that violated a constraint inside a transaction was answered 40001 transaction-lost instead of 23505. Cause: the server's status is asked in the same round trip, and a server refuses that query in a failed transaction, which counted as the loss of the connection. Now a refused status query in a failed transaction leaves the answer without a status.

The test failed before: "connection lost at request stage answering: ... 25P02".

--- a/internal/pgcon/conn_test.go
+++ b/internal/pgcon/conn_test.go
@@ -187,3 +187,22 @@
 		}
 	})
 }
+
+// TestErrorInTransactionKeepsTheConnection runs a statement that fails in a transaction, where the
+// server refuses the status query as well: the caller gets the statement's own error.
+func TestErrorInTransactionKeepsTheConnection(t *testing.T) {
+	failure := func(code string) []byte {
+		return encode(&pgproto3.ErrorResponse{Severity: "ERROR", Code: code}, &pgproto3.ReadyForQuery{TxStatus: 'E'})
+	}
+	c := startServer(t, append(failure("23505"), failure("25P02")...))
+	query := encodeQuery("INSERT INTO ledger VALUES (1)")
+	answer, err := c.Run(context.Background(), &proto.Request{Messages: query, WantStatus: true}, discardSink{})
+	if err != nil || answer.ErrorCode != "23505" || answer.TxStatus != 'E' || answer.HasStatus {
+		t.Fatalf("got %+v, %v; want the error 23505 in a failed transaction, without a status", answer, err)
+	}
+}
+
+func encodeQuery(text string) []byte {
+	out, _ := (&pgproto3.Query{String: text}).Encode(nil)
+	return out
+}
--- a/internal/pgcon/run.go
+++ b/internal/pgcon/run.go
@@ -48,10 +48,12 @@
 	c.txStatus = answer.TxStatus
 	if r.WantStatus {
 		answer.Status, err = c.readStatus()
-		if err != nil {
+		var refused *controlError
+		if err != nil && !(answer.TxStatus == 'E' && errors.As(err, &refused)) {
 			return answer, c.link.Fail(ctx, proto.Answering, err)
 		}
-		answer.HasStatus = true
+		// In a failed transaction the server refuses the status query too.
+		answer.HasStatus = err == nil
 	}
 	if c.reader.Buffered() > 0 {
 		c.link.MarkBroken()
@@ -326,6 +328,12 @@
 	return ParseStatus(row)
 }
 
+// controlError reports that the server refused a control function; the connection stays usable.
+type controlError struct{ code string }
+
+// Error implements error.
+func (e *controlError) Error() string { return "control function failed with SQLSTATE " + e.code }
+
 // readRow reads an answer of one row up to ReadyForQuery and returns the row's values.
 func (c *Conn) readRow() ([]string, error) {
 	var row []string
@@ -345,7 +353,7 @@
 				row = append(row, string(value))
 			}
 		case 'E':
-			failed = &proto.ProtocolError{What: "control function failed with SQLSTATE " + errorCode(body)}
+			failed = &controlError{code: errorCode(body)}
 		case 'Z':
 			return row, failed
 		}
