Acknowledge a commit that keeps its connection only once a majority holds it

A message that commits and leaves a pinned connection or another transaction behind was acknowledged while only the primary held the write, so a change of primary could lose it. Cause: the wait for a majority was tied to the end of the request's connection, not to the commit.

--- a/internal/fleet/promise_test.go
+++ b/internal/fleet/promise_test.go
@@ -145,6 +145,45 @@
 	}
 }
 
+// TestCommitThatKeepsItsConnectionIsNotAcknowledgedUnreplicated cuts replication from the primary
+// and commits by messages that leave a pinned connection or another transaction behind: none of the
+// writes, which only the primary holds, may be acknowledged.
+func TestCommitThatKeepsItsConnectionIsNotAcknowledgedUnreplicated(t *testing.T) {
+	f := start(t, Config{Seed: 3, AdjustConfig: func(c *conf.Config) {
+		c.Defaults.AckDeadline = 300 * time.Millisecond
+		c.Defaults.Silence = time.Minute
+	}})
+	primary := f.Groups["stock"].Primary()
+	setReplication := func(cut bool) {
+		for _, s := range f.Groups["stock"].Servers() {
+			if s != primary {
+				primary.Faults().Partition(s.ID(), cut)
+			}
+		}
+	}
+	for at, texts := range [][]string{
+		{"INSERT INTO ledger (id, value) VALUES ('a', '1'); SET statement_timeout FROM CURRENT"},
+		{"BEGIN; INSERT INTO ledger (id, value) VALUES ('b', '1'); COMMIT; BEGIN"},
+		{"BEGIN", "INSERT INTO ledger (id, value) VALUES ('c', '1'); COMMIT; BEGIN"},
+	} {
+		c := connect(t, f.URL(f.Members()[0], "dealers-hanoi", "stock"))
+		for _, text := range texts[:len(texts)-1] {
+			if _, err := c.Exec(testContext(t), text, pgx.QueryExecModeSimpleProtocol); err != nil {
+				t.Fatal(err)
+			}
+		}
+		setReplication(true)
+		_, err := c.Exec(testContext(t), texts[len(texts)-1], pgx.QueryExecModeSimpleProtocol)
+		setReplication(false)
+		if sqlState(err) != "08007" {
+			t.Errorf("message %d, without replication: got %v, want 08007", at, err)
+		}
+	}
+	if rows := primary.Rows(); len(rows) != 3 {
+		t.Errorf("the primary holds %v, want the three writes, or the test checks nothing", rows)
+	}
+}
+
 // TestWithdrawnKeyDisconnectsCallers withdraws a key while one of its callers is idle and
 // another is in a transaction. Both must be disconnected, the transaction rolled back and
 // new callers refused; a second key of the same customer keeps working.
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -186,7 +186,7 @@
 		return attempt{result: refused(answer), retryable: true, uncharged: true}
 	}
 	if answer.TxStatus != 'I' || w.Pin {
-		return attempt{result: g.openTx(w, s, got.conn, answer, buffer, sink)}
+		return attempt{result: g.openTx(ctx, w, s, got.conn, answer, buffer, sink)}
 	}
 	s.pool.release(got.conn)
 	return attempt{result: g.finishWrite(ctx, w, answer, buffer, sink)}
--- a/internal/owner/tx.go
+++ b/internal/owner/tx.go
@@ -47,16 +47,35 @@
 	t.conn = nil
 }
 
-// openTx registers a transaction on the connection that the request opened it on, and
-// passes the answer on.
-func (g *Group) openTx(w *Work, s *server, c *pooledConn, a proto.Answer, buffer *bufferSink, sink proto.Sink) Result {
+// openTx registers a transaction on the connection that the request opened it on, and passes the
+// answer on. What the request has committed before is first held by a majority.
+func (g *Group) openTx(ctx context.Context, w *Work, s *server, c *pooledConn, a proto.Answer, buffer *bufferSink, sink proto.Sink) Result {
 	result := Result{Floor: w.Floor, TxStatus: a.TxStatus, ErrorCode: a.ErrorCode}
 	result.Tx = g.registerTx(&transaction{
 		server: s, conn: c, pinned: w.Pin, wrote: w.Kind > stmt.Begin, open: a.TxStatus != 'I', readsOnly: w.Request.WritesNothing,
 	})
+	if w.mayHaveCommitted(a) {
+		if reason := g.awaitCommitted(ctx, w, a); reason != fault.None {
+			g.End(result.Tx)
+			return unknown(reason)
+		}
+	}
 	return g.deliver(result, buffer.bytes, sink)
 }
 
+// mayHaveCommitted reports whether the request may have committed something, whatever state it
+// has left its connection in.
+func (w *Work) mayHaveCommitted(a proto.Answer) bool { return a.TxStatus == 'I' || w.Kind == stmt.Pin }
+
+// awaitCommitted waits until a majority holds what the request may have committed; it returns None
+// then, and otherwise the reason why that is unconfirmed.
+func (g *Group) awaitCommitted(ctx context.Context, w *Work, a proto.Answer) fault.Reason {
+	if a.ErrorCode != "" || g.ackIsFinal() {
+		return fault.None
+	}
+	return g.awaitReplicated(ctx, w, a.Status)
+}
+
 // openReadTx registers a read-only transaction and passes the answer on.
 func (g *Group) openReadTx(w *Work, s *server, c *pooledConn, r Result, replica bool, buffer *delayedSink) Result {
 	r.Tx = g.registerTx(&transaction{server: s, conn: c, replica: replica, open: true, readsOnly: w.Request.WritesNothing})
@@ -165,11 +184,11 @@
 		result.Tx = 0
 	}
 	needsConfirmation := wrote || w.Kind == stmt.Commit
-	if a.TxStatus != 'I' || !needsConfirmation || !a.HasStatus || w.Kind == stmt.Rollback {
+	if !w.mayHaveCommitted(a) || !needsConfirmation || !a.HasStatus || w.Kind == stmt.Rollback {
 		return g.deliver(result, buffer.bytes, sink)
 	}
 	t.mu.Lock()
-	t.wrote = false
+	t.wrote = t.wrote && a.TxStatus != 'I'
 	t.mu.Unlock()
 	if w.refused(a) || wasOpen && a.Refusal.NotRun() && !a.Completed {
 		return refused(a)
@@ -177,10 +196,8 @@
 	if a.ErrorCode != "" {
 		return g.deliver(result, buffer.bytes, sink)
 	}
-	if !g.ackIsFinal() {
-		if reason := g.awaitReplicated(ctx, w, a.Status); reason != fault.None {
-			return unknown(reason)
-		}
+	if reason := g.awaitCommitted(ctx, w, a); reason != fault.None {
+		return unknown(reason)
 	}
 	result.Floor = w.Floor.Raise(ident.Floor{Term: a.Status.Term, Position: a.Status.Received})
 	return g.deliver(result, buffer.bytes, sink)
