Record each request whose server connection failed

Change: the owner adds an event answer-lost with these facts and counts geraniumseam_lost_answers_total by kind of statement and stage. Refusals carry their outcome, in the event and in the log. Requests whose outcome is unknown or whose transaction was lost have a limit of 200 lines a second per kind and reason instead of 20, since one server that goes down loses as many at once as it had connections. No decision changes.

--- a/internal/jrnl/event.go
+++ b/internal/jrnl/event.go
@@ -48,6 +48,7 @@
 	ServersListed                 // servers-listed
 	RequestSlow                   // request-slow
 	PlatformRestored              // platform-restored
+	AnswerLost                    // answer-lost
 	Other                         // other
 	kindCount
 )
@@ -83,7 +84,9 @@
 	Term     ident.Term       `json:"term,omitempty"`
 	Version  ident.Version    `json:"version,omitempty"`
 	Reason   string           `json:"reason,omitempty"`
-	Evidence string           `json:"evidence,omitempty"`
+	// Outcome is the outcome of a refused or lost request.
+	Outcome  string `json:"outcome,omitempty"`
+	Evidence string `json:"evidence,omitempty"`
 	// Count is the number of similar events that this one stands for; 0 means one.
 	Count int64 `json:"count,omitempty"`
 }
@@ -94,5 +97,5 @@
 	if f.Outcome == fault.Unknown {
 		kind = OutcomeUnknown
 	}
-	return Event{Kind: kind, Trace: f.Trace, Customer: customer, Group: group, Reason: f.Reason.String(), Evidence: f.Evidence}
+	return Event{Kind: kind, Trace: f.Trace, Customer: customer, Group: group, Reason: f.Reason.String(), Outcome: f.Outcome.String(), Evidence: f.Evidence}
 }
--- a/internal/jrnl/journal.go
+++ b/internal/jrnl/journal.go
@@ -26,12 +26,24 @@
 // ones are counted and kept, and a single log line gives their number.
 const logBurst = 20
 
+// lostBurst is the same for requests whose effect may be in question, each of which has to be
+// found by its id; a server that goes down loses as many at once as it had connections.
+const lostBurst = 200
+
 // logKey identifies the events that share one limit on log lines.
 type logKey struct {
 	kind   Kind
 	reason string
 }
 
+// burst returns the number of these events that are logged per second.
+func (k logKey) burst() int {
+	if k.kind == OutcomeUnknown || k.kind == AnswerLost || k.reason == fault.TransactionLost.String() {
+		return lostBurst
+	}
+	return logBurst
+}
+
 // Journal holds the latest events of an instance; it is safe for concurrent use.
 type Journal struct {
 	conf     Config
@@ -131,26 +143,26 @@
 	}
 	key := logKey{kind: e.Kind, reason: e.Reason}
 	j.logged[key]++
-	return j.subscribers, j.logged[key] <= logBurst, suppressed
+	return j.subscribers, j.logged[key] <= key.burst(), suppressed
 }
 
 // suppressed returns the numbers of events left out of the log; the caller must hold mu.
 func (j *Journal) suppressed() map[logKey]int {
 	var counts map[logKey]int
 	for key, count := range j.logged {
-		if count <= logBurst {
+		if count <= key.burst() {
 			continue
 		}
 		if counts == nil {
 			counts = map[logKey]int{}
 		}
-		counts[key] = count - logBurst
+		counts[key] = count - key.burst()
 	}
 	return counts
 }
 
 func (j *Journal) log(e Event) {
-	klog.InfoS(e.Kind.String(), "instance", e.Instance, "data-center", e.Center, "trace", e.Trace, "reason", e.Reason,
+	klog.InfoS(e.Kind.String(), "instance", e.Instance, "data-center", e.Center, "trace", e.Trace, "reason", e.Reason, "outcome", e.Outcome,
 		"customer", e.Customer, "group", e.Group, "server", e.Server, "term", e.Term, "version", uint64(e.Version.Revision()), "epoch", uint32(e.Version.Epoch()),
 		"evidence", e.Evidence)
 }
--- a/internal/owner/conns.go
+++ b/internal/owner/conns.go
@@ -28,6 +28,8 @@
 	kind string
 	// since is when the connection became active or idle.
 	since time.Time
+	// txStatus is the transaction status in the last answer, 0 before the first.
+	txStatus byte
 	// inTransaction is set while the connection belongs to an open transaction.
 	inTransaction bool
 }
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -42,6 +42,8 @@
 	ReportServer func(g ident.GroupID, s ident.ServerID, answers bool)
 	// Baseline switches mechanisms off for comparative measurements.
 	Baseline Baseline
+	// lost counts lost answers; nil counts none.
+	lost *lostAnswers
 }
 
 // Place is an owner's position among the owners of its group.
--- a/internal/owner/host.go
+++ b/internal/owner/host.go
@@ -57,6 +57,7 @@
 	mu         sync.Mutex
 	ownedGauge prometheus.Gauge
 	budget     *retry.Budget
+	lost       *lostAnswers
 }
 
 // retryBudgetCeiling is the largest number of retries that the retry budget accumulates.
@@ -66,6 +67,7 @@
 func NewHost(c HostConfig) *Host {
 	h := &Host{
 		conf:       c,
+		lost:       newLostAnswers(c.Registry),
 		budget:     retry.NewBudget(conf.DefaultValues().RetryRatio, retryBudgetCeiling),
 		ownedGauge: prometheus.NewGauge(prometheus.GaugeOpts{Name: "geraniumseam_groups_owned", Help: "Database groups owned by this instance."}),
 	}
@@ -131,7 +133,7 @@
 		ID: id, Group: g, Defaults: d, Self: h.conf.Self, Center: h.conf.Center, Claimant: h.conf.Claimant, Place: p,
 		Driver: h.conf.Driver, Store: h.conf.Store, Epochs: h.conf.Epochs, Journal: h.conf.Journal,
 		Budget: h.budget, Random: rand.New(rand.NewPCG(h.conf.Random.Uint64(), h.conf.Random.Uint64())),
-		Now: h.conf.Now, ReportServer: h.conf.ReportServer, Baseline: h.conf.Baseline,
+		Now: h.conf.Now, ReportServer: h.conf.ReportServer, Baseline: h.conf.Baseline, lost: h.lost,
 	})
 	h.conf.Journal.Add(jrnl.Event{Kind: jrnl.OwnerChanged, Group: id, Evidence: "this instance now owns the group"})
 	if current != nil {
--- a/internal/owner/read.go
+++ b/internal/owner/read.go
@@ -212,7 +212,9 @@
 	answer, err := s.pool.run(ctx, c, &request, buffer, true)
 	if err != nil {
 		s.pool.release(c)
-		return g.failedRead(ctx, err, buffer)
+		failed := g.failedRead(ctx, err, buffer)
+		g.recordLost(w, s, c, false, err, failed.result)
+		return failed
 	}
 	if answer.Refusal.NotRun() || answer.Refusal == proto.ServerError && answer.TxStatus == 'I' && !buffer.forwarded {
 		s.pool.release(c)
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -178,7 +178,9 @@
 	answer, err := s.pool.run(ctx, got.conn, &request, buffer, false)
 	if err != nil {
 		s.pool.release(got.conn)
-		return g.failedWrite(ctx, err)
+		failed := g.failedWrite(ctx, err)
+		g.recordLost(w, s, got.conn, false, err, failed.result)
+		return failed
 	}
 	if answer.Refusal.NotRun() && (answer.TxStatus == 'I' || !got.conn.Clean()) {
 		s.pool.release(got.conn)
--- a/internal/owner/silent.go
+++ b/internal/owner/silent.go
@@ -24,6 +24,9 @@
 func (p *pool) run(ctx context.Context, c *pooledConn, r *proto.Request, sink proto.Sink, readOnly bool) (proto.Answer, error) {
 	p.begin(c, readOnly)
 	answer, err := c.Run(ctx, r, sink)
+	if err == nil {
+		c.txStatus = answer.TxStatus
+	}
 	p.end(c, err == nil && !answer.Refusal.NotRun())
 	return answer, err
 }
--- a/internal/owner/tx.go
+++ b/internal/owner/tx.go
@@ -108,7 +108,8 @@
 	buffer := &bufferSink{}
 	request := w.Request
 	request.WantStatus = !t.replica && w.Kind != stmt.Read
-	answer, err := t.server.pool.run(ctx, t.conn, &request, buffer, false)
+	conn := t.conn
+	answer, err := t.server.pool.run(ctx, conn, &request, buffer, false)
 	t.lastUsed = clock.Now()
 	if w.Kind > stmt.Rollback {
 		t.wrote = true
@@ -120,7 +121,9 @@
 	t.mu.Unlock()
 	if err != nil {
 		g.End(w.Tx)
-		return g.failedTx(ctx, w, wrote, err)
+		result := g.failedTx(ctx, w, wrote, err)
+		g.recordLost(w, t.server, conn, wrote, err, result)
+		return result
 	}
 	return g.finishInTx(ctx, w, t, answer, wrote, buffer, sink)
 }
--- a/internal/review/logs.go
+++ b/internal/review/logs.go
@@ -27,6 +27,7 @@
 	Center   ident.CenterID   `json:"data-center"`
 	Trace    ident.TraceID    `json:"trace"`
 	Reason   string           `json:"reason"`
+	Outcome  string           `json:"outcome"`
 	Customer ident.CustomerID `json:"customer"`
 	Group    ident.GroupID    `json:"group"`
 	Server   ident.ServerID   `json:"server"`
@@ -53,7 +54,7 @@
 			continue
 		}
 		e := jrnl.Event{
-			At: l.Time, Instance: l.Instance, Center: l.Center, Sequence: uint64(len(events)), Trace: l.Trace, Reason: l.Reason, Customer: l.Customer,
+			At: l.Time, Instance: l.Instance, Center: l.Center, Sequence: uint64(len(events)), Trace: l.Trace, Reason: l.Reason, Outcome: l.Outcome, Customer: l.Customer,
 			Group: l.Group, Server: l.Server, Term: l.Term, Version: ident.NewVersion(l.Epoch, l.Version), Evidence: l.Evidence, Count: l.Count,
 		}
 		if err := e.Kind.UnmarshalText([]byte(l.Message)); err != nil || e.Kind.String() != l.Message {
@@ -124,7 +125,7 @@
 // possibleCause reports whether e may have affected the given request.
 func possibleCause(e, request jrnl.Event) bool {
 	switch e.Kind {
-	case jrnl.Refused, jrnl.Retried, jrnl.OutcomeUnknown, jrnl.RequestSlow:
+	case jrnl.Refused, jrnl.Retried, jrnl.OutcomeUnknown, jrnl.RequestSlow, jrnl.AnswerLost:
 		return false
 	case jrnl.ShareChanged, jrnl.ConfigInForce, jrnl.ConfigRefused, jrnl.PlatformLost, jrnl.PlatformBack, jrnl.PlatformRestored, jrnl.Started, jrnl.Stopping, jrnl.CallersEnded:
 		return e.Instance == request.Instance
--- a/internal/review/review.go
+++ b/internal/review/review.go
@@ -178,6 +178,7 @@
 	jrnl.ShareChanged:     "changed its share of the rate limits", jrnl.PeerJoined: "connected to an instance", jrnl.PeerLost: "lost the connection to an instance",
 	jrnl.OwnerChanged: "ownership changed", jrnl.ServerLeaving: "stopped sending new requests to a leaving server",
 	jrnl.Refused: "refused a request", jrnl.Retried: "retried a request", jrnl.OutcomeUnknown: "could not determine the outcome of a request",
+	jrnl.AnswerLost: "lost the server connection of a request",
 }
 
 // Describe returns a one-line description of an event.
@@ -197,6 +198,9 @@
 	if e.Version > 0 {
 		fmt.Fprintf(&text, " [configuration %s]", e.Version)
 	}
+	if e.Outcome != "" {
+		fmt.Fprintf(&text, " [outcome %s]", e.Outcome)
+	}
 	if e.Count > 1 {
 		fmt.Fprintf(&text, " ×%d", e.Count)
 	}
