--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -71,7 +71,7 @@
 		reply.floorRaised = s.applyResult(w, result, ownerID)
 		return reply
 	}
-	reply.Fault = &fault.Fault{Reason: result.Reason, Outcome: result.Outcome, Trace: trace, RetryAfter: result.RetryAfter, Evidence: result.Evidence}
+	reply.Fault = &fault.Fault{Reason: result.Reason, Outcome: result.Outcome, Trace: trace, RetryAfter: result.RetryAfter, Evidence: s.instance.decisionEvidence(result, ownerID)}
 	// A read outside a transaction has no effect, so it counts as not run.
 	if result.Outcome == fault.Unknown && s.tx == 0 && w.Kind <= stmt.Show {
 		reply.Fault.Outcome = fault.NotRun
@@ -94,6 +94,17 @@
 	})
 }
 
+// decisionEvidence describes where the result of a failed request was decided and on what.
+func (i *Instance) decisionEvidence(r owner.Result, ownerID ident.InstanceID) string {
+	switch {
+	case ownerID == "":
+		return r.Evidence
+	case r.Evidence == "":
+		return fmt.Sprintf("owner %s told no more; %s", ownerID, i.configEvidence())
+	}
+	return fmt.Sprintf("decided by owner %s: %s", ownerID, r.Evidence)
+}
+
 // configEvidence describes the configuration on which decisions about keys and routes are based.
 func (i *Instance) configEvidence() string {
 	return fmt.Sprintf("configuration %s, confirmed %v ago", i.configCache.Current().Version, i.configCache.SinceConfirmed().Round(time.Millisecond))
