--- a/internal/review/logs.go
+++ b/internal/review/logs.go
@@ -93,9 +93,9 @@
 )
 
 // Chain returns the events that may explain a request's outcome, in order: the request's
-// own events, events of its database group, and recent events of its instance about the
-// configuration, its rate share, its peers and the platform. It returns nil if no event
-// has the trace.
+// own events, events of its database group, and recent events of the instances that have events
+// of its own about the configuration, their rate share, their peers and the platform. It returns
+// nil if no event has the trace.
 func Chain(events []jrnl.Event, trace ident.TraceID) []jrnl.Event {
 	jrnl.SortEvents(events)
 	first := slices.IndexFunc(events, func(e jrnl.Event) bool { return e.Trace == trace })
@@ -104,9 +104,11 @@
 	}
 	request := events[first]
 	var end time.Time
+	instances := map[ident.InstanceID]bool{}
 	for _, e := range events {
 		if e.Trace == trace {
 			end = e.At
+			instances[e.Instance] = true
 			if request.Group == "" {
 				request.Group = e.Group
 			}
@@ -115,22 +117,23 @@
 	var chain []jrnl.Event
 	for _, e := range events {
 		inWindow := e.At.After(request.At.Add(-chainBefore)) && e.At.Before(end.Add(chainAfter))
-		if e.Trace == trace || inWindow && possibleCause(e, request) {
+		if e.Trace == trace || inWindow && possibleCause(e, request.Group, instances) {
 			chain = append(chain, e)
 		}
 	}
 	return chain
 }
 
-// possibleCause reports whether e may have affected the given request.
-func possibleCause(e, request jrnl.Event) bool {
+// possibleCause reports whether e may have affected a request of the group that the given
+// instances have events of.
+func possibleCause(e jrnl.Event, group ident.GroupID, instances map[ident.InstanceID]bool) bool {
 	switch e.Kind {
 	case jrnl.Refused, jrnl.Retried, jrnl.OutcomeUnknown, jrnl.RequestSlow, jrnl.AnswerLost:
 		return false
 	case jrnl.ShareChanged, jrnl.ConfigInForce, jrnl.ConfigRefused, jrnl.PlatformLost, jrnl.PlatformBack, jrnl.PlatformRestored, jrnl.Started, jrnl.Stopping, jrnl.CallersEnded:
-		return e.Instance == request.Instance
+		return instances[e.Instance]
 	case jrnl.PeerJoined, jrnl.PeerLost:
-		return e.Instance == request.Instance
+		return instances[e.Instance]
 	}
-	return e.Group != "" && e.Group == request.Group
+	return e.Group != "" && e.Group == group
 }
--- a/internal/review/review_test.go
+++ b/internal/review/review_test.go
@@ -44,24 +44,30 @@
 	goldie.New(t).Assert(t, "trace", out.Bytes())
 }
 
-// TestChain checks the chain of a refused request, from log lines that the instances of a
-// simulated deployment (hlm-stock scale-2) wrote.
+// TestChain checks the chains of two requests, from log lines that instances wrote: one refused in
+// a simulated deployment (hlm-stock scale-2), and a COMMIT whose answer was lost between a server
+// and the owner, which is not the instance that answered.
 func TestChain(t *testing.T) {
-	log, err := os.Open("testdata/failed.log")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer log.Close()
-	events, err := ParseLogs(log)
-	if err != nil {
-		t.Fatal(err)
-	}
-	var out bytes.Buffer
-	for _, e := range Chain(events, "59e5e738beaa6f23") {
-		fmt.Fprintf(&out, "%s %s %s %s\n", e.At.UTC().Format(timeLayout), e.Instance, e.Reason, Describe(e))
-	}
-	goldie.New(t).Assert(t, "chain", out.Bytes())
-	if Chain(events, "nobody") != nil {
-		t.Error("Chain returned events for a trace that is not in the log")
+	for _, test := range []struct {
+		log, golden string
+		trace       ident.TraceID
+	}{{"failed.log", "chain", "59e5e738beaa6f23"}, {"lost.log", "lost", "lost-1-commit"}} {
+		log, err := os.Open("testdata/" + test.log)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer log.Close()
+		events, err := ParseLogs(log)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var out bytes.Buffer
+		for _, e := range Chain(events, test.trace) {
+			fmt.Fprintf(&out, "%s %s %s %s\n", e.At.UTC().Format(timeLayout), e.Instance, e.Reason, Describe(e))
+		}
+		goldie.New(t).Assert(t, test.golden, out.Bytes())
+		if Chain(events, "nobody") != nil {
+			t.Error("Chain returned events for a trace that is not in the log")
+		}
 	}
 }
