--- a/internal/owner/conns.go
+++ b/internal/owner/conns.go
@@ -28,10 +28,15 @@
 	kind string
 	// since is when the connection became active or idle.
 	since time.Time
+	// txStatus is the transaction status in the last answer, 0 before the first.
+	txStatus byte
 	// inTransaction is set while the connection belongs to an open transaction.
 	inTransaction bool
 }
 
+// inOpenTx reports whether a transaction was open on the connection at the server's last answer.
+func (c *pooledConn) inOpenTx() bool { return c.txStatus == 'T' || c.txStatus == 'E' }
+
 // slotsInUse returns how many statements and handshakes the server is working on. At the
 // concurrency limit, statements whose answer counts as lost no longer count. The caller holds mu.
 func (p *pool) slotsInUse() int {
--- a/internal/owner/read.go
+++ b/internal/owner/read.go
@@ -212,7 +212,9 @@
 	answer, err := s.pool.run(ctx, c, &request, buffer, true)
 	if err != nil {
 		s.pool.release(c)
-		return g.failedRead(ctx, w, err, buffer)
+		lost := g.failedRead(ctx, w, err, buffer)
+		g.recordLost(w, s, c, err, lost.result)
+		return lost
 	}
 	failed := answer.Refusal == proto.ServerError && w.Request.WritesNothing && answer.TxStatus == 'I'
 	if w.refused(answer) || failed && !buffer.forwarded {
--- a/internal/owner/tx.go
+++ b/internal/owner/tx.go
@@ -27,8 +27,6 @@
 	pinned bool
 	// wrote is set if the transaction may have written.
 	wrote bool
-	// open is set if a transaction was open on the connection after the server's last answer.
-	open bool
 	// readsOnly is set as long as no request that may write was run on the connection.
 	readsOnly bool
 	// lastUsed is when the transaction last ran a request.
@@ -52,7 +50,7 @@
 func (g *Group) openTx(ctx context.Context, w *Work, s *server, c *pooledConn, a proto.Answer, buffer *bufferSink, sink proto.Sink) Result {
 	result := Result{Floor: w.Floor, TxStatus: a.TxStatus, ErrorCode: a.ErrorCode}
 	result.Tx = g.registerTx(&transaction{
-		server: s, conn: c, pinned: w.Pin, wrote: w.Kind > stmt.Begin, open: a.TxStatus != 'I', readsOnly: w.Request.WritesNothing,
+		server: s, conn: c, pinned: w.Pin, wrote: w.Kind > stmt.Begin, readsOnly: w.Request.WritesNothing,
 	})
 	if w.mayHaveCommitted(a) {
 		if reason := g.awaitCommitted(ctx, w, a); reason != fault.None {
@@ -78,7 +76,7 @@
 
 // openReadTx registers a read-only transaction and passes the answer on.
 func (g *Group) openReadTx(w *Work, s *server, c *pooledConn, r Result, replica bool, buffer *delayedSink) Result {
-	r.Tx = g.registerTx(&transaction{server: s, conn: c, replica: replica, open: true, readsOnly: w.Request.WritesNothing})
+	r.Tx = g.registerTx(&transaction{server: s, conn: c, replica: replica, readsOnly: w.Request.WritesNothing})
 	if err := buffer.flush(); err != nil {
 		g.End(r.Tx)
 		if w.Request.KeepsTx {
@@ -136,9 +134,10 @@
 	buffer := &bufferSink{}
 	request := w.Request
 	request.WantStatus = !t.replica && w.Kind != stmt.Read
-	wasOpen := t.open
+	conn := t.conn
+	wasOpen := conn.inOpenTx()
 	t.readsOnly = t.readsOnly && request.WritesNothing
-	answer, err := t.server.pool.run(ctx, t.conn, &request, buffer, false)
+	answer, err := t.server.pool.run(ctx, conn, &request, buffer, false)
 	t.lastUsed = clock.Now()
 	if w.Kind > stmt.Rollback {
 		t.wrote = true
@@ -147,25 +146,30 @@
 		t.conn.InvalidateSettings()
 	}
 	wrote, readsOnly := t.wrote, t.readsOnly
-	if err == nil {
-		t.open = answer.TxStatus != 'I'
-	}
 	t.mu.Unlock()
 	if err != nil {
 		g.End(w.Tx)
-		switch {
-		case unsent(err):
-			return notSent(fault.TransactionLost)
-		case wasOpen && request.KeepsTx:
-			return rolledBack(fault.TransactionLost)
-		case readsOnly:
-			return Result{Outcome: fault.NoEffect, Reason: fault.TransactionLost}
-		}
-		return unknown(lostAnswerReason(ctx, err))
+		result := failedInTx(ctx, w, wasOpen, readsOnly, err)
+		g.recordLost(w, t.server, conn, err, result)
+		return result
 	}
 	return g.finishInTx(ctx, w, t, answer, wrote, wasOpen, buffer, sink)
 }
 
+// failedInTx returns the result of a request whose transaction lost its connection. The server
+// rolls an open transaction back unless the request may have ended it.
+func failedInTx(ctx context.Context, w *Work, wasOpen, readsOnly bool, err error) Result {
+	switch {
+	case unsent(err):
+		return notSent(fault.TransactionLost)
+	case wasOpen && w.Request.KeepsTx:
+		return rolledBack(fault.TransactionLost)
+	case readsOnly:
+		return Result{Outcome: fault.NoEffect, Reason: fault.TransactionLost}
+	}
+	return unknown(lostAnswerReason(ctx, err))
+}
+
 // unsent reports whether the connection failed before any byte of the request was sent.
 func unsent(err error) bool {
 	var failed *proto.RunError
