Read a lone statement by its first word when asking whether it can commit

An upsert (ON CONFLICT DO), a CASE expression or a literal with such a word was not tried again on a demoted primary, and its session ended when its connection was lost in a transaction. Cause: each word that can commit counted wherever it stood. A text without a semicolon inside is one statement, whatever its quotes, so that only its first word counts; that also tells BEGIN, SET and SHOW, which write nothing. Added are the words that run transactions of their own: analyze, execute, repack, materialized.

A refusal other than read-only comes from the platform only, where a request is one statement; it counts also if an instance of an earlier release leaves the new fields empty.

--- a/internal/entry/pgbatch.go
+++ b/internal/entry/pgbatch.go
@@ -39,8 +39,10 @@
 	parsedUnnamed bool
 	// simple is set if the batch consists of a Query message.
 	simple bool
-	// mayEndTx is set if a statement may end the open transaction or run one of its own.
-	mayEndTx bool
+	// mayCommit is set if a statement may commit the open transaction or one of its own, mayWrite
+	// if one may write.
+	mayCommit bool
+	mayWrite  bool
 }
 
 func (b *batch) reset() {
@@ -62,7 +64,8 @@
 func (b *batch) add(c stmt.Class) {
 	b.executes++
 	b.leavesState = b.leavesState || c.LeavesState
-	b.mayEndTx = b.mayEndTx || !c.KeepsTx
+	b.mayCommit = b.mayCommit || !c.NeverCommits
+	b.mayWrite = b.mayWrite || !c.WritesNothing
 	if b.executes == 1 {
 		b.kind, b.class = c.Kind, c
 		return
--- a/internal/entry/pgserve.go
+++ b/internal/entry/pgserve.go
@@ -162,7 +162,9 @@
 	b := &s.batch
 	q := &Request{
 		Kind: b.kind, ReadOnly: b.class.ReadOnly, Charged: b.charged(), Pin: b.leavesState,
-		Content: proto.Request{Messages: b.messages, Statements: b.required, Injected: b.injected, KeepsTx: !b.mayEndTx},
+		Content: proto.Request{
+			Messages: b.messages, Statements: b.required, Injected: b.injected, NeverCommits: !b.mayCommit, WritesNothing: !b.mayWrite,
+		},
 	}
 	if b.executes == 0 {
 		q.Kind = stmt.Read
@@ -197,7 +199,7 @@
 		return false
 	}
 	endsTx := w.Kind == stmt.Commit || w.Kind == stmt.Rollback
-	if s.pinned || s.tx != 0 && !endsTx && !w.Request.KeepsTx && f.Outcome.Unknown() {
+	if s.pinned || s.tx != 0 && !endsTx && !w.Request.NeverCommits && f.Outcome.Unknown() {
 		f.Fatal = true
 		s.endTx()
 		s.refuse(f)
--- a/internal/owner/lost.go
+++ b/internal/owner/lost.go
@@ -57,7 +57,7 @@
 	}
 	g.conf.Journal.Add(jrnl.Event{
 		Kind: jrnl.AnswerLost, Trace: w.Trace, Customer: w.Customer, Group: w.Group, Server: s.ID, Reason: r.Reason.String(), Outcome: r.Outcome.String(),
-		Evidence: fmt.Sprintf("%s %s, connection pinned: %t, request stage %s, keeps the transaction: %t, writes nothing: %t; %v",
-			kind, place, w.Pin, stage, w.Request.KeepsTx, w.Request.WritesNothing, err),
+		Evidence: fmt.Sprintf("%s %s, connection pinned: %t, request stage %s, never commits: %t, writes nothing: %t; %v",
+			kind, place, w.Pin, stage, w.Request.NeverCommits, w.Request.WritesNothing, err),
 	})
 }
--- a/internal/owner/lost_test.go
+++ b/internal/owner/lost_test.go
@@ -58,9 +58,9 @@
 		stage proto.Stage
 		want  string
 	}{
-		{"commit, sent", stmt.Commit, true, proto.OpenNone, proto.Sent, " of status T, connection pinned: false, request stage sent, keeps the transaction: false, writes nothing: false"},
-		{"commit, unsent", stmt.Commit, true, proto.OpenNone, proto.Unsent, " of status T, connection pinned: false, request stage unsent, keeps the transaction: false, writes nothing: false"},
-		{"write in a transaction", stmt.Write, true, proto.OpenNone, proto.Answering, " of status T, connection pinned: false, request stage answering, keeps the transaction: false, writes nothing: false"},
+		{"commit, sent", stmt.Commit, true, proto.OpenNone, proto.Sent, " of status T, connection pinned: false, request stage sent, never commits: false, writes nothing: false"},
+		{"commit, unsent", stmt.Commit, true, proto.OpenNone, proto.Unsent, " of status T, connection pinned: false, request stage unsent, never commits: false, writes nothing: false"},
+		{"write in a transaction", stmt.Write, true, proto.OpenNone, proto.Answering, " of status T, connection pinned: false, request stage answering, never commits: false, writes nothing: false"},
 		{"first statement", stmt.Begin, false, proto.OpenReadWrite, proto.Sent, "begin with its first statement outside a transaction, connection pinned: false, request stage sent"},
 		{"write, sent", stmt.Write, false, proto.OpenNone, proto.Sent, "write outside a transaction, connection pinned: false, request stage sent"},
 		{"write, unsent", stmt.Write, false, proto.OpenNone, proto.Unsent, ""},
--- a/internal/owner/tx.go
+++ b/internal/owner/tx.go
@@ -79,7 +79,7 @@
 	r.Tx = g.registerTx(&transaction{server: s, conn: c, replica: replica, readsOnly: w.Request.WritesNothing})
 	if err := buffer.flush(); err != nil {
 		g.End(r.Tx)
-		if w.Request.KeepsTx {
+		if w.Request.NeverCommits {
 			return rolledBack(fault.PeerLost)
 		}
 		return w.lost(fault.PeerLost)
@@ -162,7 +162,7 @@
 	switch {
 	case unsent(err):
 		return notSent(fault.TransactionLost)
-	case wasOpen && w.Request.KeepsTx:
+	case wasOpen && w.Request.NeverCommits:
 		return rolledBack(fault.TransactionLost)
 	case readsOnly:
 		return Result{Outcome: fault.NoEffect, Reason: fault.TransactionLost}
--- a/internal/owner/work.go
+++ b/internal/owner/work.go
@@ -96,10 +96,11 @@
 	return true
 }
 
-// refused reports whether the server said that nothing of the request took effect. The error that
-// says so undoes the transaction in which the request ran, but not what the request committed before.
+// refused reports whether the server said that nothing of the request took effect. A read-only
+// error undoes the transaction in which the request ran, but not what the request committed before.
 func (w *Work) refused(a proto.Answer) bool {
-	return a.Refusal.NotRun() && (w.Request.KeepsTx || w.Request.WritesNothing)
+	q := &w.Request
+	return a.Refusal.NotRun() && (a.Refusal != proto.ReadOnly || q.NeverCommits || q.WritesNothing || q.TxOpening != proto.OpenNone)
 }
 
 // lost returns the result of a request that was sent and whose answer did not reach the caller.
--- a/internal/peer/hub_test.go
+++ b/internal/peer/hub_test.go
@@ -237,7 +237,7 @@
 		<-ctx.Done()
 		return owner.Result{Tx: 7, TxStatus: 'I'}
 	}
-	keepsTx := proto.Request{KeepsTx: true}
+	neverCommits := proto.Request{NeverCommits: true}
 	for _, c := range []struct {
 		name    string
 		request proto.Request
@@ -245,11 +245,11 @@
 		outcome fault.Outcome
 		reason  fault.Reason
 	}{
-		{"queued", keepsTx, queued, fault.NotSent, fault.QueueLate},
-		{"mute", keepsTx, unresponsive, fault.Unknown, fault.DeadlinePassed},
-		{"opened", keepsTx, opened, fault.RolledBack, fault.DeadlinePassed},
+		{"queued", neverCommits, queued, fault.NotSent, fault.QueueLate},
+		{"mute", neverCommits, unresponsive, fault.Unknown, fault.DeadlinePassed},
+		{"opened", neverCommits, opened, fault.RolledBack, fault.DeadlinePassed},
 		{"opened after a commit", proto.Request{}, opened, fault.Unknown, fault.DeadlinePassed},
-		{"committed on a pinned connection", keepsTx, committed, fault.Unknown, fault.DeadlinePassed},
+		{"committed on a pinned connection", neverCommits, committed, fault.Unknown, fault.DeadlinePassed},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			a, b := newTestInstance(t, "a", nil), newTestInstance(t, "b", nil)
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -120,7 +120,7 @@
 // undeliveredResult returns the result of a request that the peer cancelled and whose connection
 // has been closed: nothing of it is kept if all of it ran in the transaction that it left open.
 func undeliveredResult(w *owner.Work, r owner.Result) owner.Result {
-	if (r.TxStatus == 'T' || r.TxStatus == 'E') && w.Request.KeepsTx {
+	if (r.TxStatus == 'T' || r.TxStatus == 'E') && w.Request.NeverCommits {
 		return owner.Result{Outcome: fault.RolledBack, Reason: fault.DeadlinePassed}
 	}
 	return owner.Result{Outcome: fault.Unknown, Reason: fault.DeadlinePassed}
--- a/internal/proto/request.go
+++ b/internal/proto/request.go
@@ -56,9 +56,9 @@
 	// RequiredFloor is the floor that the server's log must have reached to run the request,
 	// for drivers whose servers check it.
 	RequiredFloor ident.Floor `cbor:"7,keyasint,omitempty"`
-	// KeepsTx is set if nothing in the request can end a transaction that is open on its
-	// connection, nor run one of its own.
-	KeepsTx bool `cbor:"8,keyasint,omitempty"`
+	// NeverCommits is set if nothing in the request can commit a transaction that is open on its
+	// connection, nor transactions of its own while it runs.
+	NeverCommits bool `cbor:"8,keyasint,omitempty"`
 	// WritesNothing is set if the protocol rules out that the request itself writes: it reads, or
 	// ends a transaction, which keeps no more than earlier requests wrote.
 	WritesNothing bool `cbor:"9,keyasint,omitempty"`
--- a/pkg/stmt/classify.go
+++ b/pkg/stmt/classify.go
@@ -32,7 +32,7 @@
 // restrictive kind among them.
 func Classify(text string) Class {
 	class := classify(text)
-	class.KeepsTx = keepsTx(text)
+	class.NeverCommits, class.WritesNothing = effects(text)
 	return class
 }
 
--- a/pkg/stmt/kind.go
+++ b/pkg/stmt/kind.go
@@ -31,8 +31,11 @@
 	// Setting is the setting of a SET, RESET or SHOW. Value is the new value of a SET.
 	Setting string
 	Value   string
-	// KeepsTx is set if the text can't end a transaction, nor run one of its own.
-	KeepsTx bool
+	// NeverCommits is set if the text can't commit an open transaction, nor transactions of its
+	// own while it runs; outside a transaction the whole of it is committed at its end.
+	NeverCommits bool
+	// WritesNothing is set if the text can't write.
+	WritesNothing bool
 }
 
 // Idempotent reports whether the statement may safely be run more than once.
