Wait for a majority also if a message fails after its COMMIT

BEGIN; INSERT a; COMMIT; INSERT of a duplicate was answered with the tag COMMIT while only the primary held a. Cause: an error in the answer counted as nothing to confirm. A statement that only pins its session waited in an open transaction, where nothing is committed yet. The session's floor is raised, and a transaction whose answer can't be passed on is ended.

Four messages are added to the test; before, they gave 23505 instead of 08007, or the tag COMMIT. go test of owner and fleet passes.

--- a/internal/fleet/promise_test.go
+++ b/internal/fleet/promise_test.go
@@ -146,7 +146,7 @@
 }
 
 // TestCommitThatKeepsItsConnectionIsNotAcknowledgedUnreplicated cuts replication from the primary
-// and commits by messages that leave a pinned connection or another transaction behind: none of the
+// and commits by messages that leave a pinned connection or another transaction behind, or fail after: none of the
 // writes, which only the primary holds, may be acknowledged.
 func TestCommitThatKeepsItsConnectionIsNotAcknowledgedUnreplicated(t *testing.T) {
 	f := start(t, Config{Seed: 3, AdjustConfig: func(c *conf.Config) {
@@ -161,7 +161,15 @@
 			}
 		}
 	}
+	if err := put(t, connect(t, f.URL(f.Members()[0], "dealers-hanoi", "stock")), "twice", "0"); err != nil {
+		t.Fatal(err)
+	}
+	const duplicate = "INSERT INTO ledger (id, value) VALUES ('twice', '1')"
 	for at, texts := range [][]string{
+		{"BEGIN; INSERT INTO ledger (id, value) VALUES ('d', '1'); COMMIT; BEGIN; " + duplicate},
+		{"BEGIN; INSERT INTO ledger (id, value) VALUES ('e', '1'); COMMIT; " + duplicate},
+		{"BEGIN", "INSERT INTO ledger (id, value) VALUES ('f', '1'); COMMIT; BEGIN; " + duplicate},
+		{"BEGIN", "INSERT INTO ledger (id, value) VALUES ('g', '1'); COMMIT; " + duplicate},
 		{"INSERT INTO ledger (id, value) VALUES ('a', '1'); SET statement_timeout FROM CURRENT"},
 		{"BEGIN; INSERT INTO ledger (id, value) VALUES ('b', '1'); COMMIT; BEGIN"},
 		{"BEGIN", "INSERT INTO ledger (id, value) VALUES ('c', '1'); COMMIT; BEGIN"},
@@ -179,8 +187,8 @@
 			t.Errorf("message %d, without replication: got %v, want 08007", at, err)
 		}
 	}
-	if rows := primary.Rows(); len(rows) != 3 {
-		t.Errorf("the primary holds %v, want the three writes, or the test checks nothing", rows)
+	if rows := primary.Rows(); len(rows) != 8 {
+		t.Errorf("the primary holds %v, want eight rows, or the test checks nothing", rows)
 	}
 }
 
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -248,12 +248,10 @@
 // finishWrite waits until a majority holds the write, then passes the answer on.
 func (g *Group) finishWrite(ctx context.Context, w *Work, a proto.Answer, buffer *bufferSink, sink proto.Sink) Result {
 	result := Result{Floor: w.Floor, TxStatus: a.TxStatus, ErrorCode: a.ErrorCode}
-	if a.ErrorCode == "" && !g.ackIsFinal() {
-		if reason := g.awaitReplicated(ctx, w, a.Status); reason != fault.None {
-			return unknown(reason)
-		}
+	if reason := g.awaitCommitted(ctx, w, a); reason != fault.None {
+		return unknown(reason)
 	}
-	if a.ErrorCode == "" && a.HasStatus {
+	if (a.ErrorCode == "" || a.Completed) && a.HasStatus {
 		result.Floor = w.Floor.Raise(ident.Floor{Term: a.Status.Term, Position: a.Status.Received})
 	}
 	return g.deliver(result, buffer.bytes, sink)
--- a/internal/owner/tx.go
+++ b/internal/owner/tx.go
@@ -57,19 +57,32 @@
 			g.End(result.Tx)
 			return unknown(reason)
 		}
+		if a.HasStatus {
+			result.Floor = w.Floor.Raise(ident.Floor{Term: a.Status.Term, Position: a.Status.Received})
+		}
 	}
-	return g.deliver(result, buffer.bytes, sink)
+	delivered := g.deliver(result, buffer.bytes, sink)
+	if delivered.Outcome != fault.Done {
+		g.End(result.Tx)
+	}
+	return delivered
 }
 
 // mayHaveCommitted reports whether the request may have committed something, whatever state it
 // has left its connection in.
-func (w *Work) mayHaveCommitted(a proto.Answer) bool { return a.TxStatus == 'I' || w.Kind == stmt.Pin }
+func (w *Work) mayHaveCommitted(a proto.Answer) bool {
+	return a.TxStatus == 'I' || w.Kind == stmt.Pin && !w.Request.NeverCommits
+}
 
 // awaitCommitted waits until a majority holds what the request may have committed; it returns None
 // then, and otherwise the reason why that is unconfirmed.
 func (g *Group) awaitCommitted(ctx context.Context, w *Work, a proto.Answer) fault.Reason {
-	if a.ErrorCode != "" || g.ackIsFinal() {
+	undone := a.ErrorCode != "" && (!a.Completed || w.Request.NeverCommits)
+	switch {
+	case undone || g.ackIsFinal():
 		return fault.None
+	case !a.HasStatus:
+		return fault.AnswerUnconfirmed
 	}
 	return g.awaitReplicated(ctx, w, a.Status)
 }
@@ -188,7 +201,9 @@
 		result.Tx = 0
 	}
 	needsConfirmation := wrote || w.Kind == stmt.Commit
-	if !w.mayHaveCommitted(a) || !needsConfirmation || !a.HasStatus || w.Kind == stmt.Rollback {
+	// A failed transaction has no status, but something may have been committed before it.
+	hasStatus := a.HasStatus || a.TxStatus == 'E'
+	if !w.mayHaveCommitted(a) || !needsConfirmation || !hasStatus || w.Kind == stmt.Rollback {
 		return g.deliver(result, buffer.bytes, sink)
 	}
 	t.mu.Lock()
@@ -197,13 +212,12 @@
 	if w.refused(a) || wasOpen && a.Refusal.NotRun() && !a.Completed {
 		return refused(a)
 	}
-	if a.ErrorCode != "" {
-		return g.deliver(result, buffer.bytes, sink)
-	}
 	if reason := g.awaitCommitted(ctx, w, a); reason != fault.None {
 		return unknown(reason)
 	}
-	result.Floor = w.Floor.Raise(ident.Floor{Term: a.Status.Term, Position: a.Status.Received})
+	if a.HasStatus {
+		result.Floor = w.Floor.Raise(ident.Floor{Term: a.Status.Term, Position: a.Status.Received})
+	}
 	return g.deliver(result, buffer.bytes, sink)
 }
 
