Keep an earlier unknown outcome when work is redirected

The result of the owner that work was redirected to replaced that of the first one, although the first may have run it. Latent: only the platform redirects, and its reads write nothing.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -34,9 +34,11 @@
 				i.primaryCenters.Store(w.Group, result.PrimaryCenter)
 			}
 			if result.Reason == fault.OtherOwnerPreferred {
-				if result, id = i.redirect(ctx, w, result.PreferredCenter, owners, id, tracker); result.PrimaryCenter != "" {
-					i.primaryCenters.Store(w.Group, result.PrimaryCenter)
+				var redirected owner.Result
+				if redirected, id = i.redirect(ctx, w, result.PreferredCenter, owners, id, tracker); redirected.PrimaryCenter != "" {
+					i.primaryCenters.Store(w.Group, redirected.PrimaryCenter)
 				}
+				result = redirected.After(result)
 			}
 			last = result.After(last)
 			if !retriable(w, last, tracker.emitted) {
