Don't try a refused read again once rows of it were passed on

A read that a server refused after it had sent more rows than are held back was tried again, so that its rows came twice. Now the caller gets the server's error.

--- a/internal/owner/read.go
+++ b/internal/owner/read.go
@@ -217,7 +217,7 @@
 		return lost
 	}
 	failed := answer.Refusal == proto.ServerError && w.Request.WritesNothing && answer.TxStatus == 'I'
-	if w.refused(answer) || failed && !buffer.forwarded {
+	if (w.refused(answer) || failed) && !buffer.forwarded {
 		s.pool.release(c)
 		g.handleRefusal(s, answer.Refusal)
 		result := refused(answer)
