Forget a portal that is bound to an unknown statement

Execute took the class of the statement that the portal was bound to before, so that a write counted as a read. Now its class is the most demanding one. Found by the review.

--- a/internal/entry/pgbatch.go
+++ b/internal/entry/pgbatch.go
@@ -168,6 +168,8 @@
 			s.portals = map[string]*prepared{}
 		}
 		s.portals[m.DestinationPortal] = p
+	} else {
+		delete(s.portals, m.DestinationPortal)
 	}
 	s.batch.messages, _ = bound.Encode(s.batch.messages)
 	s.batch.expectedReplies++
