Stand-in database: lose the answer to a chosen statement

The stand-in could lose one only by count, after a commit or before a write, and knew neither savepoints, read-only transactions, LOAD and pg_advisory_lock nor a function that writes.

Change: a Loss is armed with a marker in a statement's text. It ends or delays the answer at one of eight points, or refuses the statement as read-only. The statements named are added; BEGIN in an aborted transaction is refused, as PostgreSQL does.

--- a/stand/dbase/fault.go
+++ b/stand/dbase/fault.go
@@ -30,6 +30,7 @@
 
 	mu          sync.Mutex
 	partitioned map[ident.ServerID]bool
+	losses      []*Loss
 	// silentThrough is the number of the last connection that is silent.
 	silentThrough uint64
 }
--- a/stand/dbase/rows.go
+++ b/stand/dbase/rows.go
@@ -59,7 +59,8 @@
 		delete(st.locks, id)
 	}
 	st.mu.Unlock()
-	s.inTx, s.failed, s.changes, s.locked = false, false, nil, nil
+	s.inTx, s.failed, s.readOnly = false, false, false
+	s.changes, s.locked, s.savepoints = nil, nil, nil
 }
 
 // lock locks a row until the end of the transaction; it fails with a deadlock error after lockWait.
@@ -81,7 +82,7 @@
 	st := s.server.store
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	if !st.writable() {
+	if !st.writable() || s.readOnly {
 		return false, errReadOnly
 	}
 	switch st.locks[id] {
--- a/stand/dbase/session.go
+++ b/stand/dbase/session.go
@@ -36,7 +36,10 @@
 	id      uint64
 	conn    net.Conn
 	backend *pgproto3.Backend
+	out     *answerWriter
 	inTx    bool
+	// readOnly means that the transaction refuses writes.
+	readOnly bool
 	// failed means that the transaction is aborted.
 	failed bool
 	// skipToSync means that messages are ignored until Sync, after an error in the extended protocol.
@@ -44,27 +47,38 @@
 	// committed means that the current request has committed changes.
 	committed bool
 	// changes are the transaction's uncommitted changes, and locked the rows that it has locked.
-	changes    []change
-	locked     []string
+	changes []change
+	locked  []string
+	// savepoints are the transaction's open savepoints, oldest first.
+	savepoints []savepoint
+	// loss is the fault of the message that runs.
+	loss       *Loss
 	statements map[string]*prepared
 	portals    map[string]*portal
 }
 
 func newSession(s *Server, id uint64, c net.Conn) *session {
+	out := &answerWriter{Conn: c, faults: &s.faults}
 	return &session{
-		server: s, id: id, conn: c, backend: pgproto3.NewBackend(c, splitWriter{c, &s.faults}),
+		server: s, id: id, conn: c, backend: pgproto3.NewBackend(c, out), out: out,
 		statements: map[string]*prepared{}, portals: map[string]*portal{},
 	}
 }
 
-// splitWriter writes a few bytes at a time while the fault SplitAnswers is on.
-type splitWriter struct {
+// answerWriter writes a few bytes at a time while the fault SplitAnswers is on, and a part of an
+// answer that is cut.
+type answerWriter struct {
 	net.Conn
 	faults *Faults
+	cut    Point
 }
 
 // Write implements io.Writer.
-func (w splitWriter) Write(p []byte) (int, error) {
+func (w *answerWriter) Write(p []byte) (int, error) {
+	if w.cut != "" {
+		_, err := w.Conn.Write(cutAnswer(p, w.cut))
+		return len(p), err
+	}
 	if !w.faults.SplitAnswers.Load() {
 		return w.Conn.Write(p)
 	}
@@ -84,6 +98,7 @@
 	if !s.start(withinLimit) {
 		return
 	}
+	defer s.releaseAdvisoryLocks()
 	defer s.endTx()
 	for {
 		message, err := s.backend.Receive()
@@ -182,7 +197,7 @@
 		status = 'E'
 	}
 	s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: status})
-	return s.backend.Flush() == nil
+	return s.flushAnswer()
 }
 
 // sendError sends an error and aborts the transaction.
@@ -339,7 +354,13 @@
 	if writes && s.server.faults.CloseBeforeWrites.Take() {
 		return false, nil
 	}
+	if alive, err := s.beginLoss(c); !alive || err != nil {
+		return alive, err
+	}
 	res, err := s.runInSlot(c, values)
+	if s.loss != nil && s.loss.At == Halfway {
+		return false, nil
+	}
 	if err != nil {
 		return true, err
 	}
--- a/stand/dbase/sql.go
+++ b/stand/dbase/sql.go
@@ -31,12 +31,15 @@
 
 // command is a parsed statement.
 type command struct {
+	text string
 	run  func(s *session, args []string) (result, error)
 	args []argument
 	// columns names the columns of the result; none for statements without a result set.
 	columns []string
 	// control marks statements that run in an aborted transaction as well.
 	control bool
+	// endsTx marks COMMIT and ROLLBACK.
+	endsTx bool
 }
 
 // argument is a literal, or a parameter if param is not 0.
@@ -78,10 +81,18 @@
 	{compilePattern(`insert into ledger~(?:\(~id~,~value~\))?~values~\(~%~,~%~\)`), command{run: insert}},
 	{compilePattern(`update ledger set value~=~% where id~=~%`), command{run: update}},
 	{compilePattern(`delete from ledger where id~=~%`), command{run: remove}},
-	{compilePattern(`(?:begin|start transaction)(?: .*)?`), command{run: begin, control: true}},
-	{compilePattern(`(?:commit|end)(?: transaction| work)?`), command{run: commit, control: true}},
-	{compilePattern(`(?:rollback|abort)(?: transaction| work)?`), command{run: rollback, control: true}},
+	{compilePattern(`select append_value\(~%~,~%~\)`), command{run: appendValue, columns: []string{"append_value"}}},
+	{compilePattern(`select pg_advisory_lock\(~%~\)`), command{run: advisoryLock, columns: []string{"pg_advisory_lock"}}},
+	{compilePattern(`(?:begin|start transaction)(?: .*)? read only(?: .*)?`), command{run: beginReadOnly}},
+	{compilePattern(`(?:begin|start transaction)(?: .*)?`), command{run: begin}},
+	{compilePattern(`savepoint (\w+)`), command{run: setSavepoint}},
+	{compilePattern(`release(?: savepoint)? (\w+)`), command{run: releaseSavepoint}},
+	{compilePattern(`rollback(?: transaction| work)? to(?: savepoint)? (\w+)`), command{run: rollbackTo, control: true}},
+	{compilePattern(`(?:commit|end)(?: transaction| work)?`), command{run: commit, control: true, endsTx: true}},
+	{compilePattern(`(?:rollback|abort)(?: transaction| work)?`), command{run: rollback, control: true, endsTx: true}},
 	{compilePattern(`discard all`), command{run: discard, control: true}},
+	{compilePattern(`load %`), command{run: load}},
+	{compilePattern(`set transaction read only`), command{run: setReadOnly}},
 	{compilePattern(`set .*`), command{run: set, control: true}},
 	{compilePattern(`select pg_sleep\(~%~\)`), command{run: sleep, columns: []string{"pg_sleep"}}},
 	{compilePattern(`select \* from group_status\(\)`), command{run: groupStatus, columns: statusColumns}},
@@ -93,8 +104,8 @@
 var statusColumns = []string{"server", "role", "term", "sealed", "log_term", "received", "applied", "upstream_ms"}
 
 // parseStatement parses a statement; for an empty text it returns a command without run.
-func parseStatement(text string) (command, error) {
-	text = strings.TrimRight(strings.TrimSpace(stripComments(text)), "; \n\t")
+func parseStatement(original string) (command, error) {
+	text := strings.TrimRight(strings.TrimSpace(stripComments(original)), "; \n\t")
 	if text == "" {
 		return command{}, nil
 	}
@@ -104,7 +115,7 @@
 			continue
 		}
 		parsed := f.command
-		parsed.args = arguments(match[1:])
+		parsed.text, parsed.args = original, arguments(match[1:])
 		return parsed, nil
 	}
 	return command{}, errSyntax
@@ -237,6 +248,7 @@
 
 func discard(s *session, _ []string) (result, error) {
 	s.endTx()
+	s.releaseAdvisoryLocks()
 	s.statements = map[string]*prepared{}
 	return result{tag: "DISCARD ALL"}, nil
 }
--- a/stand/dbase/store.go
+++ b/stand/dbase/store.go
@@ -70,7 +70,9 @@
 	applied int
 	rows    map[string]string
 	// locks maps the ID of a locked row to the session that holds the lock.
-	locks       map[string]uint64
+	locks map[string]uint64
+	// advisory maps the key of an advisory lock to the session that holds it.
+	advisory    map[string]uint64
 	lastContact time.Time
 	// changed is closed and replaced when the log or the role changes.
 	changed chan struct{}
@@ -79,7 +81,7 @@
 func newStore(id ident.ServerID) *store {
 	return &store{
 		id: id, role: Replica, term: 1, sealed: 1, rows: map[string]string{},
-		locks: map[string]uint64{}, lastContact: time.Now(), changed: make(chan struct{}),
+		locks: map[string]uint64{}, advisory: map[string]uint64{}, lastContact: time.Now(), changed: make(chan struct{}),
 	}
 }
 
