--- a/internal/peer/cancel_test.go
+++ b/internal/peer/cancel_test.go
@@ -30,7 +30,7 @@
 			ctx, cancel := context.WithTimeout(testContext(t), 50*time.Millisecond)
 			defer cancel()
 			r := a.hub.Run(ctx, "b", &owner.Work{Pin: true, Kind: stmt.Pin}, &countingSink{})
-			if r.Outcome == fault.NotRun {
+			if r.Outcome.NotRun() {
 				t.Errorf("a committed request was reported as %s: %s", r.Outcome, r.Reason)
 			}
 			if r.Tx == 0 {
