--- a/stand/lproxy/doc.go
+++ b/stand/lproxy/doc.go
@@ -1,2 +1,3 @@
-// Package lproxy is a TCP proxy on loopback that delays, drops, refuses and resets connections.
+// Package lproxy is a TCP proxy on loopback that delays, drops, refuses and resets connections,
+// and delays, cuts and loses the answers to chosen data.
 package lproxy
--- a/stand/lproxy/proxy.go
+++ b/stand/lproxy/proxy.go
@@ -1,6 +1,7 @@
 package lproxy
 
 import (
+	"bytes"
 	"net"
 	"sync"
 	"time"
@@ -17,13 +18,30 @@
 	refuse bool
 	cutIn  bool
 	cutOut bool
-	pairs  map[*connPair]bool
+	// answers is the fault of the answers to come.
+	answers AnswerFault
+	pairs   map[*connPair]bool
 }
 
 // connPair is one connection through a proxy; a blackholed one drops all further data.
 type connPair struct {
 	client, upstream net.Conn
 	blackholed       bool
+	// answer is the fault of the next answer, nil if there is none.
+	answer *AnswerFault
+}
+
+// AnswerFault is a fault of answers, which strikes after the target has done its work.
+type AnswerFault struct {
+	// Count is the number of answers that it strikes, Words what the data to the target must
+	// contain one of.
+	Count int
+	Words []string
+	// Late is how long an answer is held back.
+	Late time.Duration
+	// Cut resets the connection once Part of the answer, from 0 to 1, has been forwarded.
+	Cut  bool
+	Part float64
 }
 
 // bufferSize is the most that a proxy forwards at once, in bytes.
@@ -68,16 +86,23 @@
 	})
 }
 
+// FaultAnswers sets the fault of the next answers; an AnswerFault without a count ends it.
+func (p *Proxy) FaultAnswers(f AnswerFault) { p.set(func() { p.answers = f }) }
+
 // Reset resets the open connections.
 func (p *Proxy) Reset() {
 	p.set(func() {
 		for c := range p.pairs {
-			reset(c.client)
-			reset(c.upstream)
+			c.reset()
 		}
 	})
 }
 
+func (c *connPair) reset() {
+	reset(c.client)
+	reset(c.upstream)
+}
+
 func (p *Proxy) set(change func()) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -132,17 +157,46 @@
 		p.mu.Lock()
 		delay := p.delay
 		dropped := c.blackholed || outbound && p.cutOut || !outbound && p.cutIn
+		var fault AnswerFault
+		switch {
+		case n == 0 || dropped:
+		case outbound:
+			p.chooseAnswer(c, buffer[:n])
+		case c.answer != nil:
+			fault, c.answer = *c.answer, nil
+		}
 		p.mu.Unlock()
-		time.Sleep(delay)
+		time.Sleep(delay + fault.Late)
 		if dropped {
 			n = 0
 		}
+		if fault.Cut {
+			n = int(fault.Part * float64(n))
+		}
 		if n > 0 {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
 			}
 		}
-		if err != nil {
+		if fault.Cut {
+			c.reset()
+		}
+		if err != nil || fault.Cut {
+			return
+		}
+	}
+}
+
+// chooseAnswer has the fault strike the answer to the data if it contains one of the words.
+func (p *Proxy) chooseAnswer(c *connPair, data []byte) {
+	if p.answers.Count == 0 || c.answer != nil {
+		return
+	}
+	for _, word := range p.answers.Words {
+		if bytes.Contains(data, []byte(word)) {
+			p.answers.Count--
+			fault := p.answers
+			c.answer = &fault
 			return
 		}
 	}
