Replace a primary that no majority follows because its replicas are sealed

A group took no write for good: each ended as answer-unconfirmed, while its primary answered. Cause: a claim that ran out of time had sealed both replicas for the next term, the primary came back, and only a sealed primary counted as an abandoned seal. A sealed replica follows no lower term, so that no majority could hold a write. Now servers that no majority is left beside count as well, for a step's time.

The test failed before: "no primary that a majority follows". go test ./internal/rule/group passes, with the model of promotions.

--- a/internal/rule/group/detect.go
+++ b/internal/rule/group/detect.go
@@ -52,10 +52,12 @@
 	return staying >= Majority(len(m.servers))
 }
 
-// checkAbandonedSeal reports whether the primary has been sealed for at least a step's time
-// for a term that has no primary, because a claimant died between seal and promotion.
+// checkAbandonedSeal reports whether the primary, or so many servers that no majority follows
+// it, have been sealed for at least a step's time for a term that has no primary, because a
+// claimant died between seal and promotion.
 func (m *Machine) checkAbandonedSeal(now time.Time, p *server) (string, bool) {
-	if p.status.Sealed <= m.term || !m.noLaterPrimary() {
+	term := max(p.status.Sealed, m.majoritySeal())
+	if term <= m.term || !m.noLaterPrimary() {
 		m.abandonedSealSince = time.Time{}
 		return "", false
 	}
@@ -65,7 +67,27 @@
 	if now.Sub(m.abandonedSealSince) < m.conf.Timing.StepTime || m.countAnswering(now) < Majority(len(m.servers)) {
 		return "", false
 	}
-	return fmt.Sprintf("it was sealed for term %d, which has no primary", p.status.Sealed), true
+	if p.status.Sealed < term {
+		return fmt.Sprintf("no majority follows it: replicas were sealed for term %d, which has no primary", term), true
+	}
+	return fmt.Sprintf("it was sealed for term %d, which has no primary", term), true
+}
+
+// majoritySeal returns the highest term for which servers are sealed, if those that are not sealed
+// above the current term are no majority; otherwise 0. Sealed replicas of a synchronous group are
+// released instead.
+func (m *Machine) majoritySeal() ident.Term {
+	following, highest := 0, ident.Term(0)
+	for _, s := range m.servers {
+		if s.status.Sealed <= m.term {
+			following++
+		}
+		highest = max(highest, s.status.Sealed)
+	}
+	if m.conf.Synchronous || following >= Majority(len(m.servers)) {
+		return 0
+	}
+	return highest
 }
 
 // checkUnknownPrimary reports whether a server must be promoted while no primary is known.
--- a/internal/rule/group/model_test.go
+++ b/internal/rule/group/model_test.go
@@ -392,6 +392,21 @@
 	}
 }
 
+// TestReplicasSealedByAFailedClaimAreTakenUp seals both replicas for a term that gets no primary,
+// while the primary answers: no majority can follow it any more, so it is replaced.
+func TestReplicasSealedByAFailedClaimAreTakenUp(t *testing.T) {
+	c := newCluster(nil, 3, 3)
+	c.run(t, 500*time.Millisecond)
+	for _, s := range c.servers[1:] {
+		s.sealed, s.claimant = 2, "lost"
+	}
+	c.run(t, 3*time.Second)
+	leader := c.leader()
+	if leader == nil || leader.term < 3 {
+		t.Fatalf("the group still has no primary that a majority follows: %+v", leader)
+	}
+}
+
 // leader returns the running primary of the highest term.
 func (c *cluster) leader() *modelServer {
 	var found *modelServer
