Add a soak of the PostgreSQL dialect with real processes

Instances run as processes against the stand-ins, whose answers to INSERT and COMMIT are cut, cut short and held back beside resets, silent connections, a lost server, pauses and restarts. Each row is read back from every server against what its caller was told.

--- /dev/null
+++ b/internal/cmds/soak_test.go
@@ -0,0 +1,396 @@
+package cmds
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"geraniumseam.dev/internal/fleet"
+	"geraniumseam.dev/internal/rule/conf"
+	"geraniumseam.dev/pkg/ident"
+	"geraniumseam.dev/pkg/objs"
+	"geraniumseam.dev/stand/dbase"
+	"geraniumseam.dev/stand/lproxy"
+)
+
+// To run more seeds: go test ./internal/cmds -run TestPostgresSoak -soak.from 1000 -soak.count 20 -timeout 60m
+var (
+	soakFrom  = flag.Uint64("soak.from", 1, "first seed besides those in testdata/soak.seeds")
+	soakCount = flag.Uint64("soak.count", 1, "number of seeds besides those in testdata/soak.seeds")
+	soakTime  = flag.Duration("soak.time", 8*time.Second, "run time of each seed")
+)
+
+const (
+	soakInstances = 3
+	soakCallers   = 8
+	// recoveryTimeout is how soon after the last fault each instance must accept a write.
+	recoveryTimeout = 15 * time.Second
+	answerTimeout   = 5 * time.Second
+	// stopTimeout is how long an instance may take to end after SIGTERM.
+	stopTimeout = 3 * time.Second
+	// leaveInterval is the mean number of requests between two that their caller leaves.
+	leaveInterval = 15
+)
+
+// soakShapes are the messages of requests; INSERT stands for an insert of the request's own row.
+// SET x FROM CURRENT pins the session.
+var soakShapes = [][]string{
+	{"INSERT"},
+	{"INSERT"},
+	{"SET x FROM CURRENT", "INSERT"},
+	{"BEGIN", "INSERT", "COMMIT"},
+	{"BEGIN; INSERT", "COMMIT"},
+	{"BEGIN; INSERT; COMMIT"},
+	{"BEGIN", "SELECT 1", "INSERT", "COMMIT"},
+	{"BEGIN", "INSERT", "SELECT 1", "COMMIT"},
+	{"BEGIN", "INSERT", "ROLLBACK"},
+}
+
+// soak is one run of instances of the real program under random faults.
+type soak struct {
+	t         *testing.T
+	seed      uint64
+	random    *rand.Rand
+	binary    string
+	fleet     *fleet.Fleet
+	group     *dbase.Group
+	proxies   map[ident.ServerID]*lproxy.Proxy
+	instances []*soakInstance
+	events    []string
+	// lasting are the faults that have not ended.
+	lasting sync.WaitGroup
+
+	mu sync.Mutex
+	// refused are the rows that must not be kept, acknowledged those that must, each with what
+	// its caller was told.
+	refused, acknowledged map[string]string
+	violations            map[string]bool
+}
+
+// soakInstance is one process of the real program; it is locked while it is paused or restarts.
+type soakInstance struct {
+	sync.Mutex
+	address, settings, log string
+	process                *exec.Cmd
+}
+
+// update runs change while it holds the lock of what callers and checks record.
+func (s *soak) update(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
+func (s *soak) addViolation(format string, args ...any) {
+	s.update(func() { s.violations[fmt.Sprintf(format, args...)] = true })
+}
+
+func (s *soak) start() error {
+	deployment, err := fleet.Load("hoang-lien")
+	if err != nil {
+		return err
+	}
+	deployment.Instances = nil
+	addProxies := func(c *conf.Config) {
+		servers := c.Groups["stock"].Servers
+		for at := range servers {
+			p, err := lproxy.New(servers[at].Address)
+			if err != nil {
+				s.t.Fatal(err)
+			}
+			s.t.Cleanup(p.Close)
+			s.proxies[servers[at].ID], servers[at].Address = p, p.Addr()
+		}
+	}
+	if s.fleet, err = fleet.Start(s.t.Context(), fleet.Config{Deployment: deployment, Seed: s.seed, SkipReadyWait: true, AdjustConfig: addProxies}); err != nil {
+		return err
+	}
+	s.t.Cleanup(s.fleet.Stop)
+	s.group = s.fleet.Groups["stock"]
+	dir := s.t.TempDir()
+	for at := range soakInstances {
+		id := fmt.Sprintf("front-%d", at)
+		n := &soakInstance{address: soakPort(s.t), settings: filepath.Join(dir, id+".ini"), log: filepath.Join(dir, id+".log")}
+		peers, secret := soakPort(s.t), filepath.Join(dir, "secret")
+		text := fmt.Sprintf("[instance]\nid = %s\ncenter = north-a\nlisten = %s\npeer-listen = %s\noperator-listen = 127.0.0.1:0\n"+
+			"[platform]\nurl = %s\n[backend]\nuser = %s\npassword-file = %s\n[peers]\nsecret-file = %s\ninsecure = yes\n",
+			id, n.address, peers, s.fleet.Platform.URL(), fleet.BackendUser, secret, secret)
+		if err := errors.Join(os.WriteFile(secret, []byte(fleet.BackendPassword), 0o600), os.WriteFile(n.settings, []byte(text), 0o600)); err != nil {
+			return err
+		}
+		s.fleet.Platform.SetInstance(ident.InstanceID(id), objs.ListedInstance{Center: "north-a", Address: peers, State: objs.Live})
+		s.launch(n)
+		s.instances = append(s.instances, n)
+		s.t.Cleanup(func() {
+			_ = n.process.Process.Kill()
+			_ = n.process.Wait()
+			if text, err := os.ReadFile(n.log); err == nil && s.t.Failed() {
+				s.t.Logf("%s:\n%s", id, text)
+			}
+		})
+	}
+	return nil
+}
+
+// soakPort returns an address whose port is below the ephemeral range and so stays free.
+func soakPort(t *testing.T) string {
+	for range 100 {
+		address := fmt.Sprintf("127.0.0.1:%d", 10000+rand.IntN(10000))
+		if l, err := net.Listen("tcp", address); err == nil {
+			l.Close()
+			return address
+		}
+	}
+	t.Fatal("no free port from 10000 to 19999")
+	return ""
+}
+
+func (s *soak) launch(n *soakInstance) {
+	out, err := os.OpenFile(n.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err == nil {
+		defer out.Close()
+		n.process = exec.Command(s.binary, "serve", "--settings", n.settings)
+		n.process.Stdout, n.process.Stderr = out, out
+		err = n.process.Start()
+	}
+	if err != nil {
+		s.t.Error(err)
+	}
+}
+
+func (s *soak) connect(n *soakInstance, customer ident.CustomerID) (*pgconn.PgConn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
+	defer cancel()
+	return pgconn.Connect(ctx, fmt.Sprintf("postgres://%s:%s@%s/stock?sslmode=disable", customer, s.fleet.Key(customer), n.address))
+}
+
+// runCaller runs random requests, on one connection for as long as it works.
+func (s *soak) runCaller(number int, stop <-chan struct{}) {
+	random := rand.New(rand.NewPCG(s.seed, uint64(number)+1))
+	customer := []ident.CustomerID{"dealers-hanoi", "dealers-saigon"}[number%2]
+	var conn *pgconn.PgConn
+	for at := 0; ; at++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(random.IntN(40)) * time.Millisecond):
+		}
+		shape, leave, n := soakShapes[random.IntN(len(soakShapes))], random.IntN(leaveInterval) == 0, s.instances[random.IntN(len(s.instances))]
+		if conn == nil {
+			conn, _ = s.connect(n, customer)
+		}
+		if conn == nil {
+			continue
+		}
+		s.request(conn, fmt.Sprintf("c%d-%d", number, at), shape, leave)
+		if leave || conn.IsClosed() || conn.TxStatus() != 'I' {
+			_ = conn.Conn().Close()
+			conn = nil
+		}
+	}
+}
+
+// request runs the messages of a request and records what its caller was told of its row.
+func (s *soak) request(conn *pgconn.PgConn, id string, messages []string, leave bool) {
+	isTx, mayCommit := strings.HasPrefix(messages[0], "BEGIN"), false
+	for at, message := range messages {
+		last := at == len(messages)-1
+		if leave && isTx && last && at > 0 {
+			s.update(func() { s.refused[id] = "left before " + message })
+			return
+		}
+		mayCommit = mayCommit || strings.HasSuffix(message, "COMMIT") || !isTx && last
+		ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
+		results, err := conn.Exec(ctx, strings.ReplaceAll(message, "INSERT", fmt.Sprintf("INSERT INTO ledger (id, value) VALUES ('%s', '1')", id))).ReadAll()
+		cancel()
+		var refusal *pgconn.PgError
+		switch isRefusal := errors.As(err, &refusal); {
+		case isRefusal && refusal.Code == "23505":
+			s.addViolation("%s ran twice: %v", id, err)
+		case isRefusal && strings.Contains(refusal.Detail, "outcome=not-run"), err != nil && !mayCommit:
+			s.update(func() { s.refused[id] = fmt.Sprintf("%q in %q: %v", message, messages, err) })
+		}
+		if err != nil {
+			return
+		}
+		told := map[string]map[string]string{"ROLLBACK": s.refused, "COMMIT": s.acknowledged, "INSERT 0 1": s.acknowledged}
+		if tag := results[len(results)-1].CommandTag.String(); last {
+			s.update(func() { told[tag][id] = tag })
+		}
+	}
+}
+
+// checkRefused checks that no server has a row that must not be kept.
+func (s *soak) checkRefused() {
+	for _, server := range s.group.Servers() {
+		for id := range server.Rows() {
+			s.update(func() {
+				if told, refused := s.refused[id]; refused {
+					s.violations[fmt.Sprintf("%s is kept, its caller was told: %s", id, told)] = true
+				}
+			})
+		}
+	}
+}
+
+// injectFault injects one random fault of answers and another fault, which overlap.
+func (s *soak) injectFault() {
+	servers := s.group.Servers()
+	server, answering, n := servers[s.random.IntN(len(servers))], servers[s.random.IntN(len(servers))], s.instances[s.random.IntN(len(s.instances))]
+	if primary := s.group.Primary(); primary != nil && s.random.IntN(4) > 0 {
+		answering = primary
+	}
+	f := lproxy.AnswerFault{Words: [][]string{{"COMMIT"}, {"INSERT"}, {"COMMIT", "INSERT"}}[s.random.IntN(3)], Count: 1 + s.random.IntN(6), Part: s.random.Float64()}
+	late := time.Duration(s.random.IntN(4000)) * time.Millisecond
+	switch s.random.IntN(4) {
+	case 0:
+		f.Late = late
+	case 1:
+		f.Cut = true
+	default:
+		f.Cut, f.Part = true, 0
+	}
+	kind, duration, proxy := s.random.IntN(8), time.Duration(200+s.random.IntN(2500))*time.Millisecond, s.proxies[server.ID()]
+	s.events = append(s.events, fmt.Sprintf("%s answers of %s: %+v; fault %d of %s or %s for %v", time.Now().Format("15:04:05.000"), answering.ID(), f, kind, server.ID(), n.address, duration))
+	s.proxies[answering.ID()].FaultAnswers(f)
+	forDuration := func(begin, end func()) {
+		begin()
+		s.lasting.Go(func() { time.Sleep(duration); end() })
+	}
+	switch outage := &s.fleet.Platform.Faults().Outage; kind {
+	case 0:
+		forDuration(func() { proxy.Delay(duration / 20) }, func() { proxy.Delay(0) })
+	case 1:
+		proxy.Reset()
+	case 2:
+		proxy.Blackhole()
+	case 3:
+		forDuration(func() { proxy.Refuse(true); proxy.Reset() }, func() { proxy.Refuse(false) })
+	case 4:
+		forDuration(func() { outage.Store(true) }, func() { outage.Store(false) })
+	case 5:
+		forDuration(server.Kill, func() { _ = server.Restart() })
+	case 6, 7:
+		if n.TryLock() {
+			s.lasting.Go(func() { defer n.Unlock(); s.disturb(n, kind == 6, duration) })
+		}
+	}
+}
+
+// disturb pauses an instance, or stops it and starts it again.
+func (s *soak) disturb(n *soakInstance, pause bool, duration time.Duration) {
+	if pause {
+		_ = n.process.Process.Signal(syscall.SIGSTOP)
+		time.Sleep(duration)
+		_ = n.process.Process.Signal(syscall.SIGCONT)
+		return
+	}
+	_ = n.process.Process.Signal([]os.Signal{syscall.SIGTERM, syscall.SIGKILL}[duration.Milliseconds()%2])
+	kill := time.AfterFunc(stopTimeout, func() { _ = n.process.Process.Kill() })
+	_ = n.process.Wait()
+	kill.Stop()
+	s.launch(n)
+}
+
+// awaitWrites waits until every instance has accepted a write.
+func (s *soak) awaitWrites(phase string) {
+	for at, n := range s.instances {
+		end, accepted := time.Now().Add(recoveryTimeout), false
+		for attempt := 0; !accepted && time.Now().Before(end); attempt++ {
+			id := fmt.Sprintf("%s-%d-%d", phase, at, attempt)
+			if conn, err := s.connect(n, "dealers-danang"); err == nil {
+				s.request(conn, id, []string{"INSERT"}, false)
+				_ = conn.Conn().Close()
+			}
+			if s.update(func() { accepted = s.acknowledged[id] != "" }); !accepted {
+				time.Sleep(100 * time.Millisecond)
+			}
+		}
+		if !accepted {
+			s.addViolation("%s: %s accepts no write within %v", phase, n.address, recoveryTimeout)
+		}
+	}
+}
+
+func (s *soak) run() {
+	s.awaitWrites("start")
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	for number := range soakCallers {
+		callers.Go(func() { s.runCaller(number, stop) })
+	}
+	for end := time.Now().Add(*soakTime); time.Now().Before(end); s.checkRefused() {
+		time.Sleep(time.Duration(100+s.random.IntN(700)) * time.Millisecond)
+		s.injectFault()
+	}
+	s.lasting.Wait()
+	for _, p := range s.proxies {
+		p.FaultAnswers(lproxy.AnswerFault{})
+	}
+	close(stop)
+	callers.Wait()
+	s.awaitWrites("end")
+	s.checkRefused()
+	primary := s.group.Primary()
+	if primary == nil {
+		s.t.Fatal("no primary at the end")
+	}
+	rows := primary.Rows()
+	for id, told := range s.acknowledged {
+		if rows[id] == "" {
+			s.addViolation("%s is lost, its caller was told: %s", id, told)
+		}
+	}
+	for text := range s.violations {
+		s.t.Errorf("seed %d: %s", s.seed, text)
+	}
+	s.t.Logf("seed %d: %d acknowledged, %d refused, %d rows\n%s", s.seed, len(s.acknowledged), len(s.refused), len(rows), strings.Join(s.events, "\n"))
+}
+
+// TestPostgresSoak runs instances of the real program under random faults: first the seeds of
+// testdata/soak.seeds, which have failed before, then further ones.
+func TestPostgresSoak(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "geraniumseam")
+	if output, err := exec.Command("go", "build", "-o", binary, "geraniumseam.dev/cmd/geraniumseam").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, output)
+	}
+	list, err := os.ReadFile(filepath.Join("testdata", "soak.seeds"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var seeds []uint64
+	for line := range strings.Lines(string(list)) {
+		if seed, err := strconv.ParseUint(strings.Fields(line + " #")[0], 10, 64); err == nil {
+			seeds = append(seeds, seed)
+		}
+	}
+	for at := range *soakCount {
+		seeds = append(seeds, *soakFrom+at)
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := &soak{
+				t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 0)), binary: binary, proxies: map[ident.ServerID]*lproxy.Proxy{},
+				refused: map[string]string{}, acknowledged: map[string]string{}, violations: map[string]bool{},
+			}
+			if err := s.start(); err != nil {
+				t.Fatal(err)
+			}
+			s.run()
+		})
+	}
+}
