--- a/internal/entry/pgbatch.go
+++ b/internal/entry/pgbatch.go
@@ -39,6 +39,10 @@
 	parsedUnnamed bool
 	// simple is set if the batch consists of a Query message.
 	simple bool
+	// mayCommit is set if a statement may commit the open transaction or one of its own, mayWrite
+	// if one may write.
+	mayCommit bool
+	mayWrite  bool
 }
 
 func (b *batch) reset() {
@@ -60,6 +64,8 @@
 func (b *batch) add(c stmt.Class) {
 	b.executes++
 	b.leavesState = b.leavesState || c.LeavesState
+	b.mayCommit = b.mayCommit || !c.NeverCommits
+	b.mayWrite = b.mayWrite || !c.WritesNothing
 	if b.executes == 1 {
 		b.kind, b.class = c.Kind, c
 		return
@@ -162,6 +168,8 @@
 			s.portals = map[string]*prepared{}
 		}
 		s.portals[m.DestinationPortal] = p
+	} else {
+		delete(s.portals, m.DestinationPortal)
 	}
 	s.batch.messages, _ = bound.Encode(s.batch.messages)
 	s.batch.expectedReplies++
--- a/internal/entry/pgserve.go
+++ b/internal/entry/pgserve.go
@@ -38,7 +38,7 @@
 	if isDisconnect(err) {
 		return
 	}
-	s.refuse(&fault.Fault{Reason: fault.BadMessage, Outcome: fault.NotRun, Trace: s.instance.trace(), Fatal: true})
+	s.refuse(&fault.Fault{Reason: fault.BadMessage, Outcome: fault.NotSent, Trace: s.instance.trace(), Fatal: true})
 	_ = s.wire.Flush()
 }
 
@@ -56,6 +56,7 @@
 	case *pgproto3.CopyData, *pgproto3.CopyDone, *pgproto3.CopyFail:
 		return true
 	case *pgproto3.FunctionCall:
+		s.batch.reset()
 		return s.refuseRequest(fault.NotSupported, true)
 	}
 	if s.skipToSync {
@@ -71,7 +72,7 @@
 
 // refuseRequest refuses a request that has not reached a server; done also sends ReadyForQuery.
 func (s *pgSession) refuseRequest(r fault.Reason, done bool) bool {
-	s.refuse(&fault.Fault{Reason: r, Outcome: fault.NotRun, Trace: s.instance.trace()})
+	s.refuse(&fault.Fault{Reason: r, Outcome: fault.NotSent, Trace: s.instance.trace()})
 	if s.status == TxOpen {
 		s.failTx()
 	}
@@ -161,7 +162,9 @@
 	b := &s.batch
 	q := &Request{
 		Kind: b.kind, ReadOnly: b.class.ReadOnly, Charged: b.charged(), Pin: b.leavesState,
-		Content: proto.Request{Messages: b.messages, Statements: b.required, Injected: b.injected},
+		Content: proto.Request{
+			Messages: b.messages, Statements: b.required, Injected: b.injected, NeverCommits: !b.mayCommit, WritesNothing: !b.mayWrite,
+		},
 	}
 	if b.executes == 0 {
 		q.Kind = stmt.Read
@@ -185,7 +188,8 @@
 }
 
 // handleFault answers a batch that failed after it was sent to an owner. The session ends if a
-// part of the answer has been sent or if its pinned connection is lost.
+// part of the answer has been sent, if its pinned connection is lost, or if nobody can tell
+// whether the batch has ended the caller's transaction.
 func (s *pgSession) handleFault(reply Reply, sink *callerSink, omitReady bool) bool {
 	w, f := reply.Work, reply.Fault
 	if sink.emitted {
@@ -194,7 +198,8 @@
 		_ = s.wire.Flush()
 		return false
 	}
-	if s.pinned {
+	endsTx := w.Kind == stmt.Commit || w.Kind == stmt.Rollback
+	if s.pinned || s.tx != 0 && !endsTx && !w.Request.NeverCommits && f.Outcome.Unknown() {
 		f.Fatal = true
 		s.endTx()
 		s.refuse(f)
@@ -202,7 +207,7 @@
 		return false
 	}
 	if s.tx != 0 {
-		if w.Kind == stmt.Commit || w.Kind == stmt.Rollback {
+		if endsTx {
 			s.endTx()
 		} else {
 			s.failTx()
--- a/internal/jrnl/journal_test.go
+++ b/internal/jrnl/journal_test.go
@@ -26,11 +26,11 @@
 	const lost = 150
 	for n := range lost {
 		for range 5 {
-			j.RecordRefusal(&fault.Fault{Reason: fault.RateExceeded, Outcome: fault.NotRun, Trace: "rate"}, "c", "g")
+			j.RecordRefusal(&fault.Fault{Reason: fault.RateExceeded, Outcome: fault.NotSent, Trace: "rate"}, "c", "g")
 		}
 		trace := func(name string) ident.TraceID { return ident.TraceID(fmt.Sprint(name, "-", n, "-")) }
 		j.RecordRefusal(&fault.Fault{Reason: fault.AnswerLost, Outcome: fault.Unknown, Trace: trace("unknown")}, "c", "g")
-		j.RecordRefusal(&fault.Fault{Reason: fault.TransactionLost, Outcome: fault.NotRun, Trace: trace("tx")}, "c", "g")
+		j.RecordRefusal(&fault.Fault{Reason: fault.TransactionLost, Outcome: fault.NotSent, Trace: trace("tx")}, "c", "g")
 		j.Add(Event{Kind: AnswerLost, Reason: fault.AnswerLost.String(), Outcome: fault.Unknown.String(), Trace: trace("lost")})
 	}
 	klog.Flush()
@@ -39,9 +39,9 @@
 		text  string
 		count int
 	}{
-		{`"trace":"rate","reason":"rate-exceeded","outcome":"not-run"`, logBurst},
+		{`"trace":"rate","reason":"rate-exceeded","outcome":"not-sent"`, logBurst},
 		{`"reason":"answer-lost","outcome":"unknown"`, 2 * lost},
-		{`"reason":"transaction-lost","outcome":"not-run"`, lost},
+		{`"reason":"transaction-lost","outcome":"not-sent"`, lost},
 	} {
 		if got := strings.Count(text, want.text); got != want.count {
 			t.Errorf("%d lines with %s, want %d", got, want.text, want.count)
--- a/internal/owner/conns.go
+++ b/internal/owner/conns.go
@@ -34,6 +34,9 @@
 	inTransaction bool
 }
 
+// inOpenTx reports whether a transaction was open on the connection at the server's last answer.
+func (c *pooledConn) inOpenTx() bool { return c.txStatus == 'T' || c.txStatus == 'E' }
+
 // slotsInUse returns how many statements and handshakes the server is working on. At the
 // concurrency limit, statements whose answer counts as lost no longer count. The caller holds mu.
 func (p *pool) slotsInUse() int {
--- a/internal/owner/lost.go
+++ b/internal/owner/lost.go
@@ -32,10 +32,10 @@
 	return counters
 }
 
-// recordLost counts and logs a request whose server connection failed; wrote tells whether its
-// transaction may have written, r is the result that this instance reports for it. Outside a
-// transaction, a request of which nothing was sent has lost nothing.
-func (g *Group) recordLost(w *Work, s *server, c *pooledConn, wrote bool, err error, r Result) {
+// recordLost counts and logs a request whose server connection failed; r is the
+// result that this instance reports for it. Outside a transaction, a request of which nothing was
+// sent has lost nothing.
+func (g *Group) recordLost(w *Work, s *server, c *pooledConn, err error, r Result) {
 	stage := proto.Sent
 	var failed *proto.RunError
 	if errors.As(err, &failed) {
@@ -45,7 +45,7 @@
 		return
 	}
 	if g.conf.lost != nil {
-		g.conf.lost[w.Kind][stage].Inc()
+		g.conf.lost[min(w.Kind, stmt.Refused)][stage].Inc()
 	}
 	kind := w.Kind.String()
 	if w.Request.TxOpening != proto.OpenNone {
@@ -57,6 +57,7 @@
 	}
 	g.conf.Journal.Add(jrnl.Event{
 		Kind: jrnl.AnswerLost, Trace: w.Trace, Customer: w.Customer, Group: w.Group, Server: s.ID, Reason: r.Reason.String(), Outcome: r.Outcome.String(),
-		Evidence: fmt.Sprintf("%s %s, connection pinned: %t, request stage %s, counted as a writer: %t; %v", kind, place, w.Pin, stage, wrote, err),
+		Evidence: fmt.Sprintf("%s %s, connection pinned: %t, request stage %s, never commits: %t, writes nothing: %t; %v",
+			kind, place, w.Pin, stage, w.Request.NeverCommits, w.Request.WritesNothing, err),
 	})
 }
--- a/internal/owner/read.go
+++ b/internal/owner/read.go
@@ -90,7 +90,7 @@
 	if w.ReadConsistency == conf.SessionReads {
 		floor = floor.Raise(w.Floor)
 	}
-	refusal := notRun(fault.NoPrimary)
+	refusal := notSent(fault.NoPrimary)
 	refusal.RetryAfter = after
 	return g.tracker.rebaseFloor(floor), refusal, known
 }
@@ -133,7 +133,7 @@
 		return w.Floor, Result{}, true
 	}
 	floor, ok := g.confirmPrimary(ctx)
-	return w.Floor.Raise(floor), notRun(fault.NoPrimary), ok
+	return w.Floor.Raise(floor), notSent(fault.NoPrimary), ok
 }
 
 // switchFloor returns the floor of any server but that of the session's last read, so
@@ -173,13 +173,13 @@
 	if s == nil || s.ID == lagging {
 		switchFloor, ok := g.switchFloor(ctx, w)
 		if !ok {
-			return attempt{result: notRun(fault.NoPrimary)}
+			return attempt{result: notSent(fault.NoPrimary)}
 		}
 		var reason fault.Reason
 		r := g.routeRequest(w, floor, switchFloor)
 		r.LaggingServer = lagging
 		if s, replica, reason = g.chooseServer(ctx, w, r); s == nil {
-			return attempt{result: notRun(reason)}
+			return attempt{result: notSent(reason)}
 		}
 	}
 	return g.readOnServer(ctx, w, s, replica, floor, sink)
@@ -196,7 +196,7 @@
 		if retryable {
 			g.tracker.recordMiss(s.at)
 		}
-		return attempt{result: Result{Outcome: fault.NotRun, Reason: got.reason, RetryAfter: got.retryAfter}, retryable: retryable}
+		return attempt{result: Result{Outcome: fault.NotSent, Reason: got.reason, RetryAfter: got.retryAfter}, retryable: retryable}
 	}
 	return g.readOnConn(ctx, w, s, got.conn, replica, floor, sink)
 }
@@ -212,16 +212,20 @@
 	answer, err := s.pool.run(ctx, c, &request, buffer, true)
 	if err != nil {
 		s.pool.release(c)
-		failed := g.failedRead(ctx, err, buffer)
-		g.recordLost(w, s, c, false, err, failed.result)
-		return failed
+		lost := g.failedRead(ctx, w, err, buffer)
+		g.recordLost(w, s, c, err, lost.result)
+		return lost
 	}
-	if answer.Refusal.NotRun() || answer.Refusal == proto.ServerError && answer.TxStatus == 'I' && !buffer.forwarded {
+	failed := answer.Refusal == proto.ServerError && w.Request.WritesNothing && answer.TxStatus == 'I'
+	if (w.refused(answer) || failed) && !buffer.forwarded {
 		s.pool.release(c)
 		g.handleRefusal(s, answer.Refusal)
-		return attempt{result: Result{
-			Outcome: fault.NotRun, Reason: refusalReasons[answer.Refusal], ErrorCode: answer.ErrorCode, LastRead: LastRead{Server: s.ID},
-		}, retryable: true}
+		result := refused(answer)
+		if failed {
+			result.Outcome = fault.NoEffect
+		}
+		result.LastRead.Server = s.ID
+		return attempt{result: result, retryable: true}
 	}
 	if g.serverChecksFloor(w) || w.ReadConsistency == conf.LatestReads {
 		floor = w.Floor
@@ -231,17 +235,17 @@
 		LastRead: LastRead{Owner: g.conf.Self, Server: s.ID, EndedAt: clock.Now().UnixNano()},
 	}
 	if answer.TxStatus != 'I' {
-		return attempt{result: g.openReadTx(s, c, result, replica, buffer)}
+		return attempt{result: g.openReadTx(w, s, c, result, replica, buffer)}
 	}
 	if w.Kind == stmt.Set {
 		c.InvalidateSettings()
 	}
 	s.pool.release(c)
 	if buffer.bufferAll && answer.HasStatus && g.conf.Group.Synchronous == 0 && !g.awaitReadReplicated(ctx, w, answer.Status) {
-		return attempt{result: notRun(fault.AnswerUnconfirmed), retryable: true}
+		return attempt{result: w.lost(fault.AnswerUnconfirmed), retryable: true}
 	}
 	if err := buffer.flush(); err != nil {
-		return attempt{result: notRun(fault.PeerLost)}
+		return attempt{result: w.lost(fault.PeerLost)}
 	}
 	return attempt{result: result}
 }
@@ -273,18 +277,21 @@
 
 // failedRead handles a read whose connection failed: it may be retried unless a part
 // of its answer has been passed on.
-func (g *Group) failedRead(ctx context.Context, err error, buffer *delayedSink) attempt {
-	var failed *proto.RunError
-	if ctx.Err() != nil {
-		return attempt{result: notRun(contextReason(ctx))}
+func (g *Group) failedRead(ctx context.Context, w *Work, err error, buffer *delayedSink) attempt {
+	result := w.lost
+	if unsent(err) {
+		result = notSent
 	}
-	if buffer.forwarded || !errors.As(err, &failed) {
+	var failed *proto.RunError
+	switch {
+	case ctx.Err() != nil:
+		return attempt{result: result(contextReason(ctx))}
+	case buffer.forwarded || !errors.As(err, &failed):
 		return attempt{result: unknown(fault.AnswerLost)}
+	case isSilent(err):
+		return attempt{result: result(fault.ConnectionSilent), retryable: true}
 	}
-	if isSilent(err) {
-		return attempt{result: notRun(fault.ConnectionSilent), retryable: true}
-	}
-	return attempt{result: notRun(fault.ConnectionLost), retryable: true}
+	return attempt{result: result(fault.ConnectionLost), retryable: true}
 }
 
 // catchUpSlack is how much longer than estimated a read waits for a replica to catch up
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -6,8 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/juju/errors"
-
 	"geraniumseam.dev/internal/clock"
 	"geraniumseam.dev/internal/fault"
 	"geraniumseam.dev/internal/proto"
@@ -90,18 +88,20 @@
 
 // withRetries retries a request that has not run, within the retry budget and the deadline.
 func (g *Group) withRetries(ctx context.Context, w *Work, attemptOnce func() attempt) Result {
+	var last Result
 	for count := 0; ; count++ {
 		a := attemptOnce()
+		last = a.result.After(last)
 		if !a.retryable {
-			return a.result
+			return last
 		}
 		if ctx.Err() != nil || !a.uncharged && !g.conf.Budget.Spend() {
-			return a.result
+			return last
 		}
-		g.conf.Journal.RecordRetry(a.result.Reason, w.Trace, w.Customer, w.Group)
+		g.conf.Journal.RecordRetry(last.Reason, w.Trace, w.Customer, w.Group)
 		g.pollNow()
 		if !g.waitBackoff(ctx, count) {
-			return a.result
+			return last
 		}
 	}
 }
@@ -155,7 +155,7 @@
 	if w.Redirected || s.Center == g.conf.Center || !g.conf.Driver.PerCustomer() || !slices.Contains(g.place.Load().Centers, s.Center) {
 		return Result{}, false
 	}
-	return Result{Outcome: fault.NotRun, Reason: fault.OtherOwnerPreferred, PreferredCenter: s.Center}, true
+	return Result{Outcome: fault.NotSent, Reason: fault.OtherOwnerPreferred, PreferredCenter: s.Center}, true
 }
 
 // writeOnce makes one attempt at a request on the primary.
@@ -170,7 +170,7 @@
 	got := s.pool.acquire(ctx, flowOf(w), w.Weight, g.maxQueueWait(ctx, w))
 	if got.conn == nil {
 		retryable := got.reason == fault.ConnectFailed || got.reason == fault.ServerFull
-		return attempt{result: Result{Outcome: fault.NotRun, Reason: got.reason, RetryAfter: got.retryAfter}, retryable: retryable, uncharged: true}
+		return attempt{result: Result{Outcome: fault.NotSent, Reason: got.reason, RetryAfter: got.retryAfter}, retryable: retryable, uncharged: true}
 	}
 	buffer := &bufferSink{}
 	request := w.Request
@@ -179,16 +179,16 @@
 	if err != nil {
 		s.pool.release(got.conn)
 		failed := g.failedWrite(ctx, err)
-		g.recordLost(w, s, got.conn, false, err, failed.result)
+		g.recordLost(w, s, got.conn, err, failed.result)
 		return failed
 	}
-	if answer.Refusal.NotRun() && (answer.TxStatus == 'I' || !got.conn.Clean()) {
+	if w.refused(answer) && (answer.TxStatus == 'I' || !got.conn.Clean()) {
 		s.pool.release(got.conn)
 		g.handleRefusal(s, answer.Refusal)
-		return attempt{result: Result{Outcome: fault.NotRun, Reason: refusalReasons[answer.Refusal], ErrorCode: answer.ErrorCode}, retryable: true, uncharged: true}
+		return attempt{result: refused(answer), retryable: true, uncharged: true}
 	}
 	if answer.TxStatus != 'I' || w.Pin {
-		return attempt{result: g.openTx(w, s, got.conn, answer, buffer, sink)}
+		return attempt{result: g.openTx(ctx, w, s, got.conn, answer, buffer, sink)}
 	}
 	s.pool.release(got.conn)
 	return attempt{result: g.finishWrite(ctx, w, answer, buffer, sink)}
@@ -225,18 +225,11 @@
 	}
 }
 
-// refusedReadOnly reports whether the server refused the request as read-only outside
-// any transaction, so that nothing ran.
-func refusedReadOnly(a proto.Answer) bool {
-	return a.Refusal == proto.ReadOnly && a.TxStatus == 'I'
-}
-
 // failedWrite handles a write whose connection failed: it may be retried if nothing of
 // it was sent; otherwise its outcome is unknown.
 func (g *Group) failedWrite(ctx context.Context, err error) attempt {
-	var failed *proto.RunError
-	if errors.As(err, &failed) && failed.Stage == proto.Unsent {
-		return attempt{result: notRun(fault.ConnectionLost), retryable: true}
+	if unsent(err) {
+		return attempt{result: notSent(fault.ConnectionLost), retryable: true}
 	}
 	return attempt{result: unknown(lostAnswerReason(ctx, err))}
 }
@@ -255,12 +248,10 @@
 // finishWrite waits until a majority holds the write, then passes the answer on.
 func (g *Group) finishWrite(ctx context.Context, w *Work, a proto.Answer, buffer *bufferSink, sink proto.Sink) Result {
 	result := Result{Floor: w.Floor, TxStatus: a.TxStatus, ErrorCode: a.ErrorCode}
-	if a.ErrorCode == "" && !g.ackIsFinal() {
-		if reason := g.awaitReplicated(ctx, w, a.Status); reason != fault.None {
-			return unknown(reason)
-		}
+	if reason := g.awaitCommitted(ctx, w, a); reason != fault.None {
+		return unknown(reason)
 	}
-	if a.ErrorCode == "" && a.HasStatus {
+	if (a.ErrorCode == "" || a.Completed) && a.HasStatus {
 		result.Floor = w.Floor.Raise(ident.Floor{Term: a.Status.Term, Position: a.Status.Received})
 	}
 	return g.deliver(result, buffer.bytes, sink)
@@ -358,7 +349,7 @@
 	if g.await(ctx, usable) {
 		return found, Result{}
 	}
-	refusal := notRun(fault.NoPrimary)
+	refusal := notSent(fault.NoPrimary)
 	refusal.RetryAfter = admit.Jitter(after, g.random())
 	return nil, refusal
 }
--- a/internal/owner/tx.go
+++ b/internal/owner/tx.go
@@ -27,6 +27,8 @@
 	pinned bool
 	// wrote is set if the transaction may have written.
 	wrote bool
+	// readsOnly is set as long as no request that may write was run on the connection.
+	readsOnly bool
 	// lastUsed is when the transaction last ran a request.
 	lastUsed time.Time
 }
@@ -43,20 +45,57 @@
 	t.conn = nil
 }
 
-// openTx registers a transaction on the connection that the request opened it on, and
-// passes the answer on.
-func (g *Group) openTx(w *Work, s *server, c *pooledConn, a proto.Answer, buffer *bufferSink, sink proto.Sink) Result {
+// openTx registers a transaction on the connection that the request opened it on, and passes the
+// answer on. What the request has committed before is first held by a majority.
+func (g *Group) openTx(ctx context.Context, w *Work, s *server, c *pooledConn, a proto.Answer, buffer *bufferSink, sink proto.Sink) Result {
 	result := Result{Floor: w.Floor, TxStatus: a.TxStatus, ErrorCode: a.ErrorCode}
-	result.Tx = g.registerTx(&transaction{server: s, conn: c, pinned: w.Pin, wrote: w.Kind > stmt.Begin})
-	return g.deliver(result, buffer.bytes, sink)
+	result.Tx = g.registerTx(&transaction{
+		server: s, conn: c, pinned: w.Pin, wrote: w.Kind > stmt.Begin, readsOnly: w.Request.WritesNothing,
+	})
+	if w.mayHaveCommitted(a) {
+		if reason := g.awaitCommitted(ctx, w, a); reason != fault.None {
+			g.End(result.Tx)
+			return unknown(reason)
+		}
+		if a.HasStatus {
+			result.Floor = w.Floor.Raise(ident.Floor{Term: a.Status.Term, Position: a.Status.Received})
+		}
+	}
+	delivered := g.deliver(result, buffer.bytes, sink)
+	if delivered.Outcome != fault.Done {
+		g.End(result.Tx)
+	}
+	return delivered
+}
+
+// mayHaveCommitted reports whether the request may have committed something, whatever state it
+// has left its connection in.
+func (w *Work) mayHaveCommitted(a proto.Answer) bool {
+	return a.TxStatus == 'I' || w.Kind == stmt.Pin && !w.Request.NeverCommits
+}
+
+// awaitCommitted waits until a majority holds what the request may have committed; it returns None
+// then, and otherwise the reason why that is unconfirmed.
+func (g *Group) awaitCommitted(ctx context.Context, w *Work, a proto.Answer) fault.Reason {
+	undone := a.ErrorCode != "" && (!a.Completed || w.Request.NeverCommits)
+	switch {
+	case undone || g.ackIsFinal():
+		return fault.None
+	case !a.HasStatus:
+		return fault.AnswerUnconfirmed
+	}
+	return g.awaitReplicated(ctx, w, a.Status)
 }
 
 // openReadTx registers a read-only transaction and passes the answer on.
-func (g *Group) openReadTx(s *server, c *pooledConn, r Result, replica bool, buffer *delayedSink) Result {
-	r.Tx = g.registerTx(&transaction{server: s, conn: c, replica: replica})
+func (g *Group) openReadTx(w *Work, s *server, c *pooledConn, r Result, replica bool, buffer *delayedSink) Result {
+	r.Tx = g.registerTx(&transaction{server: s, conn: c, replica: replica, readsOnly: w.Request.WritesNothing})
 	if err := buffer.flush(); err != nil {
 		g.End(r.Tx)
-		return notRun(fault.PeerLost)
+		if w.Request.NeverCommits {
+			return rolledBack(fault.PeerLost)
+		}
+		return w.lost(fault.PeerLost)
 	}
 	return r
 }
@@ -98,17 +137,19 @@
 func (g *Group) runInTx(ctx context.Context, w *Work, sink proto.Sink) Result {
 	t := g.findTx(w.Tx)
 	if t == nil {
-		return notRun(fault.TransactionLost)
+		return notSent(fault.TransactionLost)
 	}
 	t.mu.Lock()
 	if t.conn == nil {
 		t.mu.Unlock()
-		return notRun(fault.TransactionLost)
+		return notSent(fault.TransactionLost)
 	}
 	buffer := &bufferSink{}
 	request := w.Request
 	request.WantStatus = !t.replica && w.Kind != stmt.Read
 	conn := t.conn
+	wasOpen := conn.inOpenTx()
+	t.readsOnly = t.readsOnly && request.WritesNothing
 	answer, err := t.server.pool.run(ctx, conn, &request, buffer, false)
 	t.lastUsed = clock.Now()
 	if w.Kind > stmt.Rollback {
@@ -117,32 +158,40 @@
 	if w.Kind == stmt.Set {
 		t.conn.InvalidateSettings()
 	}
-	wrote := t.wrote
+	wrote, readsOnly := t.wrote, t.readsOnly
 	t.mu.Unlock()
 	if err != nil {
 		g.End(w.Tx)
-		result := g.failedTx(ctx, w, wrote, err)
-		g.recordLost(w, t.server, conn, wrote, err, result)
+		result := failedInTx(ctx, w, wasOpen, readsOnly, err)
+		g.recordLost(w, t.server, conn, err, result)
 		return result
 	}
-	return g.finishInTx(ctx, w, t, answer, wrote, buffer, sink)
+	return g.finishInTx(ctx, w, t, answer, wrote, wasOpen, buffer, sink)
 }
 
-// failedTx returns the result of a request whose transaction lost its connection. The
-// server rolls the transaction back, unless a commit may have reached it.
-func (g *Group) failedTx(ctx context.Context, w *Work, wrote bool, err error) Result {
-	var failed *proto.RunError
-	unsent := errors.As(err, &failed) && failed.Stage == proto.Unsent
-	mayCommit := w.Kind == stmt.Commit || w.Kind == stmt.Pin
-	if mayCommit && wrote && !unsent {
-		return unknown(lostAnswerReason(ctx, err))
+// failedInTx returns the result of a request whose transaction lost its connection. The server
+// rolls an open transaction back unless the request may have ended it.
+func failedInTx(ctx context.Context, w *Work, wasOpen, readsOnly bool, err error) Result {
+	switch {
+	case unsent(err):
+		return notSent(fault.TransactionLost)
+	case wasOpen && w.Request.NeverCommits:
+		return rolledBack(fault.TransactionLost)
+	case readsOnly:
+		return Result{Outcome: fault.NoEffect, Reason: fault.TransactionLost}
 	}
-	return notRun(fault.TransactionLost)
+	return unknown(lostAnswerReason(ctx, err))
+}
+
+// unsent reports whether the connection failed before any byte of the request was sent.
+func unsent(err error) bool {
+	var failed *proto.RunError
+	return errors.As(err, &failed) && failed.Stage == proto.Unsent
 }
 
 // finishInTx passes on the answer to a request in a transaction. If the request ended a
 // transaction that may have written, it first waits until a majority holds the writes.
-func (g *Group) finishInTx(ctx context.Context, w *Work, t *transaction, a proto.Answer, wrote bool, buffer *bufferSink, sink proto.Sink) Result {
+func (g *Group) finishInTx(ctx context.Context, w *Work, t *transaction, a proto.Answer, wrote, wasOpen bool, buffer *bufferSink, sink proto.Sink) Result {
 	result := Result{Floor: w.Floor, TxStatus: a.TxStatus, Tx: t.id, Replica: t.replica, ErrorCode: a.ErrorCode}
 	if t.replica || !a.HasStatus {
 		result.LastRead = LastRead{Owner: g.conf.Self, Server: t.server.ID, EndedAt: clock.Now().UnixNano()}
@@ -152,24 +201,23 @@
 		result.Tx = 0
 	}
 	needsConfirmation := wrote || w.Kind == stmt.Commit
-	if a.TxStatus != 'I' || !needsConfirmation || !a.HasStatus || w.Kind == stmt.Rollback {
+	// A failed transaction has no status, but something may have been committed before it.
+	hasStatus := a.HasStatus || a.TxStatus == 'E'
+	if !w.mayHaveCommitted(a) || !needsConfirmation || !hasStatus || w.Kind == stmt.Rollback {
 		return g.deliver(result, buffer.bytes, sink)
 	}
 	t.mu.Lock()
-	t.wrote = false
+	t.wrote = t.wrote && a.TxStatus != 'I'
 	t.mu.Unlock()
-	if refusedReadOnly(a) || a.Refusal.NotRun() {
-		return notRun(refusalReasons[a.Refusal])
+	if w.refused(a) || wasOpen && a.Refusal.NotRun() && !a.Completed {
+		return refused(a)
 	}
-	if a.ErrorCode != "" {
-		return g.deliver(result, buffer.bytes, sink)
+	if reason := g.awaitCommitted(ctx, w, a); reason != fault.None {
+		return unknown(reason)
 	}
-	if !g.ackIsFinal() {
-		if reason := g.awaitReplicated(ctx, w, a.Status); reason != fault.None {
-			return unknown(reason)
-		}
+	if a.HasStatus {
+		result.Floor = w.Floor.Raise(ident.Floor{Term: a.Status.Term, Position: a.Status.Received})
 	}
-	result.Floor = w.Floor.Raise(ident.Floor{Term: a.Status.Term, Position: a.Status.Received})
 	return g.deliver(result, buffer.bytes, sink)
 }
 
--- a/internal/owner/work.go
+++ b/internal/owner/work.go
@@ -96,7 +96,37 @@
 	return true
 }
 
-func notRun(r fault.Reason) Result { return Result{Outcome: fault.NotRun, Reason: r} }
+// refused reports whether the server said that nothing of the request took effect. A read-only
+// error undoes the transaction in which the request ran, but not what the request committed before.
+func (w *Work) refused(a proto.Answer) bool {
+	q := &w.Request
+	return a.Refusal.NotRun() && (a.Refusal != proto.ReadOnly || q.NeverCommits || q.WritesNothing || q.TxOpening != proto.OpenNone)
+}
+
+// lost returns the result of a request that was sent and whose answer did not reach the caller.
+func (w *Work) lost(r fault.Reason) Result {
+	if w.Request.WritesNothing {
+		return Result{Outcome: fault.NoEffect, Reason: r}
+	}
+	return unknown(r)
+}
+
+// After returns the result of a request that was tried before with another result: what may
+// have run then may have run, whatever became of the later attempt.
+func (r Result) After(earlier Result) Result {
+	if r.Outcome.NotRun() && earlier.Outcome.Unknown() {
+		r.Outcome = fault.Unknown
+	}
+	return r
+}
+
+func notSent(r fault.Reason) Result { return Result{Outcome: fault.NotSent, Reason: r} }
+
+func refused(a proto.Answer) Result {
+	return Result{Outcome: fault.ServerRefused, Reason: refusalReasons[a.Refusal], ErrorCode: a.ErrorCode}
+}
+
+func rolledBack(r fault.Reason) Result { return Result{Outcome: fault.RolledBack, Reason: r} }
 
 func unknown(r fault.Reason) Result { return Result{Outcome: fault.Unknown, Reason: r} }
 
--- a/internal/proto/request.go
+++ b/internal/proto/request.go
@@ -56,6 +56,12 @@
 	// RequiredFloor is the floor that the server's log must have reached to run the request,
 	// for drivers whose servers check it.
 	RequiredFloor ident.Floor `cbor:"7,keyasint,omitempty"`
+	// NeverCommits is set if nothing in the request can commit a transaction that is open on its
+	// connection, nor transactions of its own while it runs.
+	NeverCommits bool `cbor:"8,keyasint,omitempty"`
+	// WritesNothing is set if the protocol rules out that the request itself writes: it reads, or
+	// ends a transaction, which keeps no more than earlier requests wrote.
+	WritesNothing bool `cbor:"9,keyasint,omitempty"`
 }
 
 // InjectedMessage is an answer message without a body, given by the proxy itself.
@@ -101,6 +107,8 @@
 	ErrorCode string
 	// Refusal classifies the error code.
 	Refusal Refusal
+	// Completed is set if a statement of the request had completed before the first error.
+	Completed bool
 	// Tag is the last command tag.
 	Tag string
 	// Status is the server's status right after the request, if HasStatus is set; in
