--- a/internal/fault/outcome_string.go
+++ b/internal/fault/outcome_string.go
@@ -21,7 +21,9 @@
 	_Outcome_name_1 = "unknownnot-sentserver-refusedrolled-backno-effect"
 )
 
-var _Outcome_index_1 = [...]uint8{0, 7, 15, 29, 40, 49}
+var (
+	_Outcome_index_1 = [...]uint8{0, 7, 15, 29, 40, 49}
+)
 
 func (i Outcome) String() string {
 	switch {
