--- a/internal/fault/outcome.go
+++ b/internal/fault/outcome.go
@@ -10,7 +10,8 @@
 const (
 	// Done means that the server answered.
 	Done Outcome = iota // done
-	_                   // "not run" without a proof, as earlier releases send it
+	// unproven is "not run" without a proof, as earlier releases send it; it counts as unknown.
+	unproven // unproven
 	// Unknown means that the request may or may not have taken effect.
 	Unknown // unknown
 	// NotSent means that no byte of the request was sent to a server.
--- a/internal/fault/outcome_string.go
+++ b/internal/fault/outcome_string.go
@@ -9,6 +9,7 @@
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
 	_ = x[Done-0]
+	_ = x[unproven-1]
 	_ = x[Unknown-2]
 	_ = x[NotSent-3]
 	_ = x[ServerRefused-4]
@@ -16,23 +17,14 @@
 	_ = x[NoEffect-6]
 }
 
-const (
-	_Outcome_name_0 = "done"
-	_Outcome_name_1 = "unknownnot-sentserver-refusedrolled-backno-effect"
-)
+const _Outcome_name = "doneunprovenunknownnot-sentserver-refusedrolled-backno-effect"
 
-var (
-	_Outcome_index_1 = [...]uint8{0, 7, 15, 29, 40, 49}
-)
+var _Outcome_index = [...]uint8{0, 4, 12, 19, 27, 41, 52, 61}
 
 func (i Outcome) String() string {
-	switch {
-	case i == 0:
-		return _Outcome_name_0
-	case 2 <= i && i <= 6:
-		i -= 2
-		return _Outcome_name_1[_Outcome_index_1[i]:_Outcome_index_1[i+1]]
-	default:
+	idx := int(i) - 0
+	if i < 0 || idx >= len(_Outcome_index)-1 {
 		return "Outcome(" + strconv.FormatInt(int64(i), 10) + ")"
 	}
+	return _Outcome_name[_Outcome_index[idx]:_Outcome_index[idx+1]]
 }
