Take a request for one without effect only outside a transaction

WritesNothing is also set for a COMMIT, which writes nothing itself and yet commits what others wrote. Two places turned an unknown outcome into no-effect by that flag: Work.lost did not look at the transaction at all (true only because no request of a transaction reaches it), Session.Run looked at the session, not at the request (true only because s.tx is not cleared before). No caller saw a false promise through either; a new caller of Work.lost would have given one.

Both, and the retry of a read that a server failed, now ask Work.HasNoEffect, which includes that the request runs in no transaction.

--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -72,7 +72,7 @@
 		return reply
 	}
 	reply.Fault = &fault.Fault{Reason: result.Reason, Outcome: result.Outcome, Trace: trace, RetryAfter: result.RetryAfter, Evidence: s.instance.decisionEvidence(result, ownerID)}
-	if result.Outcome.Unknown() && s.tx == 0 && w.Request.WritesNothing {
+	if result.Outcome.Unknown() && w.HasNoEffect() {
 		reply.Fault.Outcome = fault.NoEffect
 	}
 	return reply
--- a/internal/owner/lost_test.go
+++ b/internal/owner/lost_test.go
@@ -35,13 +35,15 @@
 type losingConn struct {
 	*fakeConn
 	driver *losingDriver
+	// open is set once a transaction has been begun; none is ended.
+	open bool
 }
 
 func (c *losingConn) Run(_ context.Context, r *proto.Request, _ proto.Sink) (proto.Answer, error) {
 	if string(r.Messages) == "lose" && c.driver.armed.Swap(false) {
 		return proto.Answer{}, &proto.RunError{Server: c.server, Stage: c.driver.stage}
 	}
-	if r.TxOpening != proto.OpenNone {
+	if c.open = c.open || r.TxOpening != proto.OpenNone; c.open {
 		return proto.Answer{TxStatus: 'T'}, nil
 	}
 	return proto.Answer{TxStatus: 'I'}, nil
--- a/internal/owner/read.go
+++ b/internal/owner/read.go
@@ -216,7 +216,7 @@
 		g.recordLost(w, s, c, err, lost.result)
 		return lost
 	}
-	failed := answer.Refusal == proto.ServerError && w.Request.WritesNothing && answer.TxStatus == 'I'
+	failed := answer.Refusal == proto.ServerError && w.HasNoEffect() && answer.TxStatus == 'I'
 	if (w.refused(answer) || failed) && !buffer.forwarded {
 		s.pool.release(c)
 		g.handleRefusal(s, answer.Refusal)
--- a/internal/owner/work.go
+++ b/internal/owner/work.go
@@ -103,9 +103,13 @@
 	return a.Refusal.NotRun() && (a.Refusal != proto.ReadOnly || q.NeverCommits || q.WritesNothing || q.TxOpening != proto.OpenNone)
 }
 
+// HasNoEffect reports whether the protocol rules out that the request has an effect outside its
+// session. One that runs in a transaction may write nothing itself and commit what others wrote.
+func (w *Work) HasNoEffect() bool { return w.Tx == 0 && w.Request.WritesNothing }
+
 // lost returns the result of a request that was sent and whose answer did not reach the caller.
 func (w *Work) lost(r fault.Reason) Result {
-	if w.Request.WritesNothing {
+	if w.HasNoEffect() {
 		return Result{Outcome: fault.NoEffect, Reason: r}
 	}
 	return unknown(r)
