Count what a batch runs after a ROLLBACK as committed at its end

What callers saw: 40001 with outcome not-run for a batch of Execute messages ROLLBACK, INSERT in an open transaction whose answer was lost, and the servers kept the row. A COMMIT after it was answered ROLLBACK as well. Cause: a batch counts as one that never commits if none of its statements can commit. ROLLBACK can't, but it ends the transaction, and the Sync commits what follows it. A text of several statements was looked at for ROLLBACK already, a batch of several messages wasn't. Change: a batch may commit if a statement follows a ROLLBACK in it; its end is then unknown, and the session ends. ROLLBACK TO a savepoint ends nothing and is another kind.

--- a/internal/entry/pgbatch.go
+++ b/internal/entry/pgbatch.go
@@ -43,6 +43,8 @@
 	// if one may write.
 	mayCommit bool
 	mayWrite  bool
+	// endsTx is set if a statement ends the open transaction, so that what follows is outside of it.
+	endsTx bool
 }
 
 func (b *batch) reset() {
@@ -64,7 +66,9 @@
 func (b *batch) add(c stmt.Class) {
 	b.executes++
 	b.leavesState = b.leavesState || c.LeavesState
-	b.mayCommit = b.mayCommit || !c.NeverCommits
+	// The Sync commits what the batch runs after a ROLLBACK.
+	b.mayCommit = b.mayCommit || !c.NeverCommits || b.endsTx
+	b.endsTx = b.endsTx || c.Kind == stmt.Rollback
 	b.mayWrite = b.mayWrite || !c.WritesNothing
 	if b.executes == 1 {
 		b.kind, b.class = c.Kind, c
