--- /dev/null
+++ b/internal/fleet/batch_test.go
@@ -0,0 +1,82 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"geraniumseam.dev/stand/dbase"
+)
+
+// openWire connects a caller that sends and receives single protocol messages.
+func openWire(t *testing.T, target string) *wireCaller {
+	t.Helper()
+	conn, err := pgconn.Connect(testContext(t), target)
+	if err != nil {
+		t.Fatal(err)
+	}
+	hijacked, err := conn.Hijack()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { hijacked.Conn.Close() })
+	_ = hijacked.Conn.SetDeadline(time.Now().Add(testTimeout))
+	return &wireCaller{conn: hijacked.Conn, front: hijacked.Frontend}
+}
+
+// exchange sends messages and returns the reply up to ReadyForQuery or the end of the connection.
+func (c *wireCaller) exchange(messages ...pgproto3.FrontendMessage) string {
+	for _, m := range messages {
+		c.front.Send(m)
+	}
+	if err := c.front.Flush(); err != nil {
+		return "closed\n"
+	}
+	return c.readReply(false)
+}
+
+// TestPortalThatFailedToBindIsNotTakenForTheOneItWasToReplace binds a portal to COMMIT, fails to
+// bind it to a query, or drops the message that does, and executes it: what it commits, with the
+// answer lost, must not be reported as not run.
+func TestPortalThatFailedToBindIsNotTakenForTheOneItWasToReplace(t *testing.T) {
+	f := start(t, Config{Seed: 31})
+	query := func(text string) *pgproto3.Query { return &pgproto3.Query{String: text} }
+	parse := func(name, text string) *pgproto3.Parse { return &pgproto3.Parse{Name: name, Query: text} }
+	bind := func(name string) *pgproto3.Bind {
+		return &pgproto3.Bind{DestinationPortal: "p", PreparedStatement: name}
+	}
+	for name, rebind := range map[string][][]pgproto3.FrontendMessage{
+		"failed":  {{parse("none", "no statement"), bind("read"), &pgproto3.Sync{}}, {query("ROLLBACK TO s")}},
+		"dropped": {{bind("read"), query("SELECT 1")}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := openWire(t, f.URL(f.Members()[0], "dealers-hanoi", "stock"))
+			marker := "/* lost portal " + name + " */ "
+			for _, messages := range slices.Concat([][]pgproto3.FrontendMessage{
+				{query("BEGIN")},
+				{query(fmt.Sprintf("INSERT INTO ledger (id, value) VALUES ('%s', '1')", name))},
+				{parse("end", marker+"COMMIT"), parse("read", "SELECT value FROM ledger WHERE id = 'none'"), bind("end"), &pgproto3.Sync{}},
+				{query("SAVEPOINT s")},
+			}, rebind) {
+				if reply := c.exchange(messages...); !strings.HasSuffix(reply, "ready T\n") && !strings.HasSuffix(reply, "ready E\n") {
+					t.Fatalf("unexpected reply %q", reply)
+				}
+			}
+			for _, s := range f.Groups["stock"].Servers() {
+				s.Faults().Lose(&dbase.Loss{Marker: marker, At: dbase.Unanswered})
+			}
+			reply := c.exchange(&pgproto3.Execute{Portal: "p"}, &pgproto3.Sync{})
+			if f.Groups["stock"].Primary().Rows()[name] == "" {
+				t.Fatalf("the primary committed nothing, so the test checks nothing: %q", reply)
+			}
+			if !strings.Contains(reply, "outcome=unknown") {
+				t.Errorf("got %q, want an unknown outcome", reply)
+			}
+		})
+	}
+}
