Take a portal for what it may be once its batch has failed or been dropped

What callers saw: 40001 with outcome not-run for the Execute of a portal that was bound to COMMIT, then bound again in a batch that failed or never reached the server; the server kept the transaction. Cause: a Bind was noted when it was read, not when the server had done it, and the Execute got the class of the statement that the portal had never been bound to. Change: a batch that fails, is refused or is dropped makes all portals unknown. The Execute of an unknown portal may commit and may write, as before. Portals of batches that succeeded are kept, since drivers fetch from them.

--- a/internal/entry/pgserve.go
+++ b/internal/entry/pgserve.go
@@ -56,7 +56,7 @@
 	case *pgproto3.CopyData, *pgproto3.CopyDone, *pgproto3.CopyFail:
 		return true
 	case *pgproto3.FunctionCall:
-		s.batch.reset()
+		s.dropBatch()
 		return s.refuseRequest(fault.NotSupported, true)
 	}
 	if s.skipToSync {
@@ -64,7 +64,7 @@
 	}
 	if reason := s.appendMessage(message); reason != fault.None {
 		s.skipToSync = true
-		s.batch.reset()
+		s.dropBatch()
 		return s.refuseRequest(reason, false)
 	}
 	return true
@@ -82,6 +82,12 @@
 	return s.wire.Flush() == nil
 }
 
+// dropBatch drops the batch. Its portals were not bound, so that their names may stand for others.
+func (s *pgSession) dropBatch() {
+	s.batch.reset()
+	clear(s.portals)
+}
+
 // failTx rolls back the open transaction. For the caller it counts as failed until the caller
 // ends it.
 func (s *pgSession) failTx() {
@@ -91,6 +97,9 @@
 
 func (s *pgSession) query(m *pgproto3.Query) bool {
 	class := stmt.Classify(m.String)
+	if len(s.batch.messages) > 0 {
+		s.dropBatch()
+	}
 	s.batch.reset()
 	if class.Kind == stmt.Refused {
 		return s.refuseRequest(fault.NotSupported, true)
@@ -139,7 +148,7 @@
 	}
 	if s.batch.executes > 0 {
 		s.skipToSync = true
-		s.batch.reset()
+		s.dropBatch()
 		return s.refuseRequest(fault.NotSupported, false)
 	}
 	var end pgproto3.Sync
@@ -157,6 +166,7 @@
 func (s *pgSession) runBatch(omitReady bool) bool {
 	defer s.batch.reset()
 	if s.txFailed {
+		clear(s.portals)
 		return s.answerFailedTx(omitReady)
 	}
 	b := &s.batch
@@ -171,6 +181,9 @@
 	}
 	sink := &callerSink{session: s, stream: q.Kind == stmt.Read && !omitReady}
 	reply := s.Run(q, sink)
+	if reply.Fault != nil || reply.Result.ErrorCode != "" {
+		clear(s.portals)
+	}
 	switch {
 	case reply.Revoked:
 		return true
--- a/internal/entry/pgstart.go
+++ b/internal/entry/pgstart.go
@@ -40,8 +40,10 @@
 	// txFailed is set from the loss of a transaction until the caller ends the transaction.
 	txFailed   bool
 	statements map[string]*prepared
-	portals    map[string]*prepared
-	batch      batch
+	// portals are the portals that the server is known to have bound, or that the batch binds. Others
+	// may do anything.
+	portals map[string]*prepared
+	batch   batch
 	// skipToSync is set while messages are ignored up to the next Sync after an error.
 	skipToSync bool
 }
