Send an INSERT after a batch that failed before a Flush

TestRestOfFailedBatchIsSkippedAfterFlush sends a Parse that fails, a Flush, and an INSERT before the Sync. PostgreSQL skips the INSERT; the proxy had it run, and the server keeps the row.

--- a/internal/fleet/batch_test.go
+++ b/internal/fleet/batch_test.go
@@ -80,3 +80,20 @@
 		})
 	}
 }
+
+// TestRestOfFailedBatchIsSkippedAfterFlush: after an error, the messages up to the Sync must not
+// run, also if a Flush has had the error sent.
+func TestRestOfFailedBatchIsSkippedAfterFlush(t *testing.T) {
+	f := start(t, Config{Seed: 32})
+	c := openWire(t, f.URL(f.Members()[0], "dealers-hanoi", "stock"))
+	reply := c.exchange(
+		&pgproto3.Parse{Name: "none", Query: "no statement"}, &pgproto3.Flush{},
+		&pgproto3.Parse{Query: "INSERT INTO ledger (id, value) VALUES ('skipped', '1')"}, &pgproto3.Bind{}, &pgproto3.Execute{}, &pgproto3.Sync{},
+	)
+	if rows := f.Groups["stock"].Primary().Rows(); rows["skipped"] != "" {
+		t.Errorf("the primary holds %v", rows)
+	}
+	if want := "ERROR 42601: syntax error: the stand-in does not know this statement\nready I\n"; reply != want {
+		t.Errorf("got %q, want %q", reply, want)
+	}
+}
