Skip to the Sync once a Flush has had a server's error sent

What callers saw: an error, and then that messages sent before the Sync ran all the same. PostgreSQL discards them, so a caller that has read the error holds them for not run, and the server kept the row. Cause: only the proxy's own errors after a Flush made the session skip to the Sync. Evidence: TestRestOfFailedBatchIsSkippedAfterFlush. Change: a server's error does so too. Result: the caller gets the error and ReadyForQuery, nothing is kept.

--- a/internal/entry/pgserve.go
+++ b/internal/entry/pgserve.go
@@ -183,6 +183,7 @@
 	reply := s.Run(q, sink)
 	if reply.Fault != nil || reply.Result.ErrorCode != "" {
 		clear(s.portals)
+		s.skipToSync = s.skipToSync || omitReady
 	}
 	switch {
 	case reply.Revoked:
