Test what texts may do from a table

No test held effects in place, on which promises rest: only whole requests did, and only of the stand-in's few statements.

--- a/pkg/stmt/classify_test.go
+++ b/pkg/stmt/classify_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"strconv"
+	"strings"
 	"testing"
 
 	"github.com/cockroachdb/datadriven"
@@ -38,3 +40,28 @@
 		}
 	})
 }
+
+// TestEffects checks what texts may do: a promise that a request has not run rests on it.
+func TestEffects(t *testing.T) {
+	datadriven.RunTest(t, "testdata/effects", func(t *testing.T, d *datadriven.TestData) string {
+		var out strings.Builder
+		for line := range strings.SplitSeq(d.Input, "\n") {
+			text, err := strconv.Unquote(`"` + line + `"`)
+			if err != nil {
+				t.Fatalf("%s: %v", line, err)
+			}
+			class := Classify(text)
+			effects := "-"
+			switch {
+			case !class.NeverCommits && !class.WritesNothing:
+				effects = "commits, writes"
+			case !class.NeverCommits:
+				effects = "commits"
+			case !class.WritesNothing:
+				effects = "writes"
+			}
+			fmt.Fprintf(&out, "%-16s %s\n", effects, line)
+		}
+		return out.String()
+	})
+}
