Withdraw the key of a caller whose INSERT is answered as unknown

TestTerminationAfterUnknownOutcomePromisesNothing: the INSERT is answered 08007, and the session's end follows at once with outcome=not-run and "Nothing of this request took effect", though the server holds the row.

--- a/internal/fleet/batch_test.go
+++ b/internal/fleet/batch_test.go
@@ -10,6 +10,7 @@
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"geraniumseam.dev/internal/rule/conf"
 	"geraniumseam.dev/stand/dbase"
 )
 
@@ -97,3 +98,29 @@
 		t.Errorf("got %q, want %q", reply, want)
 	}
 }
+
+// TestTerminationAfterUnknownOutcomePromisesNothing withdraws a key while an INSERT runs whose
+// answer is lost: the end of the session, which follows at once, must not promise that nothing took
+// effect, for a caller may take it for the answer to the INSERT.
+func TestTerminationAfterUnknownOutcomePromisesNothing(t *testing.T) {
+	f := start(t, Config{Seed: 33})
+	c := openWire(t, f.URL(f.Members()[0], "dealers-hanoi", "stock"))
+	loss := &dbase.Loss{Marker: "/* lost end */", At: dbase.Silent}
+	f.Groups["stock"].Primary().Faults().Lose(loss)
+	c.front.Send(&pgproto3.Query{String: "/* lost end */ INSERT INTO ledger (id, value) VALUES ('end', '1')"})
+	if err := c.front.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, loss.Taken)
+	if _, err := f.Change(testContext(t), "test", func(c *conf.Config) { delete(c.Keys, "dealers-hanoi-first") }); err != nil {
+		t.Fatal(err)
+	}
+	reply := c.readReply(false)
+	end := c.readReply(false)
+	if !strings.Contains(reply, "outcome=unknown") || f.Groups["stock"].Primary().Rows()["end"] == "" {
+		t.Fatalf("got %q, then %q, so the test checks nothing", reply, end)
+	}
+	if !strings.HasPrefix(end, "FATAL") || !strings.Contains(end, "reason=key-withdrawn") || strings.Contains(end, "not-run") {
+		t.Errorf("after an unknown outcome: got %q, want the end of the session without a promise", end)
+	}
+}
