End a session after an unknown outcome without a promise

Cause: the end of a session was always reported as a request that was not sent. Evidence: TestTerminationAfterUnknownOutcomePromisesNothing. Change: while the last message that was handled has an unknown outcome, the end of the session has one as well: FATAL 08007 with the reason of the end. A message handled since takes the doubt away.

--- a/internal/entry/pgserve.go
+++ b/internal/entry/pgserve.go
@@ -24,6 +24,7 @@
 			s.refuseMalformed(err)
 			return
 		}
+		s.inDoubt = false
 		if !s.handle(message) {
 			return
 		}
--- a/internal/entry/pgstart.go
+++ b/internal/entry/pgstart.go
@@ -46,6 +46,8 @@
 	batch   batch
 	// skipToSync is set while messages are ignored up to the next Sync after an error.
 	skipToSync bool
+	// inDoubt is set while the caller's last message has an unknown outcome.
+	inDoubt bool
 }
 
 // processPrefixOf returns the leading bits of an instance's process IDs, a hash of its name.
@@ -140,6 +142,7 @@
 
 // refuse counts a fault and queues it for the caller; it does not flush.
 func (s *pgSession) refuse(f *fault.Fault) {
+	s.inDoubt = f.Outcome.Unknown()
 	s.instance.journal.RecordRefusal(f, s.access.Customer, s.access.Group)
 	s.wire.Send(f.Response())
 }
@@ -240,6 +243,7 @@
 }
 
 // sendTermination sends the caller the reason why the instance ends its session, if there is one.
+// A caller may take it for the answer to its last message, so it promises no more than that did.
 func (s *pgSession) sendTermination() {
 	s.mu.Lock()
 	reason := s.revoked
@@ -250,8 +254,12 @@
 	if reason == fault.None {
 		return
 	}
+	outcome := fault.NotSent
+	if s.inDoubt {
+		outcome = fault.Unknown
+	}
 	_ = s.conn.SetWriteDeadline(time.Now().Add(lingerTimeout))
-	s.refuse(&fault.Fault{Reason: reason, Outcome: fault.NotSent, Trace: s.instance.trace(), Fatal: true})
+	s.refuse(&fault.Fault{Reason: reason, Outcome: outcome, Trace: s.instance.trace(), Fatal: true})
 	_ = s.wire.Flush()
 }
 
