Look at a batch that ends with a Bind

TestBatchWithoutExecuteMayWrite: a Bind can run functions of the caller's, and the Sync commits what they write, but a batch without an Execute counts as one that writes nothing.

--- /dev/null
+++ b/internal/entry/pgbatch_test.go
@@ -0,0 +1,21 @@
+package entry
+
+import (
+	"testing"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// TestBatchWithoutExecuteMayWrite: a Bind runs the input functions of the parameters' types, for
+// example the checks of a domain, and folds calls of functions, so a batch that ends with it may write.
+func TestBatchWithoutExecuteMayWrite(t *testing.T) {
+	s := &pgSession{}
+	s.appendParse(&pgproto3.Parse{Name: "insert", Query: "INSERT INTO ledger (id, value) VALUES ($1, $2)"})
+	if s.batch.mayWrite || s.batch.mayCommit {
+		t.Errorf("Parse: may write %t, may commit %t", s.batch.mayWrite, s.batch.mayCommit)
+	}
+	s.appendBind(&pgproto3.Bind{PreparedStatement: "insert"})
+	if !s.batch.mayWrite || s.batch.mayCommit {
+		t.Errorf("Parse, Bind: may write %t, may commit %t; want a batch that may write", s.batch.mayWrite, s.batch.mayCommit)
+	}
+}
