Count a batch that binds a statement as one that may write

What callers could see: not-run for a batch of Parse, Bind and Sync whose answer was lost, though the Bind ran a function of the caller's (the check of a parameter's domain, a folded call) that wrote, and the Sync committed it. Cause: only Execute messages were looked at. Evidence: by reading PostgreSQL's Bind; the stand-in knows no such functions. The flag is tested in TestBatchWithoutExecuteMayWrite. Change: the Bind of a statement that may write makes the batch one that may write; BEGIN, SET and SHOW take no parameters and call nothing. A lost batch that only binds is unknown.

--- a/internal/entry/pgbatch.go
+++ b/internal/entry/pgbatch.go
@@ -175,6 +175,8 @@
 	} else {
 		delete(s.portals, m.DestinationPortal)
 	}
+	// A Bind runs functions: those of the parameters' types, and those that are folded.
+	s.batch.mayWrite = s.batch.mayWrite || p == nil || !p.class.WritesNothing
 	s.batch.messages, _ = bound.Encode(s.batch.messages)
 	s.batch.expectedReplies++
 	return fault.None
--- a/internal/entry/pgbatch_test.go
+++ b/internal/entry/pgbatch_test.go
@@ -14,6 +14,11 @@
 	if s.batch.mayWrite || s.batch.mayCommit {
 		t.Errorf("Parse: may write %t, may commit %t", s.batch.mayWrite, s.batch.mayCommit)
 	}
+	s.appendParse(&pgproto3.Parse{Name: "begin", Query: "BEGIN"})
+	s.appendBind(&pgproto3.Bind{PreparedStatement: "begin"})
+	if s.batch.mayWrite || s.batch.mayCommit {
+		t.Errorf("Bind of BEGIN: may write %t, may commit %t", s.batch.mayWrite, s.batch.mayCommit)
+	}
 	s.appendBind(&pgproto3.Bind{PreparedStatement: "insert"})
 	if !s.batch.mayWrite || s.batch.mayCommit {
 		t.Errorf("Parse, Bind: may write %t, may commit %t; want a batch that may write", s.batch.mayWrite, s.batch.mayCommit)
