--- a/stand/lproxy/proxy.go
+++ b/stand/lproxy/proxy.go
@@ -18,9 +18,12 @@
 	refuse bool
 	cutIn  bool
 	cutOut bool
-	// answers is the fault of the answers to come.
-	answers AnswerFault
-	pairs   map[*connPair]bool
+	// answers is the fault of the answers to come, streams that of the connections that carry
+	// data next.
+	answers   AnswerFault
+	streams   StreamFault
+	pairs     map[*connPair]bool
+	forwarded int64
 }
 
 // connPair is one connection through a proxy; a blackholed one drops all further data.
@@ -29,6 +32,8 @@
 	blackholed       bool
 	// answer is the fault of the next answer, nil if there is none.
 	answer *AnswerFault
+	// stream is the fault of the data to come, nil if there is none.
+	stream *StreamFault
 }
 
 // AnswerFault is a fault of answers, which strikes after the target has done its work.
@@ -44,6 +49,19 @@
 	Part float64
 }
 
+// StreamFault is a fault of data in one direction, of whatever protocol; the other direction goes on.
+type StreamFault struct {
+	// Count is the number of connections that it strikes, Outbound whether it strikes the data
+	// to the target.
+	Count    int
+	Outbound bool
+	// Bytes is how many bytes still pass; the next ones are held back for Hold.
+	Bytes int
+	Hold  time.Duration
+	// Cut resets the connection then.
+	Cut bool
+}
+
 // bufferSize is the most that a proxy forwards at once, in bytes.
 const bufferSize = 16 << 10
 
@@ -89,6 +107,25 @@
 // FaultAnswers sets the fault of the next answers; an AnswerFault without a count ends it.
 func (p *Proxy) FaultAnswers(f AnswerFault) { p.set(func() { p.answers = f }) }
 
+// FaultStreams sets the fault of the connections that carry data next; a StreamFault without a
+// count ends it.
+func (p *Proxy) FaultStreams(f StreamFault) {
+	p.set(func() {
+		p.streams = f
+		for c := range p.pairs {
+			if f.Count == 0 {
+				c.stream = nil
+			}
+		}
+	})
+}
+
+// Forwarded returns the number of bytes forwarded so far.
+func (p *Proxy) Forwarded() (bytes int64) {
+	p.set(func() { bytes = p.forwarded })
+	return bytes
+}
+
 // Reset resets the open connections.
 func (p *Proxy) Reset() {
 	p.set(func() {
@@ -156,37 +193,71 @@
 		n, err := from.Read(buffer)
 		p.mu.Lock()
 		delay := p.delay
-		dropped := c.blackholed || outbound && p.cutOut || !outbound && p.cutIn
-		var fault AnswerFault
-		switch {
-		case n == 0 || dropped:
-		case outbound:
-			p.chooseAnswer(c, buffer[:n])
-		case c.answer != nil:
-			fault, c.answer = *c.answer, nil
-		}
-		p.mu.Unlock()
-		time.Sleep(delay + fault.Late)
-		if dropped {
+		if c.blackholed || outbound && p.cutOut || !outbound && p.cutIn {
 			n = 0
 		}
-		if fault.Cut {
-			n = int(fault.Part * float64(n))
-		}
-		if n > 0 {
-			if _, err := to.Write(buffer[:n]); err != nil {
+		f := p.chooseFault(c, buffer[:n], outbound)
+		p.mu.Unlock()
+		time.Sleep(delay + f.late)
+		if f.passed > 0 {
+			if _, err := to.Write(buffer[:f.passed]); err != nil {
 				return
 			}
 		}
-		if fault.Cut {
+		time.Sleep(f.hold)
+		if f.cut {
 			c.reset()
+			return
+		}
+		if f.passed < n {
+			if _, err := to.Write(buffer[f.passed:n]); err != nil {
+				return
+			}
 		}
-		if err != nil || fault.Cut {
+		if err != nil {
 			return
 		}
 	}
 }
 
+// chunkFault is what happens to the data of one read: it is held back for late, and what follows
+// its first passed bytes for hold; cut resets the connection then.
+type chunkFault struct {
+	late, hold time.Duration
+	passed     int
+	cut        bool
+}
+
+// chooseFault returns the fault of data that has been read; the caller holds the mutex.
+func (p *Proxy) chooseFault(c *connPair, data []byte, outbound bool) chunkFault {
+	f := chunkFault{passed: len(data)}
+	if len(data) == 0 {
+		return f
+	}
+	p.forwarded += int64(len(data))
+	if outbound {
+		p.chooseAnswer(c, data)
+	} else if a := c.answer; a != nil {
+		c.answer, f.late, f.cut = nil, a.Late, a.Cut
+		if a.Cut {
+			f.passed = int(a.Part * float64(len(data)))
+		}
+	}
+	if c.stream == nil && p.streams.Count > 0 && p.streams.Outbound == outbound {
+		p.streams.Count--
+		chosen := p.streams
+		c.stream = &chosen
+	}
+	if s := c.stream; s != nil && s.Outbound == outbound {
+		if len(data) <= s.Bytes {
+			s.Bytes -= len(data)
+			return f
+		}
+		c.stream, f.passed, f.hold, f.cut = nil, min(f.passed, s.Bytes), s.Hold, f.cut || s.Cut
+	}
+	return f
+}
+
 // chooseAnswer has the fault strike the answer to the data if it contains one of the words.
 func (p *Proxy) chooseAnswer(c *connPair, data []byte) {
 	if p.answers.Count == 0 || c.answer != nil {
