Count DISCARD as a statement that may commit

What callers could see: not-run for a pipeline INSERT, DISCARD ALL, INSERT in which the last statement is refused, though the server had committed the first one. Cause: DISCARD ALL may not run in a transaction block, and releases of PostgreSQL commit at once after such a statement in a pipeline; the other statements of that kind were in the list. Evidence: by reading only; the stand-in knows no DISCARD. Change: the word counts as committing. A request with it is unknown more often, never promised more.

--- a/pkg/stmt/commit.go
+++ b/pkg/stmt/commit.go
@@ -8,7 +8,7 @@
 // committingWords start statements that may commit: the open transaction, or transactions of
 // their own.
 var committingWords = wordSet("commit", "end", "prepare", "execute", "call", "do",
-	"vacuum", "cluster", "reindex", "analyze", "analyse", "repack")
+	"vacuum", "cluster", "reindex", "analyze", "analyse", "repack", "discard")
 
 // ownTxWords mark the definitions of objects that run transactions of their own.
 var ownTxWords = wordSet("concurrently", "database", "tablespace", "subscription", "system", "materialized")
