Test what each text is taken to commit or to write

Cause: NeverCommits and WritesNothing decide about promises, but no test looked at them by themselves. Trials with mutants: of the words that may commit, all but commit could be missing unnoticed, likewise rollback and abort, the definitions that run transactions of their own, and a select that is taken for a statement of the session.

Change: TestEffects with testdata/effects.

--- a/pkg/stmt/classify_test.go
+++ b/pkg/stmt/classify_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/cockroachdb/datadriven"
@@ -24,6 +25,26 @@
 	})
 }
 
+// TestEffects classifies each line as a text of its own. What may commit or write must not be taken
+// for harmless, whatever its quotes and comments hide.
+func TestEffects(t *testing.T) {
+	datadriven.RunTest(t, "testdata/effects", func(_ *testing.T, d *datadriven.TestData) string {
+		var out strings.Builder
+		for text := range strings.SplitSeq(d.Input, "\n") {
+			class := Classify(text)
+			effects := "may commit"
+			if class.NeverCommits {
+				effects = "never commits"
+			}
+			if class.WritesNothing {
+				effects += ", writes nothing"
+			}
+			fmt.Fprintf(&out, "%s: %s\n", text, effects)
+		}
+		return out.String()
+	})
+}
+
 // FuzzClassify guards against texts that hide a write from Classify: a write stays at least
 // a write, whatever is appended to it as a second statement.
 func FuzzClassify(f *testing.F) {
