--- a/internal/peer/cancel_test.go
+++ b/internal/peer/cancel_test.go
@@ -39,3 +39,21 @@
 		})
 	}
 }
+
+// TestRequestWhoseLinkEndsHasUnknownOutcome ends the link while a request runs at the peer, which
+// may have committed it: it must not be reported as not run.
+func TestRequestWhoseLinkEndsHasUnknownOutcome(t *testing.T) {
+	a, b := newTestInstance(t, "a", nil), newTestInstance(t, "b", nil)
+	a.addresses["b"] = b.address
+	b.work = func(ctx context.Context, _ *owner.Work, _ proto.Sink) owner.Result {
+		go b.hub.Close()
+		<-ctx.Done()
+		return owner.Result{Outcome: fault.Done}
+	}
+	if err := a.hub.Connect(testContext(t), "b"); err != nil {
+		t.Fatal(err)
+	}
+	if r := a.hub.Run(testContext(t), "b", &owner.Work{Kind: stmt.Write}, &countingSink{}); !r.Outcome.Unknown() {
+		t.Errorf("got %s, want an unknown outcome", r.Outcome)
+	}
+}
