--- a/internal/fleet/lost_test.go
+++ b/internal/fleet/lost_test.go
@@ -163,7 +163,8 @@
 		statement = fmt.Sprintf("SELECT append_value('%s', '+')", id)
 	}
 	if marker != "" {
-		statement = "/* " + marker + " */ " + statement
+		// At the end, for a text that starts with a comment is not classified as a single statement.
+		statement += " /* " + marker + " */"
 	}
 	return statement
 }
