--- a/internal/pgcon/conn_test.go
+++ b/internal/pgcon/conn_test.go
@@ -206,3 +206,24 @@
 	out, _ := (&pgproto3.Query{String: text}).Encode(nil)
 	return out
 }
+
+// cutConn is a network connection that breaks in the middle of a write.
+type cutConn struct{ net.Conn }
+
+func (c cutConn) Write(b []byte) (int, error) {
+	n, _ := c.Conn.Write(b[:len(b)-1])
+	c.Close()
+	return n, net.ErrClosed
+}
+
+// TestRequestSentInPartIsNotUnsent: a request of which the network took a part must not fail as
+// unsent, for the server may have run the statements in that part.
+func TestRequestSentInPartIsNotUnsent(t *testing.T) {
+	c := startServer(t, row("x"))
+	c.link.Conn = cutConn{c.link.Conn}
+	_, _, err := run(t, c, time.Second)
+	var failed *proto.RunError
+	if !errors.As(err, &failed) || failed.Stage != proto.Sent {
+		t.Fatalf("got %v, want a *RunError at stage sent", err)
+	}
+}
