Lead the links between instances through proxies in the soak of PostgreSQL's dialect

Cause: as in the platform's soak, answers between two instances were lost by kills and pauses only.

Change: the list of instances names a proxy for each. The links are delayed, reset, blackholed, cut in one direction, and held back or cut in one direction after some bytes, all drawn from a generator of their own.

--- a/internal/cmds/soak_test.go
+++ b/internal/cmds/soak_test.go
@@ -62,9 +62,12 @@
 
 // soak is one run of instances of the real program under random faults.
 type soak struct {
-	t         *testing.T
-	seed      uint64
-	random    *rand.Rand
+	t      *testing.T
+	seed   uint64
+	random *rand.Rand
+	// links decides on faults of links, apart from random, so that the other choices of a seed
+	// stay the same.
+	links     *rand.Rand
 	binary    string
 	fleet     *fleet.Fleet
 	group     *dbase.Group
@@ -86,6 +89,8 @@
 	sync.Mutex
 	address, settings, log string
 	process                *exec.Cmd
+	// links is the proxy through which the other instances connect to this one.
+	links *lproxy.Proxy
 }
 
 // update runs change while it holds the lock of what callers and checks record.
@@ -132,7 +137,11 @@
 		if err := errors.Join(os.WriteFile(secret, []byte(fleet.BackendPassword), 0o600), os.WriteFile(n.settings, []byte(text), 0o600)); err != nil {
 			return err
 		}
-		s.fleet.Platform.SetInstance(ident.InstanceID(id), objs.ListedInstance{Center: "north-a", Address: peers, State: objs.Live})
+		if n.links, err = lproxy.New(peers); err != nil {
+			return err
+		}
+		s.t.Cleanup(n.links.Close)
+		s.fleet.Platform.SetInstance(ident.InstanceID(id), objs.ListedInstance{Center: "north-a", Address: n.links.Addr(), State: objs.Live})
 		s.launch(n)
 		s.instances = append(s.instances, n)
 		s.t.Cleanup(func() {
@@ -267,23 +276,19 @@
 	kind, duration, proxy := s.random.IntN(8), time.Duration(200+s.random.IntN(2500))*time.Millisecond, s.proxies[server.ID()]
 	s.events = append(s.events, fmt.Sprintf("%s answers of %s: %+v; fault %d of %s or %s for %v", time.Now().Format("15:04:05.000"), answering.ID(), f, kind, server.ID(), n.address, duration))
 	s.proxies[answering.ID()].FaultAnswers(f)
-	forDuration := func(begin, end func()) {
-		begin()
-		s.lasting.Go(func() { time.Sleep(duration); end() })
-	}
 	switch outage := &s.fleet.Platform.Faults().Outage; kind {
 	case 0:
-		forDuration(func() { proxy.Delay(duration / 20) }, func() { proxy.Delay(0) })
+		s.forDuration(duration, func() { proxy.Delay(duration / 20) }, func() { proxy.Delay(0) })
 	case 1:
 		proxy.Reset()
 	case 2:
 		proxy.Blackhole()
 	case 3:
-		forDuration(func() { proxy.Refuse(true); proxy.Reset() }, func() { proxy.Refuse(false) })
+		s.forDuration(duration, func() { proxy.Refuse(true); proxy.Reset() }, func() { proxy.Refuse(false) })
 	case 4:
-		forDuration(func() { outage.Store(true) }, func() { outage.Store(false) })
+		s.forDuration(duration, func() { outage.Store(true) }, func() { outage.Store(false) })
 	case 5:
-		forDuration(server.Kill, func() { _ = server.Restart() })
+		s.forDuration(duration, server.Kill, func() { _ = server.Restart() })
 	case 6, 7:
 		if n.TryLock() {
 			s.lasting.Go(func() { defer n.Unlock(); s.disturb(n, kind == 6, duration) })
@@ -291,6 +296,35 @@
 	}
 }
 
+// faultLinks injects a fault into the links that other instances have opened to one: what is held
+// back or lost in one direction are answers if the owner is at that end.
+func (s *soak) faultLinks() {
+	at, duration := s.links.IntN(len(s.instances)), time.Duration(200+s.links.IntN(2500))*time.Millisecond
+	p, kind := s.instances[at].links, s.links.IntN(16)
+	f := lproxy.StreamFault{Count: 1 + s.links.IntN(2), Outbound: s.links.IntN(2) == 0, Bytes: s.links.IntN(2000), Cut: s.links.IntN(4) > 0}
+	if s.links.IntN(2) == 0 {
+		f.Hold = duration
+	}
+	s.events = append(s.events, fmt.Sprintf("%s links to front-%d: %+v; fault %d for %v", time.Now().Format("15:04:05.000"), at, f, kind, duration))
+	p.FaultStreams(f)
+	switch kind {
+	case 0:
+		s.forDuration(duration, func() { p.Delay(duration / 20) }, func() { p.Delay(0) })
+	case 1:
+		p.Reset()
+	case 2:
+		p.Blackhole()
+	case 3:
+		s.forDuration(duration, func() { p.CutOneWay(f.Outbound, !f.Outbound) }, func() { p.CutOneWay(false, false); p.Blackhole() })
+	}
+}
+
+// forDuration begins a fault that ends after the duration.
+func (s *soak) forDuration(duration time.Duration, begin, end func()) {
+	begin()
+	s.lasting.Go(func() { time.Sleep(duration); end() })
+}
+
 // disturb pauses an instance, or stops it and starts it again.
 func (s *soak) disturb(n *soakInstance, pause bool, duration time.Duration) {
 	if pause {
@@ -336,11 +370,20 @@
 	for end := time.Now().Add(*soakTime); time.Now().Before(end); s.checkRefused() {
 		time.Sleep(time.Duration(100+s.random.IntN(700)) * time.Millisecond)
 		s.injectFault()
+		s.faultLinks()
 	}
 	s.lasting.Wait()
 	for _, p := range s.proxies {
 		p.FaultAnswers(lproxy.AnswerFault{})
 	}
+	var forwarded int64
+	for _, n := range s.instances {
+		n.links.FaultStreams(lproxy.StreamFault{})
+		forwarded += n.links.Forwarded()
+	}
+	if forwarded == 0 {
+		s.addViolation("no link carried data")
+	}
 	close(stop)
 	callers.Wait()
 	s.awaitWrites("end")
@@ -358,7 +401,7 @@
 	for text := range s.violations {
 		s.t.Errorf("seed %d: %s", s.seed, text)
 	}
-	s.t.Logf("seed %d: %d acknowledged, %d refused, %d rows\n%s", s.seed, len(s.acknowledged), len(s.refused), len(rows), strings.Join(s.events, "\n"))
+	s.t.Logf("seed %d: %d bytes on links, %d acknowledged, %d refused, %d rows\n%s", s.seed, forwarded, len(s.acknowledged), len(s.refused), len(rows), strings.Join(s.events, "\n"))
 }
 
 // TestPostgresSoak runs instances of the real program under random faults: first the seeds of
@@ -384,7 +427,7 @@
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			s := &soak{
-				t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 0)), binary: binary, proxies: map[ident.ServerID]*lproxy.Proxy{},
+				t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 0)), links: rand.New(rand.NewPCG(seed, 1<<35)), binary: binary, proxies: map[ident.ServerID]*lproxy.Proxy{},
 				refused: map[string]string{}, acknowledged: map[string]string{}, violations: map[string]bool{},
 			}
 			if err := s.start(); err != nil {
