Write the secret of PostgreSQL's soak once, before the instances start

The log of front-0 has "password-file: want a readable file that is not empty": the soak wrote the shared file again for each instance, and one that had just started read it after it was emptied. Its process ended and was never started again. A fault of the soak, not of the program, nor of the links.

--- a/internal/cmds/soak_test.go
+++ b/internal/cmds/soak_test.go
@@ -127,14 +127,18 @@
 	s.t.Cleanup(s.fleet.Stop)
 	s.group = s.fleet.Groups["stock"]
 	dir := s.t.TempDir()
+	secret := filepath.Join(dir, "secret")
+	if err := os.WriteFile(secret, []byte(fleet.BackendPassword), 0o600); err != nil {
+		return err
+	}
 	for at := range soakInstances {
 		id := fmt.Sprintf("front-%d", at)
 		n := &soakInstance{address: soakPort(s.t), settings: filepath.Join(dir, id+".ini"), log: filepath.Join(dir, id+".log")}
-		peers, secret := soakPort(s.t), filepath.Join(dir, "secret")
+		peers := soakPort(s.t)
 		text := fmt.Sprintf("[instance]\nid = %s\ncenter = north-a\nlisten = %s\npeer-listen = %s\noperator-listen = 127.0.0.1:0\n"+
 			"[platform]\nurl = %s\n[backend]\nuser = %s\npassword-file = %s\n[peers]\nsecret-file = %s\ninsecure = yes\n",
 			id, n.address, peers, s.fleet.Platform.URL(), fleet.BackendUser, secret, secret)
-		if err := errors.Join(os.WriteFile(secret, []byte(fleet.BackendPassword), 0o600), os.WriteFile(n.settings, []byte(text), 0o600)); err != nil {
+		if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
 			return err
 		}
 		if n.links, err = lproxy.New(peers); err != nil {
