--- a/internal/fleet/lost_test.go
+++ b/internal/fleet/lost_test.go
@@ -340,6 +340,15 @@
 	return c, k.point == "none" || loss.Taken(), nil
 }
 
+// recentEvents describes what an instance did in the last seconds.
+func recentEvents(m *Member) string {
+	var text strings.Builder
+	for _, e := range m.Instance.Journal().Since(time.Now().Add(-3 * time.Second)) {
+		fmt.Fprintf(&text, "\n%s %s %s %s %s", e.At.Format(time.StampMilli), e.Kind, e.Server, e.Reason, e.Evidence)
+	}
+	return text.String()
+}
+
 // wrongs compares what the caller was told with what the servers hold.
 func (c *lostCaller) wrongs(writes []map[string]int, primary int) []string {
 	var wrong []string
@@ -406,7 +415,7 @@
 			for k := range queue {
 				var err error
 				if callers[k.number], reached[k.number], err = k.play(f); err != nil {
-					t.Errorf("case %s at %s: %v", k.key(), k.point, err)
+					t.Errorf("case %s at %s: %v%s", k.key(), k.point, err, recentEvents(k.member))
 				}
 			}
 		})
