Give a server no new work once it has been leaving for 5 s

Cause: reads leave out a leaving server at once, but writes, transactions and reads of the latest state go to the primary, leaving or not.

An instance remembers since when servers are marked as leaving, also for groups that it does not own yet, and refuses new work for one after 5 s (no-primary, not sent), also work that has waited in the queue meanwhile. Open transactions go on. Servers that are only missing from the list count as before.

--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -44,6 +44,8 @@
 	Baseline Baseline
 	// lost counts lost answers; nil counts none.
 	lost *lostAnswers
+	// leavers knows since when servers are leaving; nil means that none is.
+	leavers *leavers
 }
 
 // Place is an owner's position among the owners of its group.
@@ -124,6 +126,9 @@
 	if c.Epochs == nil {
 		c.Epochs = plat.NewEpochs()
 	}
+	if c.leavers == nil {
+		c.leavers = &leavers{}
+	}
 	g := &Group{
 		conf: c, tracker: newTracker(),
 		events: make(chan group.Event, eventQueueSize), txs: map[TxID]*transaction{},
--- a/internal/owner/host.go
+++ b/internal/owner/host.go
@@ -58,6 +58,7 @@
 	ownedGauge prometheus.Gauge
 	budget     *retry.Budget
 	lost       *lostAnswers
+	leavers    *leavers
 }
 
 // retryBudgetCeiling is the largest number of retries that the retry budget accumulates.
@@ -68,6 +69,7 @@
 	h := &Host{
 		conf:       c,
 		lost:       newLostAnswers(c.Registry),
+		leavers:    &leavers{now: c.Now},
 		budget:     retry.NewBudget(conf.DefaultValues().RetryRatio, retryBudgetCeiling),
 		ownedGauge: prometheus.NewGauge(prometheus.GaugeOpts{Name: "geraniumseam_groups_owned", Help: "Database groups owned by this instance."}),
 	}
@@ -83,6 +85,7 @@
 func (h *Host) Reconcile(s *conf.Snapshot, available membr.Centers) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.leavers.update(s.Groups)
 	old := *h.groups.Load()
 	next := map[ident.GroupID]*hostedGroup{}
 	var ended []*Group
@@ -133,7 +136,7 @@
 		ID: id, Group: g, Defaults: d, Self: h.conf.Self, Center: h.conf.Center, Claimant: h.conf.Claimant, Place: p,
 		Driver: h.conf.Driver, Store: h.conf.Store, Epochs: h.conf.Epochs, Journal: h.conf.Journal,
 		Budget: h.budget, Random: rand.New(rand.NewPCG(h.conf.Random.Uint64(), h.conf.Random.Uint64())),
-		Now: h.conf.Now, ReportServer: h.conf.ReportServer, Baseline: h.conf.Baseline, lost: h.lost,
+		Now: h.conf.Now, ReportServer: h.conf.ReportServer, Baseline: h.conf.Baseline, lost: h.lost, leavers: h.leavers,
 	})
 	h.conf.Journal.Add(jrnl.Event{Kind: jrnl.OwnerChanged, Group: id, Evidence: "this instance now owns the group"})
 	if current != nil {
--- a/internal/owner/read.go
+++ b/internal/owner/read.go
@@ -198,6 +198,10 @@
 		}
 		return attempt{result: Result{Outcome: fault.NotSent, Reason: got.reason, RetryAfter: got.retryAfter}, retryable: retryable}
 	}
+	if g.isRetired(s) {
+		s.pool.release(got.conn)
+		return attempt{result: notSent(fault.NoServer), retryable: true, uncharged: true}
+	}
 	return g.readOnConn(ctx, w, s, got.conn, replica, floor, sink)
 }
 
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -172,6 +172,10 @@
 		retryable := got.reason == fault.ConnectFailed || got.reason == fault.ServerFull
 		return attempt{result: Result{Outcome: fault.NotSent, Reason: got.reason, RetryAfter: got.retryAfter}, retryable: retryable, uncharged: true}
 	}
+	if g.isRetired(s) {
+		s.pool.release(got.conn)
+		return attempt{result: notSent(fault.NoPrimary), retryable: true, uncharged: true}
+	}
 	buffer := &bufferSink{}
 	request := w.Request
 	request.WantStatus = true
@@ -332,7 +336,7 @@
 	var found *server
 	usable := func(v *view) bool {
 		found = nil
-		if v.primary != noPrimary && g.canWrite(v, &v.servers[v.primary]) {
+		if g.hasUsablePrimary(v) {
 			g.noPrimarySince.Store(0)
 			if accept(v) {
 				found = g.allServers()[v.primary]
@@ -357,7 +361,7 @@
 // primaryAbsence returns how long there has been no usable primary, 0 if there is one.
 func (g *Group) primaryAbsence() time.Duration {
 	v := g.tracker.current.Load()
-	if v.primary != noPrimary && g.canWrite(v, &v.servers[v.primary]) {
+	if g.hasUsablePrimary(v) {
 		g.noPrimarySince.Store(0)
 		return 0
 	}
@@ -368,6 +372,14 @@
 	return now.Sub(time.Unix(0, g.noPrimarySince.Load()))
 }
 
+// hasUsablePrimary reports whether the group has a primary that may get new work.
+func (g *Group) hasUsablePrimary(v *view) bool {
+	return v.primary != noPrimary && g.canWrite(v, &v.servers[v.primary]) && !g.isRetired(g.allServers()[v.primary])
+}
+
+// isRetired reports whether a server has been leaving for so long that it gets no new work.
+func (g *Group) isRetired(s *server) bool { return g.conf.leavers.done(s.ID) }
+
 // canWrite reports whether a primary answered its last poll, within the silence limit,
 // and is not sealed for a later term.
 func (g *Group) canWrite(v *view, r *report) bool {
