Play procedures, DO blocks and deferred constraints in the stand-in

Cause: the stand-in of PostgreSQL knew no statement that commits while it runs, and no commit that fails with an error of its own, so what the proxy says of them rested on reading.

Change: CALL of two procedures and DO blocks, whose body inserts, commits, inserts and may raise an error; the commit in them fails with 2D000 in a transaction block, and among other statements of a simple query. The table pledges has a deferred unique constraint, whose violation is an error of the commit. A simple query now commits before it completes its last statement, as PostgreSQL does, so that the error of that commit comes instead of the CommandComplete and not after it.

--- a/stand/dbase/rows.go
+++ b/stand/dbase/rows.go
@@ -44,6 +44,9 @@
 	if len(s.changes) == 0 {
 		return nil
 	}
+	if err := s.checkDeferred(); err != nil {
+		return err
+	}
 	if err := s.server.store.commit(s.changes); err != nil {
 		return err
 	}
--- a/stand/dbase/session.go
+++ b/stand/dbase/session.go
@@ -44,6 +44,9 @@
 	failed bool
 	// skipToSync means that messages are ignored until Sync, after an error in the extended protocol.
 	skipToSync bool
+	// implicitBlock means that several statements of a simple query run, and lastOfQuery that the last
+	// statement of one runs.
+	implicitBlock, lastOfQuery bool
 	// committed means that the current request has committed changes.
 	committed bool
 	// changes are the transaction's uncommitted changes, and locked the rows that it has locked.
@@ -240,17 +243,24 @@
 
 // query runs the statements of a simple query.
 func (s *session) query(text string) bool {
-	parts := strings.Split(text, ";")
-	ran := false
-	for _, part := range parts {
-		c, err := parseStatement(part)
-		if err == nil && c.run == nil {
-			continue
+	type statement struct {
+		command command
+		err     error
+	}
+	var statements []statement
+	for _, part := range splitStatements(text) {
+		if c, err := parseStatement(part); err != nil || c.run != nil {
+			statements = append(statements, statement{c, err})
 		}
-		ran = true
+	}
+	s.implicitBlock = len(statements) > 1
+	defer func() { s.implicitBlock, s.lastOfQuery = false, false }()
+	for at, parsed := range statements {
+		s.lastOfQuery = at == len(statements)-1
+		err := parsed.err
 		if err == nil {
 			var alive bool
-			if alive, err = s.execute(c, nil, true); !alive {
+			if alive, err = s.execute(parsed.command, nil, true); !alive {
 				return false
 			}
 		}
@@ -259,7 +269,7 @@
 			break
 		}
 	}
-	if !ran {
+	if len(statements) == 0 {
 		s.backend.Send(&pgproto3.EmptyQueryResponse{})
 	}
 	return s.ready()
@@ -364,6 +374,14 @@
 	if err != nil {
 		return true, err
 	}
+	// A simple query commits before it completes its last statement, the extended protocol at the Sync.
+	if s.lastOfQuery && !s.inTx {
+		err := s.commitTx()
+		s.endTx()
+		if err != nil {
+			return true, err
+		}
+	}
 	s.waitWhileSilent()
 	if describe && len(c.columns) > 0 {
 		s.sendColumns(c)
--- a/stand/dbase/sql.go
+++ b/stand/dbase/sql.go
@@ -72,13 +72,19 @@
 	return regexp.MustCompile(`(?is)^\s*` + text + `\s*$`)
 }
 
+const insertPattern = `insert into ledger~(?:\(~id~,~value~\))?~values~\(~%~,~%~\)`
+
 // grammar lists the supported statements; the first match counts.
 var grammar = []grammarRule{
 	{compilePattern(`select value from ledger where id~=~%`), command{run: selectValue, columns: []string{"value"}}},
 	{compilePattern(`select count\(\*\) from ledger`), command{run: countRows, columns: []string{"count"}}},
 	{compilePattern(`select id,~value from ledger(?: order by id)?`), command{run: selectAll, columns: []string{"id", "value"}}},
 	{compilePattern(`select %`), command{run: echo, columns: []string{"?column?"}}},
-	{compilePattern(`insert into ledger~(?:\(~id~,~value~\))?~values~\(~%~,~%~\)`), command{run: insert}},
+	{compilePattern(insertPattern), command{run: insert}},
+	{compilePattern(`insert into pledges~(?:\(~id~,~value~\))?~values~\(~%~,~%~\)`), command{run: insertPledge}},
+	{compilePattern(`call add_pair\(~%~,~%~\)`), command{run: callPair}},
+	{compilePattern(`call add_pair_then_raise\(~%~,~%~,~%~\)`), command{run: callPairThenRaise}},
+	{compilePattern(`do \$\$~begin (.*)~end~;?~\$\$`), command{run: do}},
 	{compilePattern(`update ledger set value~=~% where id~=~%`), command{run: update}},
 	{compilePattern(`delete from ledger where id~=~%`), command{run: remove}},
 	{compilePattern(`select append_value\(~%~,~%~\)`), command{run: appendValue, columns: []string{"append_value"}}},
@@ -104,12 +110,14 @@
 var statusColumns = []string{"server", "role", "term", "sealed", "log_term", "received", "applied", "upstream_ms"}
 
 // parseStatement parses a statement; for an empty text it returns a command without run.
-func parseStatement(original string) (command, error) {
+func parseStatement(original string) (command, error) { return parse(original, grammar) }
+
+func parse(original string, rules []grammarRule) (command, error) {
 	text := strings.TrimRight(strings.TrimSpace(stripComments(original)), "; \n\t")
 	if text == "" {
 		return command{}, nil
 	}
-	for _, f := range grammar {
+	for _, f := range rules {
 		match := f.pattern.FindStringSubmatch(text)
 		if match == nil {
 			continue
@@ -121,6 +129,22 @@
 	return command{}, errSyntax
 }
 
+// splitStatements splits a text at the semicolons outside of dollar quotes.
+func splitStatements(text string) []string {
+	parts := []string{""}
+	for at, piece := range strings.Split(text, "$$") {
+		last := len(parts) - 1
+		if at%2 == 1 {
+			parts[last] += "$$" + piece + "$$"
+			continue
+		}
+		statements := strings.Split(piece, ";")
+		parts[last] += statements[0]
+		parts = append(parts, statements[1:]...)
+	}
+	return parts
+}
+
 var comment = regexp.MustCompile(`--[^\n]*|/\*[^*]*\*/`)
 
 func stripComments(text string) string {
--- a/stand/dbase/store.go
+++ b/stand/dbase/store.go
@@ -29,6 +29,8 @@
 	id     string
 	value  string
 	delete bool
+	// deferred has the commit check that no row of that id exists.
+	deferred bool
 }
 
 // entry is a log entry: one committed transaction.
@@ -258,6 +260,13 @@
 	s.applyThrough(due)
 }
 
+func (s *store) has(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, found := s.rows[id]
+	return found
+}
+
 // snapshot returns a copy of the rows.
 func (s *store) snapshot() map[string]string {
 	s.mu.Lock()
