Lose the answers to procedures, DO blocks and commits that fail

Cause: the table of lost answers had no statement that commits while it runs, and no commit that fails with an error of its own.

Change: eight scripts: CALL by both protocols, alone, after an INSERT in a batch, and with 25006 after its commit; DO, also one that fails; a deferred constraint that is violated, in one message, before a COMMIT and by the extended protocol. An error outside a block says nothing of what CALL or DO has committed before it, nor of what ran before them since the last Sync.

--- a/internal/fleet/lost_test.go
+++ b/internal/fleet/lost_test.go
@@ -99,8 +99,8 @@
 				for lost := range step.statements {
 					for _, point := range axes["point"] {
 						k.at, k.lost, k.point = at, lost, dbase.Point(point[0])
-						_, writes := (&lostCaller{}).row(step.statements[lost])
-						if k.point == "none" && at+lost > 0 || k.point == dbase.Refused && !writes && step.statements[lost] != "COMMIT" {
+						writes := (&lostCaller{}).rowsOf(step.statements[lost])
+						if k.point == "none" && at+lost > 0 || k.point == dbase.Refused && len(writes) == 0 && step.statements[lost] != "COMMIT" {
 							continue
 						}
 						if k.point != "none" && !slices.Contains(dbase.Points(), k.point) {
@@ -139,9 +139,22 @@
 	codes  []string
 }
 
-func (c *lostCaller) row(statement string) (string, bool) {
-	verb, name, _ := strings.Cut(statement, " ")
-	return c.prefix + name, verb == "ADD" || verb == "APPEND"
+// rowsOf returns the rows that a statement writes; CALL and DO commit the first of theirs themselves.
+func (c *lostCaller) rowsOf(statement string) []string {
+	words := strings.Fields(statement)
+	switch words[0] {
+	case "ADD", "APPEND":
+		return []string{c.prefix + words[1]}
+	case "CALL", "DO":
+		return []string{c.prefix + words[1], c.prefix + words[2]}
+	}
+	return nil
+}
+
+func (c *lostCaller) set(next told, rows ...string) {
+	for _, id := range rows {
+		c.rows[id] = next
+	}
 }
 
 // change tells the caller something new of all rows of which it was told one of before.
@@ -155,12 +168,19 @@
 
 // text returns a statement's SQL, with the marker if it is not empty.
 func (c *lostCaller) text(statement, marker string) string {
-	id, writes := c.row(statement)
-	switch {
-	case writes && strings.HasPrefix(statement, "ADD"):
-		statement = fmt.Sprintf("INSERT INTO ledger (id, value) VALUES ('%s', '+')", id)
-	case writes:
-		statement = fmt.Sprintf("SELECT append_value('%s', '+')", id)
+	rows := c.rowsOf(statement)
+	sqlstate := strings.Join(strings.Fields(statement)[1+len(rows):], " ")
+	switch verb, name, _ := strings.Cut(statement, " "); verb {
+	case "ADD":
+		statement = fmt.Sprintf("INSERT INTO ledger (id, value) VALUES ('%s', '+')", rows[0])
+	case "APPEND":
+		statement = fmt.Sprintf("SELECT append_value('%s', '+')", rows[0])
+	case "PLEDGE":
+		statement = fmt.Sprintf("INSERT INTO pledges (id, value) VALUES ('%s', '+')", c.prefix+name)
+	case "CALL":
+		statement = lostCall(rows, sqlstate)
+	case "DO":
+		statement = lostBlock(rows, sqlstate)
 	}
 	if marker != "" {
 		// At the end, for a text that starts with a comment is not classified as a single statement.
@@ -169,6 +189,23 @@
 	return statement
 }
 
+// lostCall returns a CALL of a procedure that commits between two rows, and then raises a SQLSTATE
+// unless it is empty; lostBlock returns a DO block that does the same.
+func lostCall(rows []string, sqlstate string) string {
+	if sqlstate == "" {
+		return fmt.Sprintf("CALL add_pair('%s', '%s')", rows[0], rows[1])
+	}
+	return fmt.Sprintf("CALL add_pair_then_raise('%s', '%s', '%s')", rows[0], rows[1], sqlstate)
+}
+
+func lostBlock(rows []string, sqlstate string) string {
+	body := fmt.Sprintf("INSERT INTO ledger VALUES ('%s', '+'); COMMIT; INSERT INTO ledger VALUES ('%s', '+');", rows[0], rows[1])
+	if sqlstate != "" {
+		body += fmt.Sprintf(" RAISE SQLSTATE '%s';", sqlstate)
+	}
+	return "DO $$ BEGIN " + body + " END $$"
+}
+
 // run sends a message, whose statement number lost gets the marker, and takes in the answer; it
 // reports whether the answer had no error.
 func (c *lostCaller) run(step lostStep, lost int, marker string) bool {
@@ -235,6 +272,10 @@
 		if match := outcomeDetail.FindStringSubmatch(failed.Detail); match != nil {
 			code, outcome = failed.Code+" "+match[1]+" "+match[2], match[2]
 		}
+		if strings.Contains(failed.Message, "pledges") {
+			// Its constraint is violated by what the script runs once.
+			code += " of the commit"
+		}
 		c.codes = append(c.codes, code)
 	}
 	if outcome == "not-run" {
@@ -242,19 +283,25 @@
 	}
 	ended := c.status != 'T' && c.status != 'E'
 	for at, statement := range statements {
-		id, writes := c.row(statement)
+		rows := c.rowsOf(statement)
+		writes := len(rows) > 0
 		switch {
 		case at >= len(tags) && outcome == "unknown" && writes:
-			c.rows[id] = doubtful
+			c.set(doubtful, rows...)
 		case at >= len(tags) && outcome == "unknown" && statement == "COMMIT":
 			c.change(doubtful, pending)
 		case at >= len(tags) && outcome == "unknown" && strings.HasPrefix(statement, "BEGIN") && slices.Contains(statements[:at], "COMMIT"):
 			// What the caller is told of the open transaction is said of the later one.
 			c.change(unknown, doubtful)
+		case at == len(tags) && outcome == "failed" && len(rows) > 1 && c.status == 'I' && failed.Code != "2D000":
+			// Outside a block it may have committed, with what ran before it, and failed then.
+			c.change(unknown, pending)
+			c.set(unknown, rows[0])
+			c.set(notRun, rows[1])
 		case at >= len(tags) && (outcome == "failed" || outcome == "not-run") && writes:
-			c.rows[id] = notRun
+			c.set(notRun, rows...)
 		case writes:
-			c.rows[id] = pending
+			c.set(pending, rows...)
 		case at >= len(tags):
 		case tags[at] == "COMMIT":
 			c.change(kept, pending)
