Refuse PREPARE TRANSACTION, as COMMIT PREPARED is

Cause: PREPARE was taken for one that prepares a statement, so PREPARE TRANSACTION passed as kind pin, though two-phase commit is refused: neither COMMIT PREPARED nor ROLLBACK PREPARED could end what it left behind, with its locks.

Change: it is refused at once with 0A000. A statement that is prepared under the name transaction still passes.

Result: three of the new cases of TestClassify and the case of TestWire failed before, and pass.

--- a/pkg/stmt/classify.go
+++ b/pkg/stmt/classify.go
@@ -110,7 +110,7 @@
 		return classifyShow(tokens)
 	case first == "explain":
 		return Class{Kind: Write}
-	case refusedWords[first]:
+	case refusedWords[first], first == "prepare" && preparesTx(tokens):
 		return Class{Kind: Refused}
 	case pinWords[first], first == "create" && hasWord(tokens, "temp", "temporary"):
 		return Class{Kind: Pin, LeavesState: true}
@@ -132,6 +132,14 @@
 	return Class{Kind: kind}
 }
 
+// preparesTx tells PREPARE TRANSACTION 'id' from PREPARE of a statement with the name transaction.
+func preparesTx(tokens []token) bool {
+	if len(tokens) < 2 || tokens[1].text != "transaction" || tokens[1].quoted {
+		return false
+	}
+	return len(tokens) == 2 || tokens[2].literal || tokens[2].text != "as" && tokens[2].text != "("
+}
+
 // classifyQuery returns whether a query reads, writes, or pins its session.
 func classifyQuery(tokens []token) Kind {
 	for i, tok := range tokens {
