Play COPY in the stand-in

Cause: the stand-in of PostgreSQL knew no COPY, so that what the proxy does when a server starts one rested on reading.

Change: COPY ledger FROM STDIN and TO STDOUT, by both protocols. The test of the stand-in is renamed for what it covers now.

--- a/internal/fleet/procs_test.go
+++ b/internal/fleet/procs_test.go
@@ -14,9 +14,10 @@
 	"geraniumseam.dev/stand/dbase"
 )
 
-// TestStandInCommitsAsPostgreSQLDoes plays scripts on a stand-in server without a proxy, each on a new
-// connection to an empty server: what procedures, DO blocks and deferred constraints answer and keep.
-func TestStandInCommitsAsPostgreSQLDoes(t *testing.T) {
+// TestStandInAnswersAsPostgreSQLDoes plays scripts on a stand-in server without a proxy, each on a new
+// connection to an empty server: what procedures, DO blocks, deferred constraints and COPY answer and
+// keep.
+func TestStandInAnswersAsPostgreSQLDoes(t *testing.T) {
 	datadriven.RunTest(t, "testdata/procedures", func(t *testing.T, d *datadriven.TestData) string {
 		g, err := dbase.Start(dbase.Config{Group: "stock", Servers: []ident.ServerID{"a"}, Slots: 1, Connections: 2, User: "u", Password: "p"})
 		if err != nil {
@@ -36,7 +37,9 @@
 		var out strings.Builder
 		for line := range strings.SplitSeq(d.Input, "\n") {
 			c.front.Send(parseMessage(t, line))
-			if !strings.HasPrefix(line, "query") && line != "sync" {
+			verb, _, _ := strings.Cut(line, " ")
+			asksForData := strings.Contains(line, "FROM STDIN")
+			if asksForData || verb != "query" && verb != "sync" && verb != "copy-done" && verb != "copy-fail" {
 				continue
 			}
 			if err := c.front.Flush(); err != nil {
--- a/internal/fleet/wire_test.go
+++ b/internal/fleet/wire_test.go
@@ -124,6 +124,12 @@
 		return &pgproto3.Sync{}
 	case "flush":
 		return &pgproto3.Flush{}
+	case "copy-data":
+		return &pgproto3.CopyData{Data: []byte(strings.ReplaceAll(rest, " ", "\t") + "\n")}
+	case "copy-done":
+		return &pgproto3.CopyDone{}
+	case "copy-fail":
+		return &pgproto3.CopyFail{Message: rest}
 	case "call":
 		return &pgproto3.FunctionCall{}
 	}
--- a/stand/dbase/sql.go
+++ b/stand/dbase/sql.go
@@ -89,6 +89,8 @@
 	{compilePattern(`delete from ledger where id~=~%`), command{run: remove}},
 	{compilePattern(`select append_value\(~%~,~%~\)`), command{run: appendValue, columns: []string{"append_value"}}},
 	{compilePattern(`select pg_advisory_lock\(~%~\)`), command{run: advisoryLock, columns: []string{"pg_advisory_lock"}}},
+	{compilePattern(`copy ledger from stdin(?: .*)?`), command{run: copyIn}},
+	{compilePattern(`copy ledger to stdout(?: .*)?`), command{run: copyOut}},
 	{compilePattern(`(?:begin|start transaction)(?: .*)? read only(?: .*)?`), command{run: beginReadOnly}},
 	{compilePattern(`(?:begin|start transaction)(?: .*)?`), command{run: begin}},
 	{compilePattern(`savepoint (\w+)`), command{run: setSavepoint}},
