Refuse COPY and the like also if the text can't be read to its end

Cause: a string with a backslash, such as the delimiter in COPY ledger FROM STDIN WITH (DELIMITER E'\t'), ends the reading of a text, which was then passed on as one that pins the session. The server started the COPY, the connection was closed, and the caller was told that the outcome is unknown, of a statement that is never run. PREPARE TRANSACTION, COMMIT PREPARED and LISTEN passed too.

Change: a text is refused if what was read before that string is.

--- a/pkg/stmt/classify.go
+++ b/pkg/stmt/classify.go
@@ -38,14 +38,15 @@
 
 func classify(text string) Class {
 	tokens, ok := tokenize(text)
-	if !ok {
-		return Class{Kind: Pin, LeavesState: true}
-	}
 	parts := splitStatements(tokens)
-	if len(parts) == 0 {
+	switch {
+	case !ok && classifyMany(parts).Kind == Refused:
+		return Class{Kind: Refused}
+	case !ok:
+		return Class{Kind: Pin, LeavesState: true}
+	case len(parts) == 0:
 		return Class{Kind: Empty}
-	}
-	if len(parts) == 1 {
+	case len(parts) == 1:
 		return classifyOne(parts[0])
 	}
 	return classifyMany(parts)
--- a/pkg/stmt/lex.go
+++ b/pkg/stmt/lex.go
@@ -11,12 +11,12 @@
 }
 
 // tokenize splits a text into tokens; ok is false if a comment or a quoted string is not
-// closed, or if it is unclear where a string ends.
+// closed, or if it is unclear where a string ends, and the tokens are those before it.
 func tokenize(text string) (tokens []token, ok bool) {
 	for pos := 0; pos < len(text); {
 		skipped, closed := skipSpaceOrComment(text, pos)
 		if !closed {
-			return nil, false
+			return tokens, false
 		}
 		if skipped > pos {
 			pos = skipped
@@ -24,7 +24,7 @@
 		}
 		tok, next, closed := next(text, pos)
 		if !closed {
-			return nil, false
+			return tokens, false
 		}
 		tokens = append(tokens, tok)
 		pos = next
