Keep SET SESSION CHARACTERISTICS on the connection of its session

Cause: a SET with the word transaction in it was taken for SET TRANSACTION, which ends with the transaction, so the connection went back to the pool with what it sets for all later transactions. After READ ONLY the writes of other callers failed on a primary. SET application_name TO transaction went the same way and wasn't replayed for the session itself.

Change: only SET [SESSION] TRANSACTION is one; SET SESSION CHARACTERISTICS pins its session.

--- a/internal/fleet/wire_test.go
+++ b/internal/fleet/wire_test.go
@@ -24,10 +24,22 @@
 // TestWire runs a script of protocol exchanges of well-behaved and misbehaving callers.
 //
 // Its commands are connect NAME [customer= database= key= set=], send NAME (one message
-// a line) and raw (bytes in hexadecimal on a new connection). Each prints the messages
-// received until the proxy is ready or has closed the connection.
+// a line), close NAME and raw (bytes in hexadecimal on a new connection). Each but close prints the
+// messages received until the proxy is ready or has closed the connection.
 func TestWire(t *testing.T) {
 	f := start(t, Config{Seed: 20, AdjustConfig: func(c *conf.Config) { c.Customers["idle"] = conf.Customer{Rate: 1, Burst: 1, Weight: 1} }})
+	playWire(t, f, "testdata/wire")
+}
+
+// TestSessionStateDoesNotReachOthers plays callers that leave state on their connections, and others
+// that would see it on a connection from the pool.
+func TestSessionStateDoesNotReachOthers(t *testing.T) {
+	f := start(t, Config{Seed: 34, AdjustConfig: func(c *conf.Config) { c.Defaults.StatementDeadline = 4 * time.Second }})
+	playWire(t, f, "testdata/session-state")
+}
+
+func playWire(t *testing.T, f *Fleet, script string) {
+	t.Helper()
 	m := f.Members()[0]
 	callers := map[string]*wireCaller{}
 	t.Cleanup(func() {
@@ -35,7 +47,7 @@
 			c.conn.Close()
 		}
 	})
-	datadriven.RunTest(t, "testdata/wire", func(t *testing.T, d *datadriven.TestData) string {
+	datadriven.RunTest(t, script, func(t *testing.T, d *datadriven.TestData) string {
 		switch d.Cmd {
 		case "connect":
 			c := dialWire(t, m.Instance.Addr())
@@ -51,6 +63,9 @@
 				return "closed\n"
 			}
 			return c.readReply(strings.HasSuffix(strings.TrimSpace(d.Input), "flush"))
+		case "close":
+			callers[d.CmdArgs[0].Key].conn.Close()
+			return ""
 		case "raw":
 			c := dialWire(t, m.Instance.Addr())
 			defer c.conn.Close()
--- a/pkg/stmt/classify.go
+++ b/pkg/stmt/classify.go
@@ -181,12 +181,15 @@
 // classifySet classifies SET name = value, SET name TO value and RESET name.
 func classifySet(tokens []token) Class {
 	rest := tokens[1:]
-	if len(rest) > 0 && rest[0].text == "local" || hasWord(tokens, "transaction") {
+	if len(rest) > 0 && rest[0].text == "local" {
 		return Class{Kind: Write}
 	}
 	if len(rest) > 0 && rest[0].text == "session" {
 		rest = rest[1:]
 	}
+	if tokens[0].text == "set" && len(rest) > 0 && rest[0].text == "transaction" && !rest[0].quoted {
+		return Class{Kind: Write}
+	}
 	name, rest := qualifiedName(rest)
 	if name == "" {
 		return Class{Kind: Pin, LeavesState: true}
--- a/stand/dbase/rows.go
+++ b/stand/dbase/rows.go
@@ -62,7 +62,7 @@
 		delete(st.locks, id)
 	}
 	st.mu.Unlock()
-	s.inTx, s.failed, s.readOnly = false, false, false
+	s.inTx, s.failed, s.readOnly = false, false, s.defaultReadOnly
 	s.changes, s.locked, s.savepoints = nil, nil, nil
 }
 
--- a/stand/dbase/session.go
+++ b/stand/dbase/session.go
@@ -38,8 +38,8 @@
 	backend *pgproto3.Backend
 	out     *answerWriter
 	inTx    bool
-	// readOnly means that the transaction refuses writes.
-	readOnly bool
+	// readOnly means that the transaction refuses writes, defaultReadOnly that later ones do.
+	readOnly, defaultReadOnly bool
 	// failed means that the transaction is aborted.
 	failed bool
 	// skipToSync means that messages are ignored until Sync, after an error in the extended protocol.
--- a/stand/dbase/sql.go
+++ b/stand/dbase/sql.go
@@ -101,6 +101,7 @@
 	{compilePattern(`discard all`), command{run: discard, control: true}},
 	{compilePattern(`load %`), command{run: load}},
 	{compilePattern(`set transaction read only`), command{run: setReadOnly}},
+	{compilePattern(`set session characteristics as transaction read only`), command{run: setDefaultReadOnly}},
 	{compilePattern(`set .*`), command{run: set, control: true}},
 	{compilePattern(`select pg_sleep\(~%~\)`), command{run: sleep, columns: []string{"pg_sleep"}}},
 	{compilePattern(`select \* from group_status\(\)`), command{run: groupStatus, columns: statusColumns}},
@@ -276,6 +277,7 @@
 	s.endTx()
 	s.releaseAdvisoryLocks()
 	s.statements = map[string]*prepared{}
+	s.readOnly, s.defaultReadOnly = false, false
 	return result{tag: "DISCARD ALL"}, nil
 }
 
--- a/stand/dbase/txstate.go
+++ b/stand/dbase/txstate.go
@@ -25,6 +25,12 @@
 	return result{tag: "SET"}, nil
 }
 
+// setDefaultReadOnly makes the session's later transactions refuse writes.
+func setDefaultReadOnly(s *session, _ []string) (result, error) {
+	s.defaultReadOnly = true
+	return result{tag: "SET"}, nil
+}
+
 func setSavepoint(s *session, args []string) (result, error) {
 	if !s.inTx {
 		return result{}, errNoBlock
