Keep the connection of a session that pins itself in a transaction

Cause: whether a session keeps its connection was asked when the transaction began. One that took an advisory lock or declared a cursor later gave its connection back at the COMMIT, with the lock, and got another one for what followed.

Change: each request of a transaction may pin it. A replica's connection is closed at the end of the transaction, for sessions are pinned on the primary only. The limit of idle transactions now holds for transactions of pinned sessions too, which would otherwise hold locks without a limit.

TestSessionThatPinsItselfInATransactionKeepsItsConnection and TestIdleTransactionOfPinnedSessionIsRolledBack failed before and pass; the packages owner and entry pass.

--- /dev/null
+++ b/internal/owner/pinned_test.go
@@ -0,0 +1,75 @@
+package owner
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"geraniumseam.dev/internal/clock"
+	"geraniumseam.dev/internal/fault"
+	"geraniumseam.dev/internal/proto"
+	"geraniumseam.dev/internal/rule/fair"
+	"geraniumseam.dev/pkg/stmt"
+)
+
+// openOn opens a transaction on a connection to a server.
+func openOn(t *testing.T, g *Group, s *server, replica bool) *transaction {
+	t.Helper()
+	got := s.pool.acquire(context.Background(), fair.Flow{Customer: "c"}, 1, 5*time.Second)
+	if got.conn == nil {
+		t.Fatalf("no connection to %s: %s", s.ID, got.reason)
+	}
+	got.conn.txStatus = 'T'
+	tx := &transaction{server: s, conn: got.conn, replica: replica}
+	g.registerTx(tx)
+	return tx
+}
+
+// TestSessionThatPinsItselfInATransactionKeepsItsConnection: what such a request leaves on the
+// connection belongs to the session, also after the COMMIT. The session is pinned on the primary
+// only, so that a replica's connection is closed.
+func TestSessionThatPinsItselfInATransactionKeepsItsConnection(t *testing.T) {
+	for name, replica := range map[string]bool{"primary": false, "replica": true} {
+		t.Run(name, func(t *testing.T) {
+			d := &scriptedDriver{fakeDriver: newDriver()}
+			g := startGroup(t, d, &countingStore{})
+			eventually(t, "the primary is known", func() bool { id, _ := g.Primary(); return id == "a" })
+			s := g.allServers()[0]
+			if replica {
+				s = g.allServers()[1]
+			}
+			tx := openOn(t, g, s, replica)
+			conn := tx.conn
+			run := func(end string, kind stmt.Kind, pin bool) Result {
+				d.setEnds([]string{end})
+				ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+				defer cancel()
+				w := Work{
+					Customer: "c", Group: "g", Kind: kind, Pin: pin, Tx: tx.id, Limits: Limits{Run: 5 * time.Second},
+					Request: proto.Request{NeverCommits: kind != stmt.Commit},
+				}
+				return g.Run(ctx, &w, &bufferSink{})
+			}
+			if r := run("done T", stmt.Pin, true); r.Outcome != fault.Done || r.Tx != tx.id {
+				t.Fatalf("a request that pins: %+v", r)
+			}
+			r := run("done I", stmt.Commit, false)
+			if r.Outcome != fault.Done || (r.Tx == tx.id) == replica || conn.Clean() == replica {
+				t.Errorf("COMMIT: %+v, connection open: %t", r, conn.Clean())
+			}
+		})
+	}
+}
+
+// TestIdleTransactionOfPinnedSessionIsRolledBack: the limit of idle transactions holds for those of
+// pinned sessions too, while their connections may be idle outside a transaction.
+func TestIdleTransactionOfPinnedSessionIsRolledBack(t *testing.T) {
+	g := startGroup(t, newDriver(), &countingStore{})
+	eventually(t, "the primary is known", func() bool { id, _ := g.Primary(); return id == "a" })
+	inside, outside := openOn(t, g, g.allServers()[0], false), openOn(t, g, g.allServers()[0], false)
+	inside.pinned, outside.pinned, outside.conn.txStatus = true, true, 'I'
+	ids := g.idleTxs(clock.Now().Add(2 * g.defaults.Load().IdleTransaction))
+	if len(ids) != 1 || ids[0] != inside.id {
+		t.Errorf("idle: %x, want %x only", ids, uint64(inside.id))
+	}
+}
--- a/internal/owner/tx.go
+++ b/internal/owner/tx.go
@@ -147,6 +147,7 @@
 	buffer := &bufferSink{}
 	request := w.Request
 	request.WantStatus = !t.replica && w.Kind != stmt.Read
+	t.pinned = t.pinned || w.Pin
 	conn := t.conn
 	wasOpen := conn.inOpenTx()
 	t.readsOnly = t.readsOnly && request.WritesNothing
@@ -196,7 +197,13 @@
 	if t.replica || !a.HasStatus {
 		result.LastRead = LastRead{Owner: g.conf.Self, Server: t.server.ID, EndedAt: clock.Now().UnixNano()}
 	}
-	if a.TxStatus == 'I' && !t.pinned {
+	switch {
+	case a.TxStatus != 'I':
+	case t.pinned && t.replica:
+		// A session is pinned on the primary only.
+		g.End(t.id)
+		result.Tx = 0
+	case !t.pinned:
 		g.returnConn(t)
 		result.Tx = 0
 	}
@@ -253,8 +260,8 @@
 	}
 }
 
-// idleTxs returns the transactions that have been idle too long; pinned connections and
-// transactions that run a request are left out.
+// idleTxs returns the transactions that have been idle too long; pinned connections outside a
+// transaction and transactions that run a request are left out.
 func (g *Group) idleTxs(now time.Time) []TxID {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -263,7 +270,8 @@
 		if !t.mu.TryLock() {
 			continue
 		}
-		if !t.pinned && now.Sub(t.lastUsed) > g.defaults.Load().IdleTransaction {
+		inTx := !t.pinned || t.conn != nil && t.conn.inOpenTx()
+		if inTx && now.Sub(t.lastUsed) > g.defaults.Load().IdleTransaction {
 			ids = append(ids, id)
 		}
 		t.mu.Unlock()
