Close the connection of a refused request that pins its session

Cause: a request that is refused as read-only outside a transaction is undone by the server, but not what it left on the connection, such as a lock of the session; the connection went back to the pool all the same.

Change: it is closed if the request was to pin the session.

--- a/internal/fleet/batch_test.go
+++ b/internal/fleet/batch_test.go
@@ -124,3 +124,22 @@
 		t.Errorf("after an unknown outcome: got %q, want the end of the session without a promise", end)
 	}
 }
+
+// TestRefusedRequestThatPinsLeavesNothingBehind: a request that takes a lock of the session and is
+// refused as read-only, on every try, must not leave the lock on a connection that others get: not the
+// one that the next transaction takes, while another caller asks for the lock.
+func TestRefusedRequestThatPinsLeavesNothingBehind(t *testing.T) {
+	f := start(t, Config{Seed: 35, AdjustConfig: func(c *conf.Config) { c.Defaults.StatementDeadline = 4 * time.Second }})
+	target := f.URL(f.Members()[0], "dealers-hanoi", "stock")
+	refused, next, other := openWire(t, target), openWire(t, target), openWire(t, target)
+	text := "SELECT pg_advisory_lock(1); SET TRANSACTION READ ONLY; INSERT INTO ledger (id, value) VALUES ('refused', '1')"
+	if reply := refused.exchange(&pgproto3.Query{String: text}); !strings.Contains(reply, "outcome=not-run") {
+		t.Fatalf("got %q, want a refusal", reply)
+	}
+	if reply := next.exchange(&pgproto3.Query{String: "BEGIN"}); reply != "BEGIN\nready T\n" {
+		t.Fatalf("got %q, want a transaction", reply)
+	}
+	if reply := other.exchange(&pgproto3.Query{String: "SELECT pg_advisory_lock(1)"}); !strings.Contains(reply, "SELECT 1\n") {
+		t.Errorf("got %q, want the lock", reply)
+	}
+}
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -183,6 +183,10 @@
 		return failed
 	}
 	if w.refused(answer) && (answer.TxStatus == 'I' || !got.conn.Clean()) {
+		if w.Pin {
+			// The server has undone the request, but not what it left on the connection.
+			got.conn.Close()
+		}
 		s.pool.release(got.conn)
 		g.handleRefusal(s, answer.Refusal)
 		return attempt{result: refused(answer), retryable: true, uncharged: true}
