Pin the session whatever statement leaves state on its connection

Cause: advisory locks and set_config were looked for in queries only, up to the first other function, and only under names that start with pg_advisory. After pg_try_advisory_lock, or a lock taken by an INSERT or beside another function, the connection went back to the pool with the lock; so it did with the table of SELECT INTO TEMP.

Change: they are looked for in every statement that reads or writes.

--- a/pkg/stmt/classify.go
+++ b/pkg/stmt/classify.go
@@ -93,10 +93,33 @@
 }
 
 func classifyOne(tokens []token) Class {
+	class := classifyByFirstWord(tokens)
+	if (class.Kind == Read || class.Kind == Write) && leavesState(tokens) {
+		return Class{Kind: Pin, LeavesState: true}
+	}
+	return class
+}
+
+// leavesState reports whether a statement, whatever its first word, calls a function that is known
+// to leave state on the connection, or puts rows into a temporary table that it creates.
+func leavesState(tokens []token) bool {
+	for i, tok := range tokens[:len(tokens)-1] {
+		next := tokens[i+1]
+		switch {
+		case tok.literal:
+		case next.text == "(" && !next.literal && (tok.text == "set_config" || strings.Contains(tok.text, "advisory")):
+			return true
+		case tok.text == "into" && !tok.quoted && hasWord(tokens[i+1:i+2], "temp", "temporary"):
+			return true
+		}
+	}
+	return false
+}
+
+func classifyByFirstWord(tokens []token) Class {
 	switch first := tokens[0].text; {
 	case first == "select" || first == "values" || first == "table" || first == "with":
-		kind := classifyQuery(tokens)
-		return Class{Kind: kind, LeavesState: kind == Pin}
+		return Class{Kind: classifyQuery(tokens)}
 	case first == "begin" || first == "start":
 		return classifyBegin(tokens)
 	case first == "commit" || first == "end":
@@ -141,7 +164,7 @@
 	return len(tokens) == 2 || tokens[2].literal || tokens[2].text != "as" && tokens[2].text != "("
 }
 
-// classifyQuery returns whether a query reads, writes, or pins its session.
+// classifyQuery returns whether a query reads or writes.
 func classifyQuery(tokens []token) Kind {
 	for i, tok := range tokens {
 		if tok.literal {
@@ -151,9 +174,6 @@
 			return Write
 		}
 		if i+1 < len(tokens) && tokens[i+1].text == "(" && !tokens[i+1].literal && mayCallUnknownFunction(tok) {
-			if strings.HasPrefix(tok.text, "pg_advisory") || tok.text == "set_config" {
-				return Pin
-			}
 			return Write
 		}
 	}
--- a/stand/dbase/sql.go
+++ b/stand/dbase/sql.go
@@ -88,6 +88,7 @@
 	{compilePattern(`update ledger set value~=~% where id~=~%`), command{run: update}},
 	{compilePattern(`delete from ledger where id~=~%`), command{run: remove}},
 	{compilePattern(`select append_value\(~%~,~%~\)`), command{run: appendValue, columns: []string{"append_value"}}},
+	{compilePattern(`select pg_try_advisory_lock\(~%~\)`), command{run: tryAdvisoryLock, columns: []string{"pg_try_advisory_lock"}}},
 	{compilePattern(`select pg_advisory_lock\(~%~\)`), command{run: advisoryLock, columns: []string{"pg_advisory_lock"}}},
 	{compilePattern(`copy ledger from stdin(?: .*)?`), command{run: copyIn}},
 	{compilePattern(`copy ledger to stdout(?: .*)?`), command{run: copyOut}},
--- a/stand/dbase/txstate.go
+++ b/stand/dbase/txstate.go
@@ -87,7 +87,7 @@
 // advisoryLock takes a lock that the session holds until it ends; it fails with a deadlock error
 // after lockWait.
 func advisoryLock(s *session, args []string) (result, error) {
-	for deadline := time.Now().Add(lockWait); !s.tryAdvisoryLock(args[0]); time.Sleep(lockPollInterval) {
+	for deadline := time.Now().Add(lockWait); !s.takeAdvisoryLock(args[0]); time.Sleep(lockPollInterval) {
 		if time.Now().After(deadline) {
 			return result{}, errDeadlock
 		}
@@ -95,7 +95,11 @@
 	return result{rows: [][]string{{""}}, tag: "SELECT 1"}, nil
 }
 
-func (s *session) tryAdvisoryLock(key string) bool {
+func tryAdvisoryLock(s *session, args []string) (result, error) {
+	return boolResult(s.takeAdvisoryLock(args[0]))
+}
+
+func (s *session) takeAdvisoryLock(key string) bool {
 	st := s.server.store
 	st.mu.Lock()
 	defer st.mu.Unlock()
