End a pinned session whose refused request closes its connection

Cause: a request that the proxy refuses in a transaction rolls it back by closing its connection. A pinned session went on afterwards without what it held there, such as its locks.

Change: the session ends with the refusal, as when it loses its connection.

Result: the case of TestSessionStateDoesNotReachOthers was answered ERROR, READY E before, and FATAL now; TestWire and the packages entry and fault pass.

--- a/internal/entry/pgserve.go
+++ b/internal/entry/pgserve.go
@@ -73,7 +73,11 @@
 
 // refuseRequest refuses a request that has not reached a server; done also sends ReadyForQuery.
 func (s *pgSession) refuseRequest(r fault.Reason, done bool) bool {
-	s.refuse(&fault.Fault{Reason: r, Outcome: fault.NotSent, Trace: s.instance.trace()})
+	f := &fault.Fault{Reason: r, Outcome: fault.NotSent, Trace: s.instance.trace()}
+	if s.pinned && s.status == TxOpen {
+		return s.endWith(f)
+	}
+	s.refuse(f)
 	if s.status == TxOpen {
 		s.failTx()
 	}
@@ -89,8 +93,8 @@
 	clear(s.portals)
 }
 
-// failTx rolls back the open transaction. For the caller it counts as failed until the caller
-// ends it.
+// failTx rolls back the open transaction by closing its connection. For the caller it counts as
+// failed until the caller ends it.
 func (s *pgSession) failTx() {
 	s.EndTx()
 	s.txFailed, s.status = true, TxFailed
@@ -215,11 +219,7 @@
 	}
 	endsTx := w.Kind == stmt.Commit || w.Kind == stmt.Rollback
 	if s.pinned || s.tx != 0 && !endsTx && !w.Request.NeverCommits && f.Outcome.Unknown() {
-		f.Fatal = true
-		s.endTx()
-		s.refuse(f)
-		_ = s.wire.Flush()
-		return false
+		return s.endWith(f)
 	}
 	if s.tx != 0 {
 		if endsTx {
@@ -231,8 +231,20 @@
 	return s.answerFault(f, omitReady)
 }
 
+// endWith ends the session, with its pinned connection or its transaction.
+func (s *pgSession) endWith(f *fault.Fault) bool {
+	f.Fatal = true
+	s.endTx()
+	s.refuse(f)
+	_ = s.wire.Flush()
+	return false
+}
+
 // answerFault answers the batch with a fault and fails the open transaction.
 func (s *pgSession) answerFault(f *fault.Fault, omitReady bool) bool {
+	if s.pinned && s.status == TxOpen {
+		return s.endWith(f)
+	}
 	s.refuse(f)
 	if s.status == TxOpen {
 		s.failTx()
