--- a/internal/fleet/procs_test.go
+++ b/internal/fleet/standin_test.go
@@ -18,7 +18,7 @@
 // connection to an empty server: what procedures, DO blocks, deferred constraints and COPY answer and
 // keep.
 func TestStandInAnswersAsPostgreSQLDoes(t *testing.T) {
-	datadriven.RunTest(t, "testdata/procedures", func(t *testing.T, d *datadriven.TestData) string {
+	datadriven.RunTest(t, "testdata/stand-in", func(t *testing.T, d *datadriven.TestData) string {
 		g, err := dbase.Start(dbase.Config{Group: "stock", Servers: []ident.ServerID{"a"}, Slots: 1, Connections: 2, User: "u", Password: "p"})
 		if err != nil {
 			t.Fatal(err)
