--- a/pkg/stmt/classify.go
+++ b/pkg/stmt/classify.go
@@ -38,14 +38,15 @@
 
 func classify(text string) Class {
 	tokens, ok := tokenize(text)
-	if !ok {
-		return Class{Kind: Pin, LeavesState: true}
-	}
 	parts := splitStatements(tokens)
-	if len(parts) == 0 {
+	switch {
+	case !ok && classifyMany(parts).Kind == Refused:
+		return Class{Kind: Refused}
+	case !ok:
+		return Class{Kind: Pin, LeavesState: true}
+	case len(parts) == 0:
 		return Class{Kind: Empty}
-	}
-	if len(parts) == 1 {
+	case len(parts) == 1:
 		return classifyOne(parts[0])
 	}
 	return classifyMany(parts)
@@ -92,10 +93,33 @@
 }
 
 func classifyOne(tokens []token) Class {
+	class := classifyByFirstWord(tokens)
+	if (class.Kind == Read || class.Kind == Write) && leavesState(tokens) {
+		return Class{Kind: Pin, LeavesState: true}
+	}
+	return class
+}
+
+// leavesState reports whether a statement, whatever its first word, calls a function that is known
+// to leave state on the connection, or puts rows into a temporary table that it creates.
+func leavesState(tokens []token) bool {
+	for i, tok := range tokens[:len(tokens)-1] {
+		next := tokens[i+1]
+		switch {
+		case tok.literal:
+		case next.text == "(" && !next.literal && (tok.text == "set_config" || strings.Contains(tok.text, "advisory")):
+			return true
+		case tok.text == "into" && !tok.quoted && hasWord(tokens[i+1:i+2], "temp", "temporary"):
+			return true
+		}
+	}
+	return false
+}
+
+func classifyByFirstWord(tokens []token) Class {
 	switch first := tokens[0].text; {
 	case first == "select" || first == "values" || first == "table" || first == "with":
-		kind := classifyQuery(tokens)
-		return Class{Kind: kind, LeavesState: kind == Pin}
+		return Class{Kind: classifyQuery(tokens)}
 	case first == "begin" || first == "start":
 		return classifyBegin(tokens)
 	case first == "commit" || first == "end":
@@ -110,7 +134,7 @@
 		return classifyShow(tokens)
 	case first == "explain":
 		return Class{Kind: Write}
-	case refusedWords[first]:
+	case refusedWords[first], first == "prepare" && preparesTx(tokens):
 		return Class{Kind: Refused}
 	case pinWords[first], first == "create" && hasWord(tokens, "temp", "temporary"):
 		return Class{Kind: Pin, LeavesState: true}
@@ -132,7 +156,15 @@
 	return Class{Kind: kind}
 }
 
-// classifyQuery returns whether a query reads, writes, or pins its session.
+// preparesTx tells PREPARE TRANSACTION 'id' from PREPARE of a statement with the name transaction.
+func preparesTx(tokens []token) bool {
+	if len(tokens) < 2 || tokens[1].text != "transaction" || tokens[1].quoted {
+		return false
+	}
+	return len(tokens) == 2 || tokens[2].literal || tokens[2].text != "as" && tokens[2].text != "("
+}
+
+// classifyQuery returns whether a query reads or writes.
 func classifyQuery(tokens []token) Kind {
 	for i, tok := range tokens {
 		if tok.literal {
@@ -142,9 +174,6 @@
 			return Write
 		}
 		if i+1 < len(tokens) && tokens[i+1].text == "(" && !tokens[i+1].literal && mayCallUnknownFunction(tok) {
-			if strings.HasPrefix(tok.text, "pg_advisory") || tok.text == "set_config" {
-				return Pin
-			}
 			return Write
 		}
 	}
@@ -172,12 +201,15 @@
 // classifySet classifies SET name = value, SET name TO value and RESET name.
 func classifySet(tokens []token) Class {
 	rest := tokens[1:]
-	if len(rest) > 0 && rest[0].text == "local" || hasWord(tokens, "transaction") {
+	if len(rest) > 0 && rest[0].text == "local" {
 		return Class{Kind: Write}
 	}
 	if len(rest) > 0 && rest[0].text == "session" {
 		rest = rest[1:]
 	}
+	if tokens[0].text == "set" && len(rest) > 0 && rest[0].text == "transaction" && !rest[0].quoted {
+		return Class{Kind: Write}
+	}
 	name, rest := qualifiedName(rest)
 	if name == "" {
 		return Class{Kind: Pin, LeavesState: true}
--- a/stand/dbase/rows.go
+++ b/stand/dbase/rows.go
@@ -44,6 +44,9 @@
 	if len(s.changes) == 0 {
 		return nil
 	}
+	if err := s.checkDeferred(); err != nil {
+		return err
+	}
 	if err := s.server.store.commit(s.changes); err != nil {
 		return err
 	}
@@ -59,7 +62,7 @@
 		delete(st.locks, id)
 	}
 	st.mu.Unlock()
-	s.inTx, s.failed, s.readOnly = false, false, false
+	s.inTx, s.failed, s.readOnly = false, false, s.defaultReadOnly
 	s.changes, s.locked, s.savepoints = nil, nil, nil
 }
 
--- a/stand/dbase/txstate.go
+++ b/stand/dbase/txstate.go
@@ -25,6 +25,12 @@
 	return result{tag: "SET"}, nil
 }
 
+// setDefaultReadOnly makes the session's later transactions refuse writes.
+func setDefaultReadOnly(s *session, _ []string) (result, error) {
+	s.defaultReadOnly = true
+	return result{tag: "SET"}, nil
+}
+
 func setSavepoint(s *session, args []string) (result, error) {
 	if !s.inTx {
 		return result{}, errNoBlock
@@ -81,7 +87,7 @@
 // advisoryLock takes a lock that the session holds until it ends; it fails with a deadlock error
 // after lockWait.
 func advisoryLock(s *session, args []string) (result, error) {
-	for deadline := time.Now().Add(lockWait); !s.tryAdvisoryLock(args[0]); time.Sleep(lockPollInterval) {
+	for deadline := time.Now().Add(lockWait); !s.takeAdvisoryLock(args[0]); time.Sleep(lockPollInterval) {
 		if time.Now().After(deadline) {
 			return result{}, errDeadlock
 		}
@@ -89,7 +95,11 @@
 	return result{rows: [][]string{{""}}, tag: "SELECT 1"}, nil
 }
 
-func (s *session) tryAdvisoryLock(key string) bool {
+func tryAdvisoryLock(s *session, args []string) (result, error) {
+	return boolResult(s.takeAdvisoryLock(args[0]))
+}
+
+func (s *session) takeAdvisoryLock(key string) bool {
 	st := s.server.store
 	st.mu.Lock()
 	defer st.mu.Unlock()
