Skip a Query and a FunctionCall up to the Sync after an error

Cause: after an error a caller was told that nothing of its messages took effect, but only messages of the extended protocol were skipped up to the Sync. A Query before the Sync ran and was answered, a FunctionCall was answered with a second error, and the ReadyForQuery of either was taken for the one of the Sync.

Change: after an error only Sync, Flush and Terminate are looked at.

--- a/internal/entry/pgserve.go
+++ b/internal/entry/pgserve.go
@@ -45,24 +45,26 @@
 
 // handle handles one message; false ends the session.
 func (s *pgSession) handle(message pgproto3.FrontendMessage) bool {
-	switch m := message.(type) {
+	switch message.(type) {
 	case *pgproto3.Terminate:
 		return false
-	case *pgproto3.Query:
-		return s.query(m)
 	case *pgproto3.Sync:
 		return s.sync()
 	case *pgproto3.Flush:
 		return s.flush()
+	}
+	if s.skipToSync {
+		return true
+	}
+	switch m := message.(type) {
+	case *pgproto3.Query:
+		return s.query(m)
 	case *pgproto3.CopyData, *pgproto3.CopyDone, *pgproto3.CopyFail:
 		return true
 	case *pgproto3.FunctionCall:
 		s.dropBatch()
 		return s.refuseRequest(fault.NotSupported, true)
 	}
-	if s.skipToSync {
-		return true
-	}
 	if reason := s.appendMessage(message); reason != fault.None {
 		s.skipToSync = true
 		s.dropBatch()
--- a/internal/fleet/batch_test.go
+++ b/internal/fleet/batch_test.go
@@ -124,3 +124,31 @@
 		t.Errorf("after an unknown outcome: got %q, want the end of the session without a promise", end)
 	}
 }
+
+// TestQueryIsSkippedAfterError: after an error, no message up to the Sync may run, nor be answered;
+// neither may a Query or a FunctionCall.
+func TestQueryIsSkippedAfterError(t *testing.T) {
+	f := start(t, Config{Seed: 34})
+	insert := &pgproto3.Query{String: "INSERT INTO ledger (id, value) VALUES ('skipped', '1')"}
+	for name, test := range map[string]struct {
+		failing []pgproto3.FrontendMessage
+		want    string
+	}{
+		"of the proxy":  {[]pgproto3.FrontendMessage{&pgproto3.Parse{Query: "LISTEN news"}}, "ERROR 0A000: not run: not-supported reason=not-supported outcome=not-run …\nready I\n"},
+		"of the server": {[]pgproto3.FrontendMessage{&pgproto3.Parse{Query: "no statement"}, &pgproto3.Flush{}}, "ERROR 42601: syntax error: the stand-in does not know this statement\nready I\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := openWire(t, f.URL(f.Members()[0], "dealers-hanoi", "stock"))
+			reply := c.exchange(append(test.failing, insert, &pgproto3.FunctionCall{}, &pgproto3.Sync{})...)
+			if rows := f.Groups["stock"].Primary().Rows(); rows["skipped"] != "" {
+				t.Errorf("the primary holds %v", rows)
+			}
+			if reply != test.want {
+				t.Errorf("got %q, want %q", reply, test.want)
+			}
+			if reply := c.exchange(&pgproto3.Query{String: "SELECT 1"}); !strings.HasSuffix(reply, "SELECT 1\nready I\n") {
+				t.Errorf("after the Sync: got %q", reply)
+			}
+		})
+	}
+}
