Answer what a caller sent before a Query, instead of dropping it

Cause: a Query dropped the messages before it that had no Sync yet, without a word. The caller took the CommandComplete of the Query for that of its Execute, which had not run: told "done" for an INSERT that was dropped. A Parse, Describe, Bind or Close had no answer at all, and an error of a Parse was never told.

Change: a Query first has what came before it answered, as a Flush does: a batch without an Execute runs, one with an Execute is refused as not run, and after an error the Query is skipped. A Flush also sends the replies that need no server.

--- a/internal/entry/pgbatch.go
+++ b/internal/entry/pgbatch.go
@@ -51,6 +51,9 @@
 	*b = batch{messages: b.messages[:0]}
 }
 
+// needsServer reports whether a server has to answer a message of the batch.
+func (b *batch) needsServer() bool { return len(b.messages) > 0 || len(b.required) > 0 }
+
 // require has the statement prepared on the server connection before the batch runs.
 func (b *batch) require(p *prepared) {
 	for _, known := range b.required {
--- a/internal/entry/pgserve.go
+++ b/internal/entry/pgserve.go
@@ -98,12 +98,16 @@
 	s.txFailed, s.status = true, TxFailed
 }
 
+// query runs a Query message. What the caller sent before it without a Sync is answered first; if
+// that fails, the Query is skipped.
 func (s *pgSession) query(m *pgproto3.Query) bool {
-	class := stmt.Classify(m.String)
-	if len(s.batch.messages) > 0 {
-		s.dropBatch()
+	if !s.flush() {
+		return false
 	}
-	s.batch.reset()
+	if s.skipToSync {
+		return true
+	}
+	class := stmt.Classify(m.String)
 	if class.Kind == stmt.Refused {
 		return s.refuseRequest(fault.NotSupported, true)
 	}
@@ -122,11 +126,8 @@
 		s.batch.reset()
 		return s.ready()
 	}
-	if len(s.batch.messages) == 0 && len(s.batch.required) == 0 {
-		for _, message := range s.batch.injected {
-			s.sendInjected(message)
-		}
-		s.batch.reset()
+	if !s.batch.needsServer() {
+		s.sendInjected()
 		return s.ready()
 	}
 	var end pgproto3.Sync
@@ -134,19 +135,27 @@
 	return s.execute()
 }
 
-func (s *pgSession) sendInjected(message proto.InjectedMessage) {
-	if message.Kind == '3' {
-		s.wire.Send(&pgproto3.CloseComplete{})
-		return
+// sendInjected sends the replies that the instance gives on behalf of a server, and empties the batch.
+func (s *pgSession) sendInjected() {
+	for _, message := range s.batch.injected {
+		if message.Kind == '3' {
+			s.wire.Send(&pgproto3.CloseComplete{})
+			continue
+		}
+		s.wire.Send(&pgproto3.ParseComplete{})
 	}
-	s.wire.Send(&pgproto3.ParseComplete{})
+	s.batch.reset()
 }
 
 // flush runs the batch if it executes no statement; the result is then the same as after a
 // Sync. A batch that executes statements is refused, because running it before the Sync would
 // commit too early.
 func (s *pgSession) flush() bool {
-	if s.skipToSync || len(s.batch.messages) == 0 && len(s.batch.required) == 0 {
+	if s.skipToSync {
+		return s.wire.Flush() == nil
+	}
+	if !s.batch.needsServer() {
+		s.sendInjected()
 		return s.wire.Flush() == nil
 	}
 	if s.batch.executes > 0 {
