Tell an operator "nothing of yours was applied" only if that is known

Cause: a conflict on the head of the configuration was taken for proof that the operator's change was not applied. If the response to its first attempt was lost and another operator replaced it before the retry, the conflict is with the successor: the change was accepted, and may have been in force.

Change: the error of a write says whether an earlier attempt had no response (plat.Error.EarlierLost), and the error for a concurrent change then says that the change may have been in force in between.

--- a/internal/confs/confs_test.go
+++ b/internal/confs/confs_test.go
@@ -5,9 +5,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"net/http"
+	"path"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -101,6 +105,68 @@
 	}
 }
 
+// overtaken is a transport that loses the response to the first write of a configuration's head, and
+// lets another operator replace that before the write is tried again.
+type overtaken struct {
+	once    sync.Once
+	replace func()
+}
+
+// RoundTrip implements http.RoundTripper.
+func (o *overtaken) RoundTrip(r *http.Request) (*http.Response, error) {
+	response, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil || r.Method != http.MethodPut || path.Base(r.URL.Path) != HeadName {
+		return response, err
+	}
+	lost := false
+	o.once.Do(func() {
+		lost = true
+		o.replace()
+	})
+	if lost {
+		response.Body.Close()
+		return nil, io.ErrUnexpectedEOF
+	}
+	return response, nil
+}
+
+// TestOvertakenChangeIsNotReportedAsNotApplied: a change is stored, its response is lost, and another
+// operator replaces it before it is tried again. The conflict then found does not prove that nothing
+// was applied; the one of a change that was never stored does.
+func TestOvertakenChangeIsNotReportedAsNotApplied(t *testing.T) {
+	p, other := newClient(t)
+	ctx := testContext(t)
+	base, err := Apply(ctx, other, configWithCustomers(1), 0, "first", "begin")
+	if err != nil {
+		t.Fatal(err)
+	}
+	applied := ident.Version(0)
+	s := plat.New(plat.Config{
+		URL: p.URL(), CallTimeout: time.Second, Attempts: 3, Backoff: retry.Backoff{Initial: time.Millisecond, Max: 5 * time.Millisecond}, Random: rand.New(rand.NewPCG(1, 1)),
+		Transport: &overtaken{replace: func() {
+			b, err := Load(ctx, other)
+			if err != nil || b.Head.Author != "ana" {
+				t.Errorf("stored by %q, %v; want ana's change", b.Head.Author, err)
+			}
+			if applied, err = Apply(ctx, other, configWithCustomers(3), b.Version, "ben", "replace"); err != nil {
+				t.Error(err)
+			}
+		}},
+	})
+	_, err = Apply(ctx, s, configWithCustomers(2), base, "ana", "change")
+	var conflict *ConcurrentChangeError
+	if !errors.As(err, &conflict) || conflict.Author != "ben" || conflict.Stored != applied {
+		t.Fatalf("got %v, want a ConcurrentChangeError that names ben", err)
+	}
+	if !conflict.MayHaveApplied || strings.Contains(err.Error(), "nothing of yours") {
+		t.Errorf("a change that was applied for a time: %v", err)
+	}
+	_, err = Apply(ctx, s, configWithCustomers(4), base, "ana", "change")
+	if !errors.As(err, &conflict) || conflict.MayHaveApplied || !strings.Contains(err.Error(), "nothing of yours was applied") {
+		t.Errorf("a change that was never stored: %v", err)
+	}
+}
+
 // TestVersionNeverDecreases offers bundles in random order, some of them invalid or
 // incomplete: the version in use never decreases and is always complete.
 func TestVersionNeverDecreases(t *testing.T) {
--- a/internal/confs/store.go
+++ b/internal/confs/store.go
@@ -35,11 +35,17 @@
 	Stored ident.Version
 	Author string
 	Reason string
+	// MayHaveApplied is set if the rejected change may have been stored, and replaced since.
+	MayHaveApplied bool
 }
 
 // Error implements error.
 func (e *ConcurrentChangeError) Error() string {
-	return fmt.Sprintf("configuration %d was replaced by %d, written by %s (%s); nothing of yours was applied", e.Base, e.Stored, e.Author, e.Reason)
+	own := "nothing of yours was applied"
+	if e.MayHaveApplied {
+		own = "yours may have been in force in between"
+	}
+	return fmt.Sprintf("configuration %d was replaced by %d, written by %s (%s); %s", e.Base, e.Stored, e.Author, e.Reason, own)
 }
 
 // InvalidError reports the mistakes of a configuration, of which nothing was applied.
@@ -154,7 +160,7 @@
 	if errors.As(err, &failed) && failed.Cause == plat.Conflict {
 		var current conf.Head
 		_ = json.Unmarshal(failed.Stored.Spec, &current)
-		return 0, &ConcurrentChangeError{Base: base, Stored: failed.Stored.Version(), Author: current.Author, Reason: current.Reason}
+		return 0, &ConcurrentChangeError{Base: base, Stored: failed.Stored.Version(), Author: current.Author, Reason: current.Reason, MayHaveApplied: failed.EarlierLost}
 	}
 	if err != nil {
 		return 0, errors.Trace(err)
--- a/internal/plat/client.go
+++ b/internal/plat/client.go
@@ -90,13 +90,19 @@
 	tagged := o
 	tagged.Metadata.Annotations = map[string]string{objs.OperationKey: operationID}
 	var stored objs.Object
+	lost := false
 	err := c.retry(ctx, "put", func(ctx context.Context) error {
 		err := c.call(ctx, http.MethodPut, path(o.Kind, o.Metadata.Name), tagged, &stored)
 		var failed *Error
-		if errors.As(err, &failed) && failed.Cause == Conflict && failed.Stored.Operation() == operationID {
+		if !errors.As(err, &failed) {
+			return err
+		}
+		if failed.Cause == Conflict && failed.Stored.Operation() == operationID {
 			stored = failed.Stored
 			return nil
 		}
+		failed.EarlierLost = lost
+		lost = lost || failed.Cause == Unreachable
 		return err
 	})
 	return stored, withObject(err, o.Kind, o.Metadata.Name)
--- a/internal/plat/store.go
+++ b/internal/plat/store.go
@@ -40,6 +40,9 @@
 	Name  string
 	// Stored is the stored object that caused a Conflict.
 	Stored objs.Object
+	// EarlierLost is set if an earlier attempt of the write had no response: it may have been stored,
+	// and replaced since.
+	EarlierLost bool
 	// Epoch is the epoch of the platform's store, 0 if there was no response.
 	Epoch ident.Epoch
 	// Status is the HTTP status, 0 if there was no response.
