Test that an ended transaction's connection is closed, and undelivered answers

Cause: no test of the owner failed if End kept a connection open, which then went back to its pool with the transaction that was promised to be rolled back; nor if a write whose answer can't be passed on was reported as not sent.

--- a/internal/owner/promise_test.go
+++ b/internal/owner/promise_test.go
@@ -62,6 +62,7 @@
 func (c *scriptedConn) Run(_ context.Context, _ *proto.Request, sink proto.Sink) (proto.Answer, error) {
 	what, rest, _ := strings.Cut(c.driver.nextEnd(), " ")
 	if stage, lost := lossStages[what]; lost {
+		c.Close()
 		return proto.Answer{}, &proto.RunError{Server: c.server, Stage: stage}
 	}
 	status, rest, _ := strings.Cut(rest, " ")
@@ -104,7 +105,8 @@
 
 // TestOnlyProvenRequestsAreReportedAsNotRun plays the sessions in testdata/promises: each line is a
 // request, with what its dialect says of it, and how its attempts end at the server. The outcome is
-// one of not-run only if the session so far proves it.
+// one of not-run only if the session so far proves it. No request that ends without a transaction
+// leaves one behind, and no connection that has one open or is lost goes back to its pool.
 func TestOnlyProvenRequestsAreReportedAsNotRun(t *testing.T) {
 	d := &scriptedDriver{fakeDriver: newDriver()}
 	g := startGroup(t, d, &countingStore{})
@@ -123,10 +125,30 @@
 			ctx, cancel := context.WithTimeout(context.Background(), scriptedDeadline)
 			r := g.Run(ctx, &w, sink)
 			cancel()
-			tx = r.Tx
+			_, undeliverable := sink.(brokenSink)
+			if ended := r.Tx == 0 && (tx == 0 || !undeliverable); ended && !g.Idle() {
+				t.Errorf("%s: line %q leaves a transaction behind", script.Pos, line)
+			}
 			fmt.Fprintf(&out, "%s\n", r.Outcome)
+			if tx = r.Tx; undeliverable && w.Tx != 0 {
+				g.End(w.Tx)
+			}
 		}
 		g.End(tx)
+		checkPools(t, g, script.Pos)
 		return out.String()
 	})
 }
+
+func checkPools(t *testing.T, g *Group, position string) {
+	t.Helper()
+	for _, s := range g.allServers() {
+		s.pool.mu.Lock()
+		for _, c := range s.pool.idle {
+			if c.inOpenTx() || !c.Clean() {
+				t.Errorf("%s: a connection of status %c, clean: %t, is in the pool of server %s", position, c.txStatus, c.Clean(), s.ID)
+			}
+		}
+		s.pool.mu.Unlock()
+	}
+}
