Keep a refused read-only transaction out of the pool while it is open

Cause: a read that a server refused gave its connection back to the pool without a look at the transaction's status, unlike a write. A batch that begins a read-only transaction, and binds a statement whose folded function writes, is refused with 25006 inside the transaction: the next caller's request ran in the failed transaction of another.

Change: a refusal is tried again only if no transaction is open, or if the connection is not reused; otherwise the server's error and its transaction are passed on, as for a write.

Measured: the new case of testdata/promises failed before ("a connection of status E is in the pool"); ./internal/owner passes after. The batch itself is by reading: the stand-in folds no functions.

--- a/internal/owner/read.go
+++ b/internal/owner/read.go
@@ -217,7 +217,8 @@
 		return lost
 	}
 	failed := answer.Refusal == proto.ServerError && w.HasNoEffect() && answer.TxStatus == 'I'
-	if (w.refused(answer) || failed) && !buffer.forwarded {
+	ended := answer.TxStatus == 'I' || !c.Clean()
+	if (w.refused(answer) && ended || failed) && !buffer.forwarded {
 		s.pool.release(c)
 		g.handleRefusal(s, answer.Refusal)
 		result := refused(answer)
