Test reads of which a part was passed on, and unconfirmed reads

Cause: no test of the owner failed if a read was tried again after a part of its answer had been passed on, or if an unconfirmed read of PostgreSQL, which may write, was reported as without effect.

Change: cases in testdata/promises with answers that are longer than what is held back; the test of reads without replication looks at the outcome too.

--- a/internal/fleet/promise_test.go
+++ b/internal/fleet/promise_test.go
@@ -143,6 +143,11 @@
 	if value, err := get(t, c, "bike"); value == "sold" {
 		t.Fatalf("a read returned a write that only the primary holds: %v", err)
 	}
+	// The query may write, as through a view, so that nobody knows what it has done.
+	tag, err := c.Exec(testContext(t), "SELECT value FROM ledger WHERE id = 'bike'", pgx.QueryExecModeSimpleProtocol)
+	if sqlState(err) != "08007" {
+		t.Errorf("read without replication: got %s, %v, want 08007", tag, err)
+	}
 }
 
 // TestCommitThatKeepsItsConnectionIsNotAcknowledgedUnreplicated cuts replication from the primary
--- a/internal/owner/promise_test.go
+++ b/internal/owner/promise_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"slices"
@@ -61,6 +62,10 @@
 
 func (c *scriptedConn) Run(_ context.Context, _ *proto.Request, sink proto.Sink) (proto.Answer, error) {
 	what, rest, _ := strings.Cut(c.driver.nextEnd(), " ")
+	if before, long := strings.CutSuffix(rest, "long"); long {
+		rest = strings.TrimSpace(before)
+		_ = sink.Emit(make([]byte, delayedSize+1))
+	}
 	if stage, lost := lossStages[what]; lost {
 		c.Close()
 		return proto.Answer{}, &proto.RunError{Server: c.server, Stage: stage}
@@ -86,6 +91,9 @@
 		Request: proto.Request{NeverCommits: has("never-commits"), WritesNothing: has("writes-nothing")},
 		Limits:  Limits{Run: scriptedDeadline, QueueWait: scriptedDeadline},
 	}
+	if has("replica") {
+		w.ReadConsistency, w.FloorKnown, w.Limits.PrimaryCost = conf.SessionReads, true, time.Second
+	}
 	for k := stmt.Empty; k <= stmt.Refused; k++ {
 		if k.String() == words[0] {
 			w.Kind = k
@@ -129,7 +137,11 @@
 			if ended := r.Tx == 0 && (tx == 0 || !undeliverable); ended && !g.Idle() {
 				t.Errorf("%s: line %q leaves a transaction behind", script.Pos, line)
 			}
-			fmt.Fprintf(&out, "%s\n", r.Outcome)
+			fmt.Fprint(&out, r.Outcome)
+			if passed, ok := sink.(*bufferSink); ok && len(passed.bytes) > delayedSize {
+				fmt.Fprintf(&out, ", passed on up to %q", bytes.Trim(passed.bytes, "\x00"))
+			}
+			out.WriteString("\n")
 			if tx = r.Tx; undeliverable && w.Tx != 0 {
 				g.End(w.Tx)
 			}
