Name a time to retry only to callers whose request has not run

Cause: what is told of an unknown outcome kept the retry-after of the attempt that decided it: of a refusal after an attempt that may have run, or of an owner of an earlier release. It invited the caller to send a request again that may have taken effect, next to the hint not to.

Change: retry-after goes with the outcomes of not-run only, in both dialects.

--- a/internal/fault/outcome_test.go
+++ b/internal/fault/outcome_test.go
@@ -1,6 +1,10 @@
 package fault
 
-import "testing"
+import (
+	"strings"
+	"testing"
+	"time"
+)
 
 // TestUnprovenOutcomeIsUnknown: "not run" without a proof, as an owner of an earlier release sends
 // it, and values that this release does not know count as unknown.
@@ -17,3 +21,14 @@
 		}
 	}
 }
+
+// TestUnknownOutcomeNamesNoTimeToRetry: a time after which to retry invites the caller to send the
+// request again, which only one that has not run allows.
+func TestUnknownOutcomeNamesNoTimeToRetry(t *testing.T) {
+	for o := Done; o <= NoEffect+1; o++ {
+		f := Fault{Reason: NoPrimary, Outcome: o, RetryAfter: time.Second}
+		if told := strings.Contains(f.detail(), "retry-after"); told != o.NotRun() {
+			t.Errorf("outcome %s: %q", o, f.detail())
+		}
+	}
+}
--- a/internal/fault/reason.go
+++ b/internal/fault/reason.go
@@ -85,7 +85,8 @@
 	Reason  Reason
 	Outcome Outcome
 	Trace   ident.TraceID
-	// RetryAfter is the time after which a retry is likely to succeed; 0 if unknown.
+	// RetryAfter is the time after which a retry is likely to succeed; 0 if unknown. It is told only
+	// to callers whose request has not run.
 	RetryAfter time.Duration
 	// Fatal is set if the caller's connection ends with the fault.
 	Fatal bool
@@ -132,7 +133,7 @@
 
 func (f *Fault) detail() string {
 	text := fmt.Sprintf("reason=%s outcome=%s trace=%s", f.Reason, f.Outcome.Label(), f.Trace)
-	if f.RetryAfter > 0 {
+	if f.RetryAfter > 0 && f.Outcome.NotRun() {
 		text += fmt.Sprintf(" retry-after=%s", f.RetryAfter.Round(time.Millisecond))
 	}
 	return text
