Tell a caller whose transaction was rolled back to run it again, not the request

Cause: every refusal said "Nothing of this request took effect; it can be sent again", also of a COMMIT. The transaction is gone with it, and the caller is in none: the same COMMIT sent again is answered COMMIT, as PostgreSQL does outside a transaction, and what was rolled back counts as done. A statement of a failed transaction, sent again by itself, runs without what came before it.

Change: a fault says whether the caller's open transaction was rolled back with the request (fault.Fault.TxRolledBack), and the hint then is to run the transaction again; also at the end of a session with a transaction open.

--- a/internal/entry/pgserve.go
+++ b/internal/entry/pgserve.go
@@ -29,8 +29,9 @@
 			return
 		}
 	}
+	txOpen := s.status != TxNone
 	s.endTx()
-	s.sendTermination()
+	s.sendTermination(txOpen)
 }
 
 // refuseMalformed answers a message that cannot be decoded. If the caller has disconnected, it
@@ -218,6 +219,7 @@
 // whether the batch has ended the caller's transaction.
 func (s *pgSession) handleFault(reply Reply, sink *callerSink, omitReady bool) bool {
 	w, f := reply.Work, reply.Fault
+	f.TxRolledBack = s.status != TxNone
 	if sink.emitted {
 		f.Fatal = true
 		s.refuse(f)
--- a/internal/entry/pgstart.go
+++ b/internal/entry/pgstart.go
@@ -143,6 +143,7 @@
 // refuse counts a fault and queues it for the caller; it does not flush.
 func (s *pgSession) refuse(f *fault.Fault) {
 	s.inDoubt = f.Outcome.Unknown()
+	f.TxRolledBack = f.TxRolledBack || s.status != TxNone
 	s.instance.journal.RecordRefusal(f, s.access.Customer, s.access.Group)
 	s.wire.Send(f.Response())
 }
@@ -244,7 +245,8 @@
 
 // sendTermination sends the caller the reason why the instance ends its session, if there is one.
 // A caller may take it for the answer to its last message, so it promises no more than that did.
-func (s *pgSession) sendTermination() {
+// txOpen is set if the caller had a transaction open, which has been rolled back.
+func (s *pgSession) sendTermination(txOpen bool) {
 	s.mu.Lock()
 	reason := s.revoked
 	if reason == fault.None && s.draining {
@@ -259,7 +261,7 @@
 		outcome = fault.Unknown
 	}
 	_ = s.conn.SetWriteDeadline(time.Now().Add(lingerTimeout))
-	s.refuse(&fault.Fault{Reason: reason, Outcome: outcome, Trace: s.instance.trace(), Fatal: true})
+	s.refuse(&fault.Fault{Reason: reason, Outcome: outcome, Trace: s.instance.trace(), TxRolledBack: txOpen, Fatal: true})
 	_ = s.wire.Flush()
 }
 
--- a/internal/fault/reason.go
+++ b/internal/fault/reason.go
@@ -88,6 +88,8 @@
 	// RetryAfter is the time after which a retry is likely to succeed; 0 if unknown. It is told only
 	// to callers whose request has not run.
 	RetryAfter time.Duration
+	// TxRolledBack is set if the caller's open transaction was rolled back with the request.
+	TxRolledBack bool
 	// Fatal is set if the caller's connection ends with the fault.
 	Fatal bool
 	// Evidence describes the data on which the decision is based and its age, for the log.
@@ -141,6 +143,8 @@
 
 func (f *Fault) hint() string {
 	switch {
+	case f.Outcome.NotRun() && f.TxRolledBack:
+		return "The transaction was rolled back; it can be run again from its beginning."
 	case f.Outcome.NotRun():
 		return "Nothing of this request took effect; it can be sent again."
 	case f.Outcome.Unknown():
--- a/internal/fleet/batch_test.go
+++ b/internal/fleet/batch_test.go
@@ -1,12 +1,14 @@
 package fleet
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -187,3 +189,48 @@
 		t.Errorf("the primary holds %v", rows)
 	}
 }
+
+// TestRefusedCommitIsNotToBeSentAgain: a COMMIT that has not run takes its transaction with it, and
+// sent again it would be answered as done, so the caller is told to run the transaction again. So is
+// one whose transaction fails with another statement that has not run.
+func TestRefusedCommitIsNotToBeSentAgain(t *testing.T) {
+	f := start(t, Config{Seed: 36, AdjustConfig: func(c *conf.Config) { c.Defaults.IdleTransaction = time.Second }})
+	c := connect(t, f.URL(f.Members()[0], "dealers-hanoi", "stock"))
+	run := func(text string) error {
+		_, err := c.Exec(testContext(t), text, pgx.QueryExecModeSimpleProtocol)
+		return err
+	}
+	refusal := func(text string) *pgconn.PgError {
+		var refused *pgconn.PgError
+		if err := run(text); !errors.As(err, &refused) || !strings.Contains(refused.Detail, "outcome=not-run") {
+			t.Fatalf("%s: got %v, want a request that has not run", text, err)
+		}
+		return refused
+	}
+	const insert = "INSERT INTO ledger (id, value) VALUES ('gone', '1')"
+	for _, text := range []string{"COMMIT", insert, "LISTEN news"} {
+		for _, before := range []string{"BEGIN", insert} {
+			if err := run(before); err != nil {
+				t.Fatal(err)
+			}
+		}
+		waitFor(t, func() bool {
+			return !slices.ContainsFunc(f.Members(), func(m *Member) bool {
+				g := m.Instance.Host().Group("stock")
+				return g != nil && !g.Idle()
+			})
+		})
+		if refused := refusal(text); refused.Hint != "The transaction was rolled back; it can be run again from its beginning." {
+			t.Errorf("%s: told %q (%s)", text, refused.Hint, refused.Detail)
+		}
+		if err := run("ROLLBACK"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if rows := f.Groups["stock"].Primary().Rows(); len(rows) != 0 {
+		t.Errorf("the primary holds %v", rows)
+	}
+	if refused := refusal("LISTEN news"); refused.Hint != "Nothing of this request took effect; it can be sent again." {
+		t.Errorf("outside a transaction: told %q", refused.Hint)
+	}
+}
--- a/internal/fleet/promise_test.go
+++ b/internal/fleet/promise_test.go
@@ -222,9 +222,14 @@
 	waitFor(t, func() bool { return m.Instance.Snapshot().Version >= version })
 	waitFor(t, func() bool { return m.Instance.Callers() == 1 })
 	for name, c := range map[string]*pgx.Conn{"idle": idle, "in a transaction": inside} {
-		if _, err := get(t, c, "x"); err == nil {
+		_, err := get(t, c, "x")
+		if err == nil {
 			t.Errorf("a caller that was %s can still run requests", name)
 		}
+		var ended *pgconn.PgError
+		if !errors.As(err, &ended) || strings.Contains(ended.Hint, "transaction was rolled back") != (c == inside) {
+			t.Errorf("a caller that was %s: got %v, told %+v", name, err, ended)
+		}
 	}
 	if _, err := pgx.Connect(testContext(t), target); sqlState(err) != "28P01" && !strings.Contains(err.Error(), "28P01") {
 		t.Errorf("new caller with the withdrawn key: got %v, want 28P01", err)
