--- a/internal/entry/pgserve.go
+++ b/internal/entry/pgserve.go
@@ -29,8 +29,9 @@
 			return
 		}
 	}
+	txOpen := s.status != TxNone
 	s.endTx()
-	s.sendTermination()
+	s.sendTermination(txOpen)
 }
 
 // refuseMalformed answers a message that cannot be decoded. If the caller has disconnected, it
@@ -45,24 +46,26 @@
 
 // handle handles one message; false ends the session.
 func (s *pgSession) handle(message pgproto3.FrontendMessage) bool {
-	switch m := message.(type) {
+	switch message.(type) {
 	case *pgproto3.Terminate:
 		return false
-	case *pgproto3.Query:
-		return s.query(m)
 	case *pgproto3.Sync:
 		return s.sync()
 	case *pgproto3.Flush:
 		return s.flush()
+	}
+	if s.skipToSync {
+		return true
+	}
+	switch m := message.(type) {
+	case *pgproto3.Query:
+		return s.query(m)
 	case *pgproto3.CopyData, *pgproto3.CopyDone, *pgproto3.CopyFail:
 		return true
 	case *pgproto3.FunctionCall:
 		s.dropBatch()
 		return s.refuseRequest(fault.NotSupported, true)
 	}
-	if s.skipToSync {
-		return true
-	}
 	if reason := s.appendMessage(message); reason != fault.None {
 		s.skipToSync = true
 		s.dropBatch()
@@ -100,12 +103,16 @@
 	s.txFailed, s.status = true, TxFailed
 }
 
+// query runs a Query message. What the caller sent before it without a Sync is answered first; if
+// that fails, the Query is skipped.
 func (s *pgSession) query(m *pgproto3.Query) bool {
-	class := stmt.Classify(m.String)
-	if len(s.batch.messages) > 0 {
-		s.dropBatch()
+	if !s.flush() {
+		return false
 	}
-	s.batch.reset()
+	if s.skipToSync {
+		return true
+	}
+	class := stmt.Classify(m.String)
 	if class.Kind == stmt.Refused {
 		return s.refuseRequest(fault.NotSupported, true)
 	}
@@ -124,11 +131,8 @@
 		s.batch.reset()
 		return s.ready()
 	}
-	if len(s.batch.messages) == 0 && len(s.batch.required) == 0 {
-		for _, message := range s.batch.injected {
-			s.sendInjected(message)
-		}
-		s.batch.reset()
+	if !s.batch.needsServer() {
+		s.sendInjected()
 		return s.ready()
 	}
 	var end pgproto3.Sync
@@ -136,19 +140,27 @@
 	return s.execute()
 }
 
-func (s *pgSession) sendInjected(message proto.InjectedMessage) {
-	if message.Kind == '3' {
-		s.wire.Send(&pgproto3.CloseComplete{})
-		return
+// sendInjected sends the replies that the instance gives on behalf of a server, and empties the batch.
+func (s *pgSession) sendInjected() {
+	for _, message := range s.batch.injected {
+		if message.Kind == '3' {
+			s.wire.Send(&pgproto3.CloseComplete{})
+			continue
+		}
+		s.wire.Send(&pgproto3.ParseComplete{})
 	}
-	s.wire.Send(&pgproto3.ParseComplete{})
+	s.batch.reset()
 }
 
 // flush runs the batch if it executes no statement; the result is then the same as after a
 // Sync. A batch that executes statements is refused, because running it before the Sync would
 // commit too early.
 func (s *pgSession) flush() bool {
-	if s.skipToSync || len(s.batch.messages) == 0 && len(s.batch.required) == 0 {
+	if s.skipToSync {
+		return s.wire.Flush() == nil
+	}
+	if !s.batch.needsServer() {
+		s.sendInjected()
 		return s.wire.Flush() == nil
 	}
 	if s.batch.executes > 0 {
@@ -211,6 +223,7 @@
 // whether the batch has ended the caller's transaction.
 func (s *pgSession) handleFault(reply Reply, sink *callerSink, omitReady bool) bool {
 	w, f := reply.Work, reply.Fault
+	f.TxRolledBack = s.status != TxNone
 	if sink.emitted {
 		f.Fatal = true
 		s.refuse(f)
--- a/internal/fault/reason.go
+++ b/internal/fault/reason.go
@@ -85,8 +85,11 @@
 	Reason  Reason
 	Outcome Outcome
 	Trace   ident.TraceID
-	// RetryAfter is the time after which a retry is likely to succeed; 0 if unknown.
+	// RetryAfter is the time after which a retry is likely to succeed; 0 if unknown. It is told only
+	// to callers whose request has not run.
 	RetryAfter time.Duration
+	// TxRolledBack is set if the caller's open transaction was rolled back with the request.
+	TxRolledBack bool
 	// Fatal is set if the caller's connection ends with the fault.
 	Fatal bool
 	// Evidence describes the data on which the decision is based and its age, for the log.
@@ -132,7 +135,7 @@
 
 func (f *Fault) detail() string {
 	text := fmt.Sprintf("reason=%s outcome=%s trace=%s", f.Reason, f.Outcome.Label(), f.Trace)
-	if f.RetryAfter > 0 {
+	if f.RetryAfter > 0 && f.Outcome.NotRun() {
 		text += fmt.Sprintf(" retry-after=%s", f.RetryAfter.Round(time.Millisecond))
 	}
 	return text
@@ -140,6 +143,8 @@
 
 func (f *Fault) hint() string {
 	switch {
+	case f.Outcome.NotRun() && f.TxRolledBack:
+		return "The transaction was rolled back; it can be run again from its beginning."
 	case f.Outcome.NotRun():
 		return "Nothing of this request took effect; it can be sent again."
 	case f.Outcome.Unknown():
