Confirm queries on a pinned connection outside a transaction

Cause: outside a transaction, a session that keeps its connection had its queries answered as soon as the primary did: no status was asked for with them, and a connection that had written nothing was taken for one with nothing to confirm. They returned writes that only the primary held, which a change of primary discards, and a query that writes through a view was reported as done.

Change: outside a transaction, the status is asked for with queries too, and the answer is passed on once a majority holds what the server had received. Inside one, its COMMIT does that already.

--- a/internal/fleet/promise_test.go
+++ b/internal/fleet/promise_test.go
@@ -150,6 +150,44 @@
 	}
 }
 
+// TestPinnedSessionReadsNoUnreplicatedWrites: outside a transaction, a session that keeps its connection
+// must not read a write that only the primary holds either, nor be told that a query is done that may
+// have written.
+func TestPinnedSessionReadsNoUnreplicatedWrites(t *testing.T) {
+	f := start(t, Config{Seed: 3, AdjustConfig: func(c *conf.Config) {
+		c.Defaults.AckDeadline = 300 * time.Millisecond
+		c.Defaults.Silence = time.Minute
+	}})
+	target := f.URL(f.Members()[0], "dealers-hanoi", "stock")
+	writer, pinned := connect(t, target), connect(t, target)
+	if err := put(t, writer, "bike", "free"); err != nil {
+		t.Fatal(err)
+	}
+	query := func() (string, error) {
+		var value string
+		err := pinned.QueryRow(testContext(t), "SELECT value FROM ledger WHERE id = 'bike'", pgx.QueryExecModeSimpleProtocol).Scan(&value)
+		return value, err
+	}
+	if _, err := pinned.Exec(testContext(t), "SET statement_timeout FROM CURRENT", pgx.QueryExecModeSimpleProtocol); err != nil {
+		t.Fatal(err)
+	}
+	if value, err := query(); err != nil || value != "free" {
+		t.Fatalf("got %q, %v", value, err)
+	}
+	primary := f.Groups["stock"].Primary()
+	for _, s := range f.Groups["stock"].Servers() {
+		if s != primary {
+			primary.Faults().Partition(s.ID(), true)
+		}
+	}
+	if _, err := writer.Exec(testContext(t), "UPDATE ledger SET value = 'sold' WHERE id = 'bike'"); sqlState(err) != "08007" || primary.Rows()["bike"] != "sold" {
+		t.Fatalf("write without replication: got %v, the primary holds %v", err, primary.Rows())
+	}
+	if value, err := query(); value == "sold" || sqlState(err) != "08007" {
+		t.Errorf("read without replication: got %q, %v; want 08007", value, err)
+	}
+}
+
 // TestCommitThatKeepsItsConnectionIsNotAcknowledgedUnreplicated cuts replication from the primary
 // and commits by messages that leave a pinned connection or another transaction behind, or fail after: none of the
 // writes, which only the primary holds, may be acknowledged.
--- a/internal/owner/tx.go
+++ b/internal/owner/tx.go
@@ -145,10 +145,11 @@
 		return notSent(fault.TransactionLost)
 	}
 	buffer := &bufferSink{}
-	request := w.Request
-	request.WantStatus = !t.replica && w.Kind != stmt.Read
 	conn := t.conn
 	wasOpen := conn.inOpenTx()
+	request := w.Request
+	// The end of the transaction confirms what its queries have read.
+	request.WantStatus = !t.replica && (w.Kind != stmt.Read || !wasOpen)
 	t.readsOnly = t.readsOnly && request.WritesNothing
 	answer, err := t.server.pool.run(ctx, conn, &request, buffer, false)
 	t.lastUsed = clock.Now()
@@ -190,7 +191,8 @@
 }
 
 // finishInTx passes on the answer to a request in a transaction. If the request ended a
-// transaction that may have written, it first waits until a majority holds the writes.
+// transaction that may have written, or ran outside one on a pinned connection, it first waits until
+// a majority holds what may have been written or read.
 func (g *Group) finishInTx(ctx context.Context, w *Work, t *transaction, a proto.Answer, wrote, wasOpen bool, buffer *bufferSink, sink proto.Sink) Result {
 	result := Result{Floor: w.Floor, TxStatus: a.TxStatus, Tx: t.id, Replica: t.replica, ErrorCode: a.ErrorCode}
 	if t.replica || !a.HasStatus {
@@ -200,7 +202,7 @@
 		g.returnConn(t)
 		result.Tx = 0
 	}
-	needsConfirmation := wrote || w.Kind == stmt.Commit
+	needsConfirmation := wrote || w.Kind == stmt.Commit || !wasOpen && !w.Request.WritesNothing
 	// A failed transaction has no status, but something may have been committed before it.
 	hasStatus := a.HasStatus || a.TxStatus == 'E'
 	if !w.mayHaveCommitted(a) || !needsConfirmation || !hasStatus || w.Kind == stmt.Rollback {
