Play PostgreSQL's soak with any number of instances

Cause: the soak always had 3 instances in one data centre, so a large fleet, whose instances are not all linked, and links between data centres were never played.

Change: -soak.nodes, 3 by default. The instances stand in blocks of three in the data centres of the deployment, the first block where all stood before, so that seeds stay the same. An address is given out once: among 80 ports drawn out of 10000, two would often be equal.

--- a/internal/cmds/soak_test.go
+++ b/internal/cmds/soak_test.go
@@ -5,11 +5,13 @@
 	"errors"
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -32,11 +34,13 @@
 	soakFrom  = flag.Uint64("soak.from", 1, "first seed besides those in testdata/soak.seeds")
 	soakCount = flag.Uint64("soak.count", 1, "number of seeds besides those in testdata/soak.seeds")
 	soakTime  = flag.Duration("soak.time", 8*time.Second, "run time of each seed")
+	soakNodes = flag.Int("soak.nodes", 3, "number of instances")
 )
 
 const (
-	soakInstances = 3
-	soakCallers   = 8
+	// soakBlock is how many instances in a row stand in one data centre.
+	soakBlock   = 3
+	soakCallers = 8
 	// recoveryTimeout is how soon after the last fault each instance must accept a write.
 	recoveryTimeout = 15 * time.Second
 	answerTimeout   = 5 * time.Second
@@ -131,13 +135,15 @@
 	if err := os.WriteFile(secret, []byte(fleet.BackendPassword), 0o600); err != nil {
 		return err
 	}
-	for at := range soakInstances {
-		id := fmt.Sprintf("front-%d", at)
+	centers := slices.Sorted(maps.Keys(deployment.Config.Centers))
+	first := slices.Index(centers, "north-a")
+	for at := range *soakNodes {
+		id, center := fmt.Sprintf("front-%d", at), centers[(first+at/soakBlock)%len(centers)]
 		n := &soakInstance{address: soakPort(s.t), settings: filepath.Join(dir, id+".ini"), log: filepath.Join(dir, id+".log")}
 		peers := soakPort(s.t)
-		text := fmt.Sprintf("[instance]\nid = %s\ncenter = north-a\nlisten = %s\npeer-listen = %s\noperator-listen = 127.0.0.1:0\n"+
+		text := fmt.Sprintf("[instance]\nid = %s\ncenter = %s\nlisten = %s\npeer-listen = %s\noperator-listen = 127.0.0.1:0\n"+
 			"[platform]\nurl = %s\n[backend]\nuser = %s\npassword-file = %s\n[peers]\nsecret-file = %s\ninsecure = yes\n",
-			id, n.address, peers, s.fleet.Platform.URL(), fleet.BackendUser, secret, secret)
+			id, center, n.address, peers, s.fleet.Platform.URL(), fleet.BackendUser, secret, secret)
 		if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
 			return err
 		}
@@ -145,7 +151,7 @@
 			return err
 		}
 		s.t.Cleanup(n.links.Close)
-		s.fleet.Platform.SetInstance(ident.InstanceID(id), objs.ListedInstance{Center: "north-a", Address: n.links.Addr(), State: objs.Live})
+		s.fleet.Platform.SetInstance(ident.InstanceID(id), objs.ListedInstance{Center: center, Address: n.links.Addr(), State: objs.Live})
 		s.launch(n)
 		s.instances = append(s.instances, n)
 		s.t.Cleanup(func() {
@@ -159,12 +165,19 @@
 	return nil
 }
 
+// returnedAddresses are the addresses that soakPort has returned; the program may not listen on them yet.
+var returnedAddresses = map[string]bool{}
+
 // soakPort returns an address whose port is below the ephemeral range and so stays free.
 func soakPort(t *testing.T) string {
 	for range 100 {
 		address := fmt.Sprintf("127.0.0.1:%d", 10000+rand.IntN(10000))
+		if returnedAddresses[address] {
+			continue
+		}
 		if l, err := net.Listen("tcp", address); err == nil {
 			l.Close()
+			returnedAddresses[address] = true
 			return address
 		}
 	}
