Cancel requests that last long in the soak of PostgreSQL's dialect

Cause: a late answer is at most 4 s late, the statement deadline is 10 s and callers wait 5 s, so nearly each late answer was waited for; a cancellation was sent only when a caller gave up after its 5 s.

Change: a caller cancels a message that lasts longer than its patience, which is drawn from a generator of its own. The report counts errors by code and outcome.

--- a/internal/cmds/soak_test.go
+++ b/internal/cmds/soak_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -48,6 +49,9 @@
 	stopTimeout = 3 * time.Second
 	// leaveInterval is the mean number of requests between two that their caller leaves.
 	leaveInterval = 15
+	// maxPatience is the longest that a caller waits before it cancels a request; beyond
+	// answerTimeout it cancels none.
+	maxPatience = answerTimeout + time.Second
 )
 
 // soakShapes are the messages of requests; INSERT stands for an insert of the request's own row.
@@ -86,8 +90,12 @@
 	// its caller was told.
 	refused, acknowledged map[string]string
 	violations            map[string]bool
+	// errorCounts counts the errors of requests by code and outcome.
+	errorCounts map[string]int
 }
 
+var outcomeDetail = regexp.MustCompile(`outcome=\S+`)
+
 // soakInstance is one process of the real program; it is locked while it is paused or restarts.
 type soakInstance struct {
 	sync.Mutex
@@ -207,6 +215,8 @@
 // runCaller runs random requests, on one connection for as long as it works.
 func (s *soak) runCaller(number int, stop <-chan struct{}) {
 	random := rand.New(rand.NewPCG(s.seed, uint64(number)+1))
+	// patience decides on cancellations, apart from random as well.
+	patience := rand.New(rand.NewPCG(s.seed, 1<<36+uint64(number)))
 	customer := []ident.CustomerID{"dealers-hanoi", "dealers-saigon"}[number%2]
 	var conn *pgconn.PgConn
 	for at := 0; ; at++ {
@@ -222,7 +232,7 @@
 		if conn == nil {
 			continue
 		}
-		s.request(conn, fmt.Sprintf("c%d-%d", number, at), shape, leave)
+		s.request(conn, fmt.Sprintf("c%d-%d", number, at), shape, leave, time.Duration(patience.Int64N(int64(maxPatience))))
 		if leave || conn.IsClosed() || conn.TxStatus() != 'I' {
 			_ = conn.Conn().Close()
 			conn = nil
@@ -230,8 +240,9 @@
 	}
 }
 
-// request runs the messages of a request and records what its caller was told of its row.
-func (s *soak) request(conn *pgconn.PgConn, id string, messages []string, leave bool) {
+// request runs the messages of a request, cancels one that lasts longer than the patience, and records
+// what its caller was told of its row.
+func (s *soak) request(conn *pgconn.PgConn, id string, messages []string, leave bool, patience time.Duration) {
 	isTx, mayCommit := strings.HasPrefix(messages[0], "BEGIN"), false
 	for at, message := range messages {
 		last := at == len(messages)-1
@@ -241,10 +252,16 @@
 		}
 		mayCommit = mayCommit || strings.HasSuffix(message, "COMMIT") || !isTx && last
 		ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
+		impatient := time.AfterFunc(patience, func() { s.cancel(conn) })
 		results, err := conn.Exec(ctx, strings.ReplaceAll(message, "INSERT", fmt.Sprintf("INSERT INTO ledger (id, value) VALUES ('%s', '1')", id))).ReadAll()
+		impatient.Stop()
 		cancel()
 		var refusal *pgconn.PgError
-		switch isRefusal := errors.As(err, &refusal); {
+		isRefusal := errors.As(err, &refusal)
+		if isRefusal {
+			s.update(func() { s.errorCounts[refusal.Code+" "+outcomeDetail.FindString(refusal.Detail)]++ })
+		}
+		switch {
 		case isRefusal && refusal.Code == "23505":
 			s.addViolation("%s ran twice: %v", id, err)
 		case isRefusal && strings.Contains(refusal.Detail, "outcome=not-run"), err != nil && !mayCommit:
@@ -260,6 +277,13 @@
 	}
 }
 
+// cancel asks the instance to cancel what runs on a connection.
+func (s *soak) cancel(conn *pgconn.PgConn) {
+	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
+	defer cancel()
+	_ = conn.CancelRequest(ctx)
+}
+
 // checkRefused checks that no server has a row that must not be kept.
 func (s *soak) checkRefused() {
 	for _, server := range s.group.Servers() {
@@ -364,7 +388,7 @@
 		for attempt := 0; !accepted && time.Now().Before(end); attempt++ {
 			id := fmt.Sprintf("%s-%d-%d", phase, at, attempt)
 			if conn, err := s.connect(n, "dealers-danang"); err == nil {
-				s.request(conn, id, []string{"INSERT"}, false)
+				s.request(conn, id, []string{"INSERT"}, false, maxPatience)
 				_ = conn.Conn().Close()
 			}
 			if s.update(func() { accepted = s.acknowledged[id] != "" }); !accepted {
@@ -418,7 +442,7 @@
 	for text := range s.violations {
 		s.t.Errorf("seed %d: %s", s.seed, text)
 	}
-	s.t.Logf("seed %d: %d bytes on links, %d acknowledged, %d refused, %d rows\n%s", s.seed, forwarded, len(s.acknowledged), len(s.refused), len(rows), strings.Join(s.events, "\n"))
+	s.t.Logf("seed %d: %d bytes on links, %d acknowledged, %d refused, %d rows, errors: %v\n%s", s.seed, forwarded, len(s.acknowledged), len(s.refused), len(rows), s.errorCounts, strings.Join(s.events, "\n"))
 }
 
 // soakSeeds reads the seeds of a file, which have failed before.
@@ -445,7 +469,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			s := &soak{
 				t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 0)), links: rand.New(rand.NewPCG(seed, 1<<35)), binary: binary, proxies: map[ident.ServerID]*lproxy.Proxy{},
-				refused: map[string]string{}, acknowledged: map[string]string{}, violations: map[string]bool{},
+				refused: map[string]string{}, acknowledged: map[string]string{}, violations: map[string]bool{}, errorCounts: map[string]int{},
 			}
 			if err := s.start(); err != nil {
 				t.Fatal(err)
