Notice a restart under the same name without a link

Cause: front-a-28 was stopped and started again under its name 1.2 s later. Instances that it had told that it leaves, and that opened no link to it afterwards, took it to be leaving for good: only a heartbeat withdraws the announcement, or a list without the instance, and nobody connects to one that gets no work. They chose other holders than the rest of the fleet; by reading, other owners too. In small fleets all instances are linked. Change: once the link has ended, the announcement holds for one refresh interval of suspicions; an instance that is really gone is suspected by its observers by then. Result: TestRestartIsNoticedWithoutALink failed before and passes.

--- a/internal/rule/membr/view.go
+++ b/internal/rule/membr/view.go
@@ -270,12 +270,19 @@
 	return s.linkLostAt.IsZero() || now.Sub(s.linkLostAt) >= v.conf.SuspectTimeout
 }
 
+// leaving reports whether an announcement to shut down holds. Once the link has ended it holds
+// only until all observers would have reported the loss: the list may never show that an instance
+// was restarted under the same name, and nobody opens a link to one that is taken to be leaving.
+func (v *View) leaving(now time.Time, s *state) bool {
+	return s.leaving && (s.linkLostAt.IsZero() || now.Sub(s.linkLostAt) < v.conf.RefreshInterval)
+}
+
 // Available returns the members that work may be assigned to, sorted by name: those alive
 // and not shutting down.
 func (v *View) Available(now time.Time) []Member {
 	var available []Member
 	for id, m := range v.members {
-		if !m.Leaving && !v.state[id].leaving && v.Alive(now, id) {
+		if !m.Leaving && !v.leaving(now, v.state[id]) && v.Alive(now, id) {
 			available = append(available, m)
 		}
 	}
--- a/internal/rule/membr/view_test.go
+++ b/internal/rule/membr/view_test.go
@@ -198,6 +198,32 @@
 	}
 }
 
+// TestRestartIsNoticedWithoutALink guards against departure announcements that outlive a restart
+// at instances that have no link to the new process: they chose other owners and holders than the
+// rest of the fleet for good.
+func TestRestartIsNoticedWithoutALink(t *testing.T) {
+	c := Config{Self: "i000", SuspectTimeout: time.Second, RefreshInterval: 2 * time.Second}
+	v := NewView(c, 0)
+	now := time.Unix(1000, 0)
+	v.SetList(now, members(3))
+	v.SetLeaving("i001", true)
+	if later := now.Add(time.Hour); len(v.Available(later)) != 2 {
+		t.Fatalf("an instance that leaves for an hour is assigned work: %v", v.Available(later))
+	}
+	v.RecordDisconnect(now, "i001")
+	if just := now.Add(c.RefreshInterval - time.Millisecond); len(v.Available(just)) != 2 {
+		t.Fatalf("an instance that has just left is assigned work: %v", v.Available(just))
+	}
+	now = now.Add(c.RefreshInterval)
+	if len(v.Available(now)) != 3 {
+		t.Fatalf("a restarted instance is not assigned work: %v", v.Available(now))
+	}
+	v.RecordContact(now, "i001")
+	if len(v.Available(now)) != 2 {
+		t.Fatalf("an instance that is still leaving is assigned work: %v", v.Available(now))
+	}
+}
+
 // TestUnreachableAfterLostLink checks that an instance that is not observed counts as
 // unreachable after its link ended, until it is heard from or the silence time has passed.
 func TestUnreachableAfterLostLink(t *testing.T) {
