--- a/internal/cmds/soak_test.go
+++ b/internal/cmds/soak_test.go
@@ -5,11 +5,14 @@
 	"errors"
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -32,11 +35,13 @@
 	soakFrom  = flag.Uint64("soak.from", 1, "first seed besides those in testdata/soak.seeds")
 	soakCount = flag.Uint64("soak.count", 1, "number of seeds besides those in testdata/soak.seeds")
 	soakTime  = flag.Duration("soak.time", 8*time.Second, "run time of each seed")
+	soakNodes = flag.Int("soak.nodes", 3, "number of instances")
 )
 
 const (
-	soakInstances = 3
-	soakCallers   = 8
+	// soakBlock is how many instances in a row stand in one data centre.
+	soakBlock   = 3
+	soakCallers = 8
 	// recoveryTimeout is how soon after the last fault each instance must accept a write.
 	recoveryTimeout = 15 * time.Second
 	answerTimeout   = 5 * time.Second
@@ -44,6 +49,9 @@
 	stopTimeout = 3 * time.Second
 	// leaveInterval is the mean number of requests between two that their caller leaves.
 	leaveInterval = 15
+	// maxPatience is the longest that a caller waits before it cancels a request; beyond
+	// answerTimeout it cancels none.
+	maxPatience = answerTimeout + time.Second
 )
 
 // soakShapes are the messages of requests; INSERT stands for an insert of the request's own row.
@@ -82,8 +90,12 @@
 	// its caller was told.
 	refused, acknowledged map[string]string
 	violations            map[string]bool
+	// errorCounts counts the errors of requests by code and outcome.
+	errorCounts map[string]int
 }
 
+var outcomeDetail = regexp.MustCompile(`outcome=\S+`)
+
 // soakInstance is one process of the real program; it is locked while it is paused or restarts.
 type soakInstance struct {
 	sync.Mutex
@@ -131,13 +143,15 @@
 	if err := os.WriteFile(secret, []byte(fleet.BackendPassword), 0o600); err != nil {
 		return err
 	}
-	for at := range soakInstances {
-		id := fmt.Sprintf("front-%d", at)
+	centers := slices.Sorted(maps.Keys(deployment.Config.Centers))
+	first := slices.Index(centers, "north-a")
+	for at := range *soakNodes {
+		id, center := fmt.Sprintf("front-%d", at), centers[(first+at/soakBlock)%len(centers)]
 		n := &soakInstance{address: soakPort(s.t), settings: filepath.Join(dir, id+".ini"), log: filepath.Join(dir, id+".log")}
 		peers := soakPort(s.t)
-		text := fmt.Sprintf("[instance]\nid = %s\ncenter = north-a\nlisten = %s\npeer-listen = %s\noperator-listen = 127.0.0.1:0\n"+
+		text := fmt.Sprintf("[instance]\nid = %s\ncenter = %s\nlisten = %s\npeer-listen = %s\noperator-listen = 127.0.0.1:0\n"+
 			"[platform]\nurl = %s\n[backend]\nuser = %s\npassword-file = %s\n[peers]\nsecret-file = %s\ninsecure = yes\n",
-			id, n.address, peers, s.fleet.Platform.URL(), fleet.BackendUser, secret, secret)
+			id, center, n.address, peers, s.fleet.Platform.URL(), fleet.BackendUser, secret, secret)
 		if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
 			return err
 		}
@@ -145,7 +159,7 @@
 			return err
 		}
 		s.t.Cleanup(n.links.Close)
-		s.fleet.Platform.SetInstance(ident.InstanceID(id), objs.ListedInstance{Center: "north-a", Address: n.links.Addr(), State: objs.Live})
+		s.fleet.Platform.SetInstance(ident.InstanceID(id), objs.ListedInstance{Center: center, Address: n.links.Addr(), State: objs.Live})
 		s.launch(n)
 		s.instances = append(s.instances, n)
 		s.t.Cleanup(func() {
@@ -159,12 +173,19 @@
 	return nil
 }
 
+// returnedAddresses are the addresses that soakPort has returned; the program may not listen on them yet.
+var returnedAddresses = map[string]bool{}
+
 // soakPort returns an address whose port is below the ephemeral range and so stays free.
 func soakPort(t *testing.T) string {
 	for range 100 {
 		address := fmt.Sprintf("127.0.0.1:%d", 10000+rand.IntN(10000))
+		if returnedAddresses[address] {
+			continue
+		}
 		if l, err := net.Listen("tcp", address); err == nil {
 			l.Close()
+			returnedAddresses[address] = true
 			return address
 		}
 	}
@@ -194,6 +215,8 @@
 // runCaller runs random requests, on one connection for as long as it works.
 func (s *soak) runCaller(number int, stop <-chan struct{}) {
 	random := rand.New(rand.NewPCG(s.seed, uint64(number)+1))
+	// patience decides on cancellations, apart from random as well.
+	patience := rand.New(rand.NewPCG(s.seed, 1<<36+uint64(number)))
 	customer := []ident.CustomerID{"dealers-hanoi", "dealers-saigon"}[number%2]
 	var conn *pgconn.PgConn
 	for at := 0; ; at++ {
@@ -209,7 +232,7 @@
 		if conn == nil {
 			continue
 		}
-		s.request(conn, fmt.Sprintf("c%d-%d", number, at), shape, leave)
+		s.request(conn, fmt.Sprintf("c%d-%d", number, at), shape, leave, time.Duration(patience.Int64N(int64(maxPatience))))
 		if leave || conn.IsClosed() || conn.TxStatus() != 'I' {
 			_ = conn.Conn().Close()
 			conn = nil
@@ -217,8 +240,9 @@
 	}
 }
 
-// request runs the messages of a request and records what its caller was told of its row.
-func (s *soak) request(conn *pgconn.PgConn, id string, messages []string, leave bool) {
+// request runs the messages of a request, cancels one that lasts longer than the patience, and records
+// what its caller was told of its row.
+func (s *soak) request(conn *pgconn.PgConn, id string, messages []string, leave bool, patience time.Duration) {
 	isTx, mayCommit := strings.HasPrefix(messages[0], "BEGIN"), false
 	for at, message := range messages {
 		last := at == len(messages)-1
@@ -228,10 +252,16 @@
 		}
 		mayCommit = mayCommit || strings.HasSuffix(message, "COMMIT") || !isTx && last
 		ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
+		impatient := time.AfterFunc(patience, func() { s.cancel(conn) })
 		results, err := conn.Exec(ctx, strings.ReplaceAll(message, "INSERT", fmt.Sprintf("INSERT INTO ledger (id, value) VALUES ('%s', '1')", id))).ReadAll()
+		impatient.Stop()
 		cancel()
 		var refusal *pgconn.PgError
-		switch isRefusal := errors.As(err, &refusal); {
+		isRefusal := errors.As(err, &refusal)
+		if isRefusal {
+			s.update(func() { s.errorCounts[refusal.Code+" "+outcomeDetail.FindString(refusal.Detail)]++ })
+		}
+		switch {
 		case isRefusal && refusal.Code == "23505":
 			s.addViolation("%s ran twice: %v", id, err)
 		case isRefusal && strings.Contains(refusal.Detail, "outcome=not-run"), err != nil && !mayCommit:
@@ -247,6 +277,13 @@
 	}
 }
 
+// cancel asks the instance to cancel what runs on a connection.
+func (s *soak) cancel(conn *pgconn.PgConn) {
+	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
+	defer cancel()
+	_ = conn.CancelRequest(ctx)
+}
+
 // checkRefused checks that no server has a row that must not be kept.
 func (s *soak) checkRefused() {
 	for _, server := range s.group.Servers() {
@@ -351,7 +388,7 @@
 		for attempt := 0; !accepted && time.Now().Before(end); attempt++ {
 			id := fmt.Sprintf("%s-%d-%d", phase, at, attempt)
 			if conn, err := s.connect(n, "dealers-danang"); err == nil {
-				s.request(conn, id, []string{"INSERT"}, false)
+				s.request(conn, id, []string{"INSERT"}, false, maxPatience)
 				_ = conn.Conn().Close()
 			}
 			if s.update(func() { accepted = s.acknowledged[id] != "" }); !accepted {
@@ -405,7 +442,7 @@
 	for text := range s.violations {
 		s.t.Errorf("seed %d: %s", s.seed, text)
 	}
-	s.t.Logf("seed %d: %d bytes on links, %d acknowledged, %d refused, %d rows\n%s", s.seed, forwarded, len(s.acknowledged), len(s.refused), len(rows), strings.Join(s.events, "\n"))
+	s.t.Logf("seed %d: %d bytes on links, %d acknowledged, %d refused, %d rows, errors: %v\n%s", s.seed, forwarded, len(s.acknowledged), len(s.refused), len(rows), s.errorCounts, strings.Join(s.events, "\n"))
 }
 
 // soakSeeds reads the seeds of a file, which have failed before.
@@ -432,7 +469,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			s := &soak{
 				t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 0)), links: rand.New(rand.NewPCG(seed, 1<<35)), binary: binary, proxies: map[ident.ServerID]*lproxy.Proxy{},
-				refused: map[string]string{}, acknowledged: map[string]string{}, violations: map[string]bool{},
+				refused: map[string]string{}, acknowledged: map[string]string{}, violations: map[string]bool{}, errorCounts: map[string]int{},
 			}
 			if err := s.start(); err != nil {
 				t.Fatal(err)
