Print the table of shares when an instance of PostgreSQL's soak accepts no write

Change: the soak logs the stored table with each instance that accepts no write in time. The table lists front-0 with the whole of shard 0; front-0 never held it, and its renewal there is 3 below those of its other shards: it was granted the shard, did not hear of it, and after the ranking had changed back neither renewed nor released it. Its holder front-2 is granted nothing for the lease of a minute.

--- a/internal/cmds/soak_test.go
+++ b/internal/cmds/soak_test.go
@@ -5,8 +5,10 @@
 	"errors"
 	"flag"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -360,10 +362,22 @@
 		}
 		if !accepted {
 			s.addViolation("%s: %s accepts no write within %v", phase, n.address, recoveryTimeout)
+			s.t.Logf("%s shares of the rates in the platform: %s", time.Now().Format("15:04:05.000"), s.shares())
 		}
 	}
 }
 
+// shares returns the stored table of shares.
+func (s *soak) shares() string {
+	reply, err := http.Get(s.fleet.Platform.URL() + objs.BasePath + string(objs.Shares) + "/fleet")
+	if err != nil {
+		return err.Error()
+	}
+	defer reply.Body.Close()
+	text, _ := io.ReadAll(reply.Body)
+	return string(text)
+}
+
 func (s *soak) run() {
 	s.awaitWrites("start")
 	stop := make(chan struct{})
