Ignore requests for shares that arrive after their instance's release

Cause: a release deleted the entry from the table of shares. A request of the same instance that was made before and reaches a writer only afterwards (held up in a link, or in a writer that was paused) made a new entry for what the request said was held, and the next holder was granted nothing for a lease. Change: the entry of a release stays for one lease, holds nothing and has the release's number, so that earlier requests are ignored. Result: TestLateRequestTakesNoReleasedPart fails before (granted 0) and passes after; go test ./internal/rule/share ./internal/quota passes.

--- a/internal/rule/share/share_test.go
+++ b/internal/rule/share/share_test.go
@@ -491,3 +491,28 @@
 		t.Fatalf("granted %d after the grace, want all", part)
 	}
 }
+
+// TestLateRequestTakesNoReleasedPart guards against a request that reaches a writer of the table
+// only after its instance has released the shard: the next holder must keep its part.
+func TestLateRequestTakesNoReleasedPart(t *testing.T) {
+	now := time.Unix(0, 0)
+	table, allocators := Table{}, [2]*Allocator{NewAllocator(), NewAllocator()}
+	submit := func(writer int, requests ...Request) Part {
+		next, grants := allocators[writer].Renew(now, table, testParams, requests)
+		table = next
+		return grantTo(grants, "i1").Part
+	}
+	first, second := NewHolder("i0", "c", 0, 0), NewHolder("i1", "c", 0, 0)
+	r := first.Request(now, Whole, testParams, 0)
+	submit(0, r)
+	first.ApplyGrant(Grant{Renewal: r.Renewal, Part: Whole})
+	late := first.Request(now, Whole, testParams, 0)
+	if part := submit(1, first.Release(), second.Request(now, Whole, testParams, 0)); part != Whole {
+		t.Fatalf("granted %d of a released shard, want all", part)
+	}
+	now = now.Add(testParams.Lease / 2)
+	submit(0, late)
+	if part := submit(1, second.Request(now, Whole, testParams, 0)); part != Whole {
+		t.Fatalf("granted %d after a late request of the earlier holder, want all", part)
+	}
+}
--- a/internal/rule/share/table.go
+++ b/internal/rule/share/table.go
@@ -96,7 +96,7 @@
 	// Held is the part that the instance holds until the request is answered.
 	Held    Part   `cbor:"5,keyasint,omitempty"`
 	Renewal uint64 `cbor:"3,keyasint"`
-	// Release asks for the entry to be deleted.
+	// Release gives up the entry.
 	Release bool `cbor:"4,keyasint,omitempty"`
 	// Usable is what the instance may spend when it makes the request, and Epoch the epoch of
 	// the store that it knows then.
@@ -272,12 +272,9 @@
 		}
 		others := total - bounds[r.Instance]
 		entry, part := params.entryFor(r, Whole-others)
-		if r.Release && !counting {
-			delete(next, r.Instance)
-		} else {
-			next[r.Instance] = entry
-			a.lastSeen[entryKey{center, shard, r.Instance}] = lastSeen{renewal: r.Renewal, at: now}
-		}
+		// The entry of a release stays for one lease, so that earlier requests that arrive late are ignored.
+		next[r.Instance] = entry
+		a.lastSeen[entryKey{center, shard, r.Instance}] = lastSeen{renewal: r.Renewal, at: now}
 		grants = append(grants, Grant{Instance: r.Instance, Shard: shard, Renewal: r.Renewal, Part: part})
 		bounds[r.Instance] = params.maxHeld(entry, 0)
 		total = others + bounds[r.Instance]
@@ -297,7 +294,7 @@
 // miss the grant, so the entry is never smaller than the part that it already holds.
 func (p LeaseParams) entryFor(r Request, free Part) (Entry, Part) {
 	if r.Release {
-		return Entry{}, 0
+		return Entry{Renewal: r.Renewal}, 0
 	}
 	part := min(r.Want, max(0, free))
 	held := max(part, r.Held)
