Release shares that the table lists for an instance that does not hold them

Cause: an instance renewed or released only what it knew that it held. If a grant got lost and the ranking changed, if both a handover and the release after it failed, or if a process was killed and the new one was not preferred for the shard, the entry stayed; the next holder was granted nothing until the lease of a minute ended, and not all of the rate until the grace was over. Callers were refused with rate-unavailable meanwhile. Change: a Holder knows whether the table may list it: since an earlier run, because of a request, or until a release is confirmed. An instance that neither holds a shard nor should hold it sends the release until it is confirmed; what an earlier run held is released by the three that are preferred for the shard only. A running takeover is left alone.

--- a/internal/quota/lease.go
+++ b/internal/quota/lease.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -97,17 +98,31 @@
 	return len(holders) > 0 && holders[0] == q.conf.Self
 }
 
-// misplaced reports whether this instance holds a shard that it should not hold, or lacks one
-// that it should.
+// misplaced reports whether this instance holds a shard that it should not hold, lacks one that
+// it should, or must release one.
 func (q *Quota) misplaced() bool {
 	for shard := range share.Shard(share.Shards) {
-		if q.shouldHold(shard) != (q.Part(shard) > 0) {
+		if q.shouldHold(shard) != (q.Part(shard) > 0) || q.mustRelease(shard) {
 			return true
 		}
 	}
 	return false
 }
 
+// mustRelease reports whether the table may list this instance for a shard that it neither holds
+// nor should hold. What an earlier run was granted is released only by the instances that are
+// preferred for the shard, so that the number of requests does not grow with the fleet.
+func (q *Quota) mustRelease(shard share.Shard) bool {
+	holders := q.conf.Holders(shard)
+	if q.Part(shard) > 0 || len(holders) == 0 || holders[0] == q.conf.Self {
+		return false
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	h := q.holders[shard]
+	return q.takeovers[shard] == 0 && (h.Requested() || h.MayBeListed() && slices.Contains(holders, q.conf.Self))
+}
+
 // sleep waits for d; false means that the Quota is stopping.
 func (q *Quota) sleep(d time.Duration) bool {
 	select {
@@ -118,18 +133,21 @@
 	}
 }
 
-// requests returns the lease requests for the shards that this instance should hold, and for
-// those that it holds because no successor has taken them over yet.
+// requests returns the lease requests for the shards that this instance should hold, for those
+// that it holds because no successor has taken them over yet, and for those that it must release.
 func (q *Quota) requests(params share.LeaseParams) []share.Request {
 	var all []share.Request
 	epoch, _, _ := q.conf.Epochs.Current()
 	now := clock.Now()
 	for shard := range share.Shard(share.Shards) {
-		shouldHold := q.shouldHold(shard)
+		isHolder, mustRelease := q.isHolder(shard), q.mustRelease(shard)
 		q.mu.Lock()
-		if shouldHold || q.Part(shard) > 0 {
+		switch {
+		case isHolder:
 			all = append(all, q.holders[shard].Request(now, share.Whole, params, epoch))
 			q.requestedAt[shard].CompareAndSwap(0, now.UnixNano())
+		case mustRelease:
+			all = append(all, q.release(q.holders[shard])...)
 		}
 		q.mu.Unlock()
 	}
@@ -137,11 +155,10 @@
 }
 
 // handOver hands the shards that this instance should no longer hold, with their tokens, over
-// to their next holders, so that one write moves each shard. It returns the release requests
-// of the shards that no successor took over.
-func (q *Quota) handOver() []share.Request {
+// to their next holders, so that one write moves each shard. The shards that no successor took
+// over remain to be released.
+func (q *Quota) handOver() {
 	handovers := map[ident.InstanceID]*Handover{}
-	var remaining []share.Request
 	for shard := range share.Shard(share.Shards) {
 		successor, found := q.successor(shard)
 		if !found {
@@ -162,19 +179,28 @@
 	q.updateParts()
 	for successor, e := range handovers {
 		ctx, cancel := context.WithTimeout(q.tomb.Context(context.Background()), submitTimeout)
-		if q.conf.HandOver(ctx, successor, *e) != nil {
-			remaining = append(remaining, e.Requests...)
+		if q.conf.HandOver(ctx, successor, *e) == nil {
+			q.confirmReleases(e.Requests)
 		}
 		cancel()
 	}
-	return remaining
 }
 
-// release gives up a part and returns the requests that free it, after one that states what was
-// held, in case the table has lost that; the caller holds mu.
+// confirmReleases records that the table has the releases among some requests.
+func (q *Quota) confirmReleases(requests []share.Request) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, r := range requests {
+		if r.Release {
+			q.holders[r.Shard].ApplyGrant(share.Grant{Instance: r.Instance, Shard: r.Shard, Renewal: r.Renewal})
+		}
+	}
+}
+
+// release gives up a part and returns the requests that free it; the caller holds mu.
 func (q *Quota) release(h *share.Holder) []share.Request {
 	epoch, _, _ := q.conf.Epochs.Current()
-	return []share.Request{h.Request(clock.Now(), share.Whole, q.params(), epoch), h.Release()}
+	return h.Release(clock.Now(), q.params(), epoch)
 }
 
 // successor returns the instance that should take over a shard that this one holds. While no
@@ -215,9 +241,12 @@
 		if !a.Release {
 			continue
 		}
+		shard := a.Shard % share.Shards
 		q.mu.Lock()
-		requests = append(requests, q.holders[a.Shard%share.Shards].Request(clock.Now(), share.Whole, params, epoch))
+		q.takeovers[shard]++
+		requests = append(requests, q.holders[shard].Request(clock.Now(), share.Whole, params, epoch))
 		q.mu.Unlock()
+		defer q.endTakeover(shard)
 	}
 	if err := q.submitAndApply(ctx, requests); err != nil {
 		return err
@@ -233,6 +262,12 @@
 	return nil
 }
 
+func (q *Quota) endTakeover(shard share.Shard) {
+	q.mu.Lock()
+	q.takeovers[shard]--
+	q.mu.Unlock()
+}
+
 // submitAndApply submits requests and applies the grants for this instance.
 func (q *Quota) submitAndApply(ctx context.Context, requests []share.Request) error {
 	grants, err := q.submit(ctx, requests)
@@ -260,7 +295,8 @@
 		q.setStaticParts()
 		return recheckInterval
 	}
-	requests := append(q.handOver(), q.requests(params)...)
+	q.handOver()
+	requests := q.requests(params)
 	if len(requests) == 0 {
 		return recheckInterval
 	}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -142,7 +142,9 @@
 
 	mu      sync.Mutex
 	holders [share.Shards]*share.Holder
-	random  *rand.Rand
+	// takeovers counts the running takeovers of each shard.
+	takeovers [share.Shards]int
+	random    *rand.Rand
 }
 
 type counters struct {
@@ -192,7 +194,7 @@
 	q.mu.Lock()
 	var releases []share.Request
 	for _, h := range q.holders {
-		if h.Usable(clock.Now()) > 0 {
+		if h.Requested() {
 			releases = append(releases, q.release(h)...)
 		}
 	}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -27,6 +28,10 @@
 	allocator *share.Allocator
 	table     share.Table
 	closed    bool
+	// loseGrants is set while writes of the table succeed and their grants get lost.
+	loseGrants bool
+	// lostReleases counts the submissions with releases that failed.
+	lostReleases int
 	// silent are instances that do not respond.
 	silent map[ident.InstanceID]bool
 	epochs *plat.Epochs
@@ -36,13 +41,6 @@
 	return &testCenter{t: t, all: map[ident.InstanceID]*Quota{}, allocator: share.NewAllocator(), silent: map[ident.InstanceID]bool{}, epochs: plat.NewEpochs()}
 }
 
-// setClosed sets whether writes of the table fail.
-func (c *testCenter) setClosed(closed bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.closed = closed
-}
-
 // rank sets the order of preference of the holders of all shards.
 func (c *testCenter) rank(ids ...ident.InstanceID) {
 	c.mu.Lock()
@@ -75,6 +73,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
+		if slices.ContainsFunc(requests, func(r share.Request) bool { return r.Release }) {
+			c.lostReleases++
+		}
 		return nil, closedError{}
 	}
 	params := share.LeaseParams{Lease: time.Minute, Grace: time.Hour, Drift: clockDrift}
@@ -82,9 +83,33 @@
 	c.allocator.SetEpoch(epoch, since, c.epochs.Restored())
 	next, grants := c.allocator.Renew(time.Now(), c.table, params, requests)
 	c.table = next
+	if c.loseGrants {
+		return nil, closedError{}
+	}
 	return grants, nil
 }
 
+// set changes the faults of the table.
+func (c *testCenter) set(change func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	change()
+}
+
+// met reports whether a condition on the table holds.
+func (c *testCenter) met(condition func() bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return condition()
+}
+
+// part returns the part of a shard that the table lists for an instance.
+func (c *testCenter) part(id ident.InstanceID, s share.Shard) share.Part {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Centers["a"][s][id].Part
+}
+
 func (c *testCenter) request(ctx context.Context, id ident.InstanceID, w TokenRequest) (TokenResponse, error) {
 	c.mu.Lock()
 	q, silent := c.all[id], c.silent[id]
@@ -190,6 +215,57 @@
 	c.await("b holds all shards again", func() bool { return second.Held() == share.Shards && first.Held() == 0 })
 }
 
+// TestFailedReleaseIsSentAgain hands all shards over while no write of the table succeeds: once
+// writes succeed again, the next holder gets the shards before the lease of the first one ends.
+func TestFailedReleaseIsSentAgain(t *testing.T) {
+	c := newTestCenter(t)
+	c.ranking = []ident.InstanceID{"a", "b"}
+	first, second := c.start("a", true, 100), c.start("b", true, 100)
+	c.await("a holds all shards", func() bool { return first.Held() == share.Shards })
+	c.set(func() { c.closed = true })
+	c.rank("b", "a")
+	c.await("the handover and a's own release have failed", func() bool { return c.met(func() bool { return c.lostReleases >= 2 }) })
+	c.set(func() { c.closed = false })
+	c.await("b holds all shards", func() bool { return second.Held() == share.Shards })
+}
+
+// TestLostGrantIsReleased changes the holder after the grants of the earlier one got lost: that
+// one holds nothing, so the next one must get the shards before its lease ends.
+func TestLostGrantIsReleased(t *testing.T) {
+	c := newTestCenter(t)
+	c.ranking, c.loseGrants = []ident.InstanceID{"a", "b"}, true
+	c.start("a", true, 100)
+	c.await("the table lists a for all shards", func() bool {
+		for shard := range share.Shard(share.Shards) {
+			if c.part("a", shard) != share.Whole {
+				return false
+			}
+		}
+		return true
+	})
+	c.rank("b", "a")
+	c.set(func() { c.loseGrants = false })
+	second := c.start("b", true, 100)
+	c.await("b holds all shards", func() bool { return second.Held() == share.Shards })
+}
+
+// TestRestartedInstanceReleasesEarlierLeases kills the holder of all shards and starts it again
+// when another one is to hold them: that one must get them before the leases of the killed
+// process end.
+func TestRestartedInstanceReleasesEarlierLeases(t *testing.T) {
+	c := newTestCenter(t)
+	c.ranking = []ident.InstanceID{"a", "b"}
+	killed := c.start("a", true, 100)
+	c.await("a holds all shards", func() bool { return killed.Held() == share.Shards })
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	killed.Stop(ended)
+	c.rank("b", "a")
+	second := c.start("b", true, 100)
+	c.start("a", true, 100)
+	c.await("b holds all shards", func() bool { return second.Held() == share.Shards })
+}
+
 // TestUnresponsiveHolderIsSkipped checks that the next in rank is asked for tokens if the
 // holder does not respond.
 func TestUnresponsiveHolderIsSkipped(t *testing.T) {
@@ -277,12 +353,12 @@
 func TestRateUnavailableWithoutHolder(t *testing.T) {
 	c := newTestCenter(t)
 	c.ranking = []ident.InstanceID{"a"}
-	c.setClosed(true)
+	c.set(func() { c.closed = true })
 	q := c.start("a", true, 100)
 	if reason := take(t, q); reason != fault.RateUnavailable {
 		t.Errorf("refused with %v, want rate-unavailable", reason)
 	}
-	c.setClosed(false)
+	c.set(func() { c.closed = false })
 	q.CheckShards()
 	c.await("all shards are held", func() bool { return q.Held() == share.Shards })
 	if reason := take(t, q); reason != fault.None {
--- a/internal/rule/share/share_test.go
+++ b/internal/rule/share/share_test.go
@@ -191,8 +191,12 @@
 	holders      map[entryKey]*Holder
 	allocators   [2]*Allocator
 	requests     []Request
-	writes       []func()
-	replies      []func()
+	// maxDelay bounds how late a request arrives; 0 means that there is no bound.
+	maxDelay time.Duration
+	// requested are the times at which the requests were made.
+	requested []time.Time
+	writes    []func()
+	replies   []func()
 	// copies are earlier tables; restores is set if the store may return with one of them.
 	copies   []Table
 	restores bool
@@ -220,8 +224,8 @@
 	case 4, 5, 6:
 		m.renew(id)
 	case 7:
-		if len(m.requests) > 0 {
-			m.submit(rapid.SampledFrom(m.requests).Draw(m.t, "late"))
+		if late := m.lateRequests(); len(late) > 0 {
+			m.submit(rapid.SampledFrom(late).Draw(m.t, "late"))
 		}
 	case 8:
 		m.writes = m.completeOne(m.writes)
@@ -245,7 +249,7 @@
 
 // renew submits an instance's request and usually completes its write and its reply.
 func (m *tableModel) renew(id entryKey) {
-	m.submit(m.request(id))
+	m.submit(m.request(id)...)
 	if rapid.IntRange(0, 3).Draw(m.t, "stuck-before-write") == 0 {
 		return
 	}
@@ -272,22 +276,42 @@
 	return append(list[:at:at], list[at+1:]...)
 }
 
-// request returns a new request of an instance, to renew or to release its lease.
-func (m *tableModel) request(id entryKey) Request {
+// request returns new requests of an instance, to renew or to release its lease.
+func (m *tableModel) request(id entryKey) []Request {
+	var all []Request
+	if h := m.holder(id); rapid.IntRange(0, 9).Draw(m.t, "leaves") == 0 {
+		all = h.Release(m.now, testParams, m.epoch)
+	} else {
+		all = []Request{h.Request(m.now, Whole/Part(rapid.IntRange(1, 3).Draw(m.t, "members")), testParams, m.epoch)}
+	}
+	m.requests = append(m.requests, all...)
+	for range all {
+		m.requested = append(m.requested, m.now)
+	}
+	return all
+}
+
+// lateRequests returns the requests that may still arrive.
+func (m *tableModel) lateRequests() []Request {
+	if m.maxDelay == 0 {
+		return m.requests
+	}
+	first := 0
+	for first < len(m.requested) && m.now.Sub(m.requested[first]) >= m.maxDelay {
+		first++
+	}
+	return m.requests[first:]
+}
+
+// holder returns the holder of an instance, a new one if the instance has restarted.
+func (m *tableModel) holder(id entryKey) *Holder {
 	h := m.holders[id]
 	if h == nil {
 		m.firstRenewal += 1000
 		h = NewHolder(id.instance, id.center, id.shard, m.firstRenewal)
 		m.holders[id] = h
 	}
-	var a Request
-	if rapid.IntRange(0, 9).Draw(m.t, "leaves") == 0 {
-		a = h.Release()
-	} else {
-		a = h.Request(m.now, Whole/Part(rapid.IntRange(1, 3).Draw(m.t, "members")), testParams, m.epoch)
-	}
-	m.requests = append(m.requests, a)
-	return a
+	return h
 }
 
 // submit lets an allocator read the table now and write it, conditionally, at a later step.
@@ -343,6 +367,38 @@
 	})
 }
 
+// TestNextHolderGetsTheWholeAfterFaults checks that an instance gets a whole shard at once, before
+// any lease ends, after the faults have ended and the others have been told not to hold it. No
+// request arrives later than a lease after it was made: the table remembers releases for that long.
+func TestNextHolderGetsTheWholeAfterFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &tableModel{
+			t: t, now: time.Unix(0, 0), holders: map[entryKey]*Holder{}, allocators: [2]*Allocator{NewAllocator(), NewAllocator()}, maxDelay: testParams.Lease,
+		}
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			m.step()
+		}
+		next := m.holder(entryKey{"c", 0, "i0"})
+		for range 2 {
+			var requests []Request
+			for _, id := range []ident.InstanceID{"i1", "i2"} {
+				if h := m.holder(entryKey{"c", 0, id}); h.MayBeListed() {
+					requests = append(requests, h.Release(m.now, testParams, m.epoch)...)
+				}
+			}
+			m.writes, m.replies = nil, nil
+			m.submit(append(requests, next.Request(m.now, Whole, testParams, m.epoch))...)
+			m.writes[0]()
+			for _, reply := range m.replies {
+				reply()
+			}
+		}
+		if got := next.Usable(m.now); got != Whole {
+			t.Fatalf("holds %d after the others released the shard, want all; the table is %v", got, m.table)
+		}
+	})
+}
+
 func grantTo(grants []Grant, id ident.InstanceID) Grant {
 	for _, g := range grants {
 		if g.Instance == id {
@@ -507,7 +563,7 @@
 	submit(0, r)
 	first.ApplyGrant(Grant{Renewal: r.Renewal, Part: Whole})
 	late := first.Request(now, Whole, testParams, 0)
-	if part := submit(1, first.Release(), second.Request(now, Whole, testParams, 0)); part != Whole {
+	if part := submit(1, append(first.Release(now, testParams, 0), second.Request(now, Whole, testParams, 0))...); part != Whole {
 		t.Fatalf("granted %d of a released shard, want all", part)
 	}
 	now = now.Add(testParams.Lease / 2)
--- a/internal/rule/share/table.go
+++ b/internal/rule/share/table.go
@@ -115,8 +115,25 @@
 	requested    time.Time
 	pending      Request
 	pendingSince time.Time
+	listing      listing
+	// statement is the request that states what was held before the release.
+	statement Request
 }
 
+// listing says why the table may list an instance for a shard.
+type listing int
+
+const (
+	// byEarlierRun: an earlier run of the instance may have been granted a part.
+	byEarlierRun listing = iota
+	// byRequest: a request was made, whether or not it was answered.
+	byRequest
+	// untilReleased: a release was made and not answered.
+	untilReleased
+	// notListed: the table has confirmed the release.
+	notListed
+)
+
 // NewHolder returns a holder of nothing. Renewal numbers continue from first, which must
 // exceed those of earlier runs of the instance, as a clock reading does.
 func NewHolder(self ident.InstanceID, center ident.CenterID, shard Shard, first uint64) *Holder {
@@ -137,7 +154,7 @@
 		Instance: h.self, Center: h.center, Shard: h.shard, Want: want, Held: h.held, Renewal: h.pending.Renewal + 1,
 		Usable: h.Usable(now), Epoch: epoch,
 	}
-	h.pendingSince = now
+	h.pendingSince, h.listing = now, byRequest
 	return h.pending
 }
 
@@ -148,15 +165,34 @@
 		return
 	}
 	h.held, h.requested = min(g.Part, h.pending.Want), h.pendingSince
+	if h.pending.Release {
+		h.listing = notListed
+	}
 }
 
-// Release gives up the part at once and returns the request that frees it in the table.
-func (h *Holder) Release() Request {
+// Release gives up the part at once and returns the requests that free it in the table: one that
+// states what was held, in case the table has lost that, and the release.
+func (h *Holder) Release(now time.Time, params LeaseParams, epoch ident.Epoch) []Request {
+	var all []Request
+	switch h.listing {
+	case byRequest:
+		h.statement = h.Request(now, Whole, params, epoch)
+		h.listing = untilReleased
+		all = append(all, h.statement)
+	case untilReleased:
+		all = append(all, h.statement)
+	}
 	h.held = 0
 	h.pending = Request{Instance: h.self, Center: h.center, Shard: h.shard, Renewal: h.pending.Renewal + 1, Release: true}
-	return h.pending
+	return append(all, h.pending)
 }
 
+// Requested reports whether the table may list this instance because of its own requests.
+func (h *Holder) Requested() bool { return h.listing == byRequest || h.listing == untilReleased }
+
+// MayBeListed reports whether the table may list this instance, be it since an earlier run.
+func (h *Holder) MayBeListed() bool { return h.listing != notListed }
+
 // entryKey identifies an entry of the table.
 type entryKey struct {
 	center   ident.CenterID
