Release what an earlier run of an instance held only when another one misses it

Cause: with the release after each start the three preferred instances of each shard opened a link to the writer of the table. Change: an instance releases what an earlier run may have been granted once another one requests tokens of the shard from it, as a preferred holder without a grant does. What the run itself requested is released as before.

--- a/internal/quota/lease.go
+++ b/internal/quota/lease.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"maps"
-	"slices"
 	"strconv"
 	"time"
 
@@ -110,8 +109,8 @@
 }
 
 // mustRelease reports whether the table may list this instance for a shard that it neither holds
-// nor should hold. What an earlier run was granted is released only by the instances that are
-// preferred for the shard, so that the number of requests does not grow with the fleet.
+// nor should hold. What an earlier run was granted is released only if another instance misses
+// it, so that an instance that starts sends the table's writer nothing.
 func (q *Quota) mustRelease(shard share.Shard) bool {
 	holders := q.conf.Holders(shard)
 	if q.Part(shard) > 0 || len(holders) == 0 || holders[0] == q.conf.Self {
@@ -120,7 +119,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	h := q.holders[shard]
-	return q.takeovers[shard] == 0 && (h.Requested() || h.MayBeListed() && slices.Contains(holders, q.conf.Self))
+	return q.takeovers[shard] == 0 && (h.Requested() || h.MayBeListed() && q.asked[shard].Load())
 }
 
 // sleep waits for d; false means that the Quota is stopping.
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -132,6 +132,9 @@
 	parts      [share.Shards]atomic.Int64
 	// requestedAt is when this instance first requested a shard that it does not hold yet.
 	requestedAt [share.Shards]atomic.Int64
+	// asked is set once another instance has requested tokens of a shard that this one neither holds
+	// nor should hold.
+	asked [share.Shards]atomic.Bool
 	// failed holds the time of the last failed request for tokens by instance.
 	failed      sync.Map
 	renew       chan struct{}
--- a/internal/quota/take.go
+++ b/internal/quota/take.go
@@ -57,11 +57,15 @@
 		q.counts.lent.Add(float64(lent.Amount))
 		return lent
 	}
-	if q.isHolder(share.ShardOf(w.Customer)) {
+	if shard := share.ShardOf(w.Customer); q.isHolder(shard) {
 		wait := min(w.Wait, maxLendWait)
 		_, lent.RetryAfter = q.obtain(ctx, w.Customer, wait, wait, lend)
 	} else {
-		// The holder does not respond, so this instance stands in for it without a part of its own.
+		// The holder does not respond or has no grant, so this instance stands in for it without a
+		// part of its own.
+		if !q.asked[shard].Swap(true) {
+			q.CheckShards()
+		}
 		q.gatherRemote(a, w.Customer, w.Amount)
 		q.now(a, w.Customer, lend)
 		lent.RetryAfter = q.emptyFor(a)
