--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -132,6 +132,9 @@
 	parts      [share.Shards]atomic.Int64
 	// requestedAt is when this instance first requested a shard that it does not hold yet.
 	requestedAt [share.Shards]atomic.Int64
+	// asked is set once another instance has requested tokens of a shard that this one neither holds
+	// nor should hold.
+	asked [share.Shards]atomic.Bool
 	// failed holds the time of the last failed request for tokens by instance.
 	failed      sync.Map
 	renew       chan struct{}
@@ -142,7 +145,9 @@
 
 	mu      sync.Mutex
 	holders [share.Shards]*share.Holder
-	random  *rand.Rand
+	// takeovers counts the running takeovers of each shard.
+	takeovers [share.Shards]int
+	random    *rand.Rand
 }
 
 type counters struct {
@@ -192,7 +197,7 @@
 	q.mu.Lock()
 	var releases []share.Request
 	for _, h := range q.holders {
-		if h.Usable(clock.Now()) > 0 {
+		if h.Requested() {
 			releases = append(releases, q.release(h)...)
 		}
 	}
