Model an old primary that answers again while an order to replace it is out

Cause: the model of promotions with synchronous replicas had no servers that join and let seals last until a replica follows a later term. The earlier trace, that the end of the other replica's pause lets it receive, does not hold: each status poll shows both pauses until the order took effect. Change: schedules in which the primary is cut off from everybody, comes back while an order is out, a server joins and the promotion ends the seals.

--- a/internal/rule/group/synch_model_test.go
+++ b/internal/rule/group/synch_model_test.go
@@ -76,6 +76,8 @@
 	// leaseUntil is when an instance's read lease expires; leaseTerm is the term of the lease.
 	leaseUntil map[int]time.Time
 	leaseTerm  map[int]ident.Term
+	// rejoin describes how a primary that was cut off comes back; nil lets faults come at random.
+	rejoin *rejoin
 	// disabled names the mechanism that is disabled; empty means none.
 	disabled  string
 	violation string
@@ -334,7 +336,11 @@
 		m.schedule(m.randomMillis(2, 30), func() { m.step(at, Promoted{Term: a.Term, Server: a.Server}) })
 		return
 	}
-	m.schedule(modelTakeover+m.randomMillis(0, 100), func() { m.becomePrimary(s) })
+	takeover := modelTakeover + m.randomMillis(0, 100)
+	if m.rejoin != nil {
+		takeover = m.reconnectPrimary(takeover)
+	}
+	m.schedule(takeover, func() { m.becomePrimary(s) })
 	m.schedule(m.randomMillis(2, 30), func() { m.step(at, Promoted{Term: a.Term, Server: a.Server, OK: true}) })
 }
 
@@ -359,6 +365,9 @@
 		}
 	}
 	s.role, s.term, s.sealed = Primary, term+1, 0
+	if m.rejoin != nil {
+		m.unseal()
+	}
 }
 
 // replicate copies to a replica the log of each primary that it can follow; an earlier
@@ -496,7 +505,11 @@
 			e.fn()
 		}
 		if m.oneIn(4) {
-			m.injectFault()
+			if m.rejoin == nil {
+				m.injectFault()
+			} else {
+				m.isolatePrimary()
+			}
 		}
 		for _, s := range m.servers {
 			if s.role == Primary && !s.down && m.oneIn(2) {
