Test that a group recovers when its demoted primary alone holds the log

Cause: a primary that is handed over is demoted before the order; if its successor is refused and leaves, and no other replica has received its last position, the demoted primary is never chosen.

--- a/internal/rule/group/claims_test.go
+++ b/internal/rule/group/claims_test.go
@@ -284,3 +284,26 @@
 		}
 	}
 }
+
+// TestGroupRecoversFromLostCandidate checks that a group gets a primary again after its old one
+// was demoted and the server that was to succeed it has left.
+func TestGroupRecoversFromLostCandidate(t *testing.T) {
+	h := newHarness(t)
+	h.m.SetLeaving(map[ident.ServerID]bool{"p": true})
+	claim, _ := find[Claim](h.step(Tick{}))
+	h.step(Claimed{Term: claim.Record.Term, Granted: true, Record: Record{Claim: 1}})
+	for id, received := range map[ident.ServerID]ident.Position{"a": 7, "b": 9} {
+		h.step(Sealed{Term: claim.Record.Term, OK: true, Status: Status{Server: id, Term: 1, LogTerm: 1, Received: received}})
+	}
+	h.step(Sealed{Term: claim.Record.Term, OK: true, Status: Status{Server: "p", Term: 1, LogTerm: 1, Received: 12}})
+	h.step(Promoted{Term: claim.Record.Term, Server: "b"})
+	h.m.SetServers([]ident.ServerID{"p", "a"})
+	h.m.SetLeaving(nil)
+	actions := h.advance(30*time.Second, func() {
+		h.poll("p", Replica, 12)
+		h.poll("a", Replica, 7)
+	})
+	if _, ok := find[Claim](actions); !ok {
+		t.Fatal("no claim within 30 s")
+	}
+}
