Say in the evidence that a primary gets no new work because it leaves

Cause: a refusal with no-primary named a primary that answers, and an operator couldn't tell why it was refused. Change: the evidence names it.

--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -39,8 +39,12 @@
 	}
 	s, r := g.allServers()[v.primary], &v.servers[v.primary]
 	load, service := s.pool.load()
-	return fmt.Sprintf("primary %s of term %d last answered %v ago, last poll missed %t, sealed for term %d; %d requests run or wait there, %v each",
+	text := fmt.Sprintf("primary %s of term %d last answered %v ago, last poll missed %t, sealed for term %d; %d requests run or wait there, %v each",
 		s.ID, v.term, clock.Since(r.answered).Round(time.Millisecond), r.missed, r.status.Sealed, load, service.Round(time.Millisecond))
+	if g.isRetired(s) {
+		text += fmt.Sprintf("; it gets no new work, as it has been leaving for more than %v", leavingWork)
+	}
+	return text
 }
 
 // primaryCenter returns the data centre of the primary, empty if no primary is known.
@@ -134,16 +138,6 @@
 	return g.withRetries(ctx, w, func() attempt { return g.writeOnce(ctx, w, arrived, sink) })
 }
 
-// primaryFor returns the primary to run the work on. A replaced primary may still
-// answer the reads of a transaction, so a transaction needs one that is known to have
-// still been the primary when the request arrived.
-func (g *Group) primaryFor(ctx context.Context, w *Work, arrived time.Time) (*server, Result) {
-	if w.Kind == stmt.Begin && g.conf.Group.Synchronous > 0 {
-		return g.awaitLeasedPrimary(ctx, w, arrived)
-	}
-	return g.awaitPrimary(ctx, w)
-}
-
 // maxQueueWait returns how long the work may wait in the queue.
 func (g *Group) maxQueueWait(ctx context.Context, w *Work) time.Duration {
 	return min(admit.MaxQueueWait(w.Target, w.Limits.QueueWait), untilDeadline(ctx))
@@ -327,81 +321,3 @@
 		}
 	}
 }
-
-// awaitPrimary returns the primary, waiting for one during a failover.
-func (g *Group) awaitPrimary(ctx context.Context, w *Work) (*server, Result) {
-	return g.awaitUsablePrimary(ctx, w, func(v *view) bool { return true })
-}
-
-// awaitUsablePrimary waits for a usable primary and a view that accept reports true for. If no
-// primary is to be expected within the maximum queue wait, the work is refused early,
-// with the time after which to retry.
-func (g *Group) awaitUsablePrimary(ctx context.Context, w *Work, accept func(*view) bool) (*server, Result) {
-	var found *server
-	usable := func(v *view) bool {
-		found = nil
-		if g.hasUsablePrimary(v) {
-			g.noPrimarySince.Store(0)
-			if accept(v) {
-				found = g.allServers()[v.primary]
-			}
-		}
-		return found != nil
-	}
-	if usable(g.tracker.current.Load()) {
-		return found, Result{}
-	}
-	wait, after := admit.PrimaryWait(g.primaryAbsence(), g.maxQueueWait(ctx, w))
-	ctx, cancel := context.WithTimeout(ctx, wait)
-	defer cancel()
-	if g.await(ctx, usable) {
-		return found, Result{}
-	}
-	refusal := notSent(fault.NoPrimary)
-	refusal.RetryAfter = admit.Jitter(after, g.random())
-	return nil, refusal
-}
-
-// primaryAbsence returns how long there has been no usable primary, 0 if there is one.
-func (g *Group) primaryAbsence() time.Duration {
-	v := g.tracker.current.Load()
-	if g.hasUsablePrimary(v) {
-		g.noPrimarySince.Store(0)
-		return 0
-	}
-	now := clock.Now()
-	if g.noPrimarySince.CompareAndSwap(0, now.UnixNano()) {
-		return 0
-	}
-	return now.Sub(time.Unix(0, g.noPrimarySince.Load()))
-}
-
-// hasUsablePrimary reports whether the group has a primary that may get new work.
-func (g *Group) hasUsablePrimary(v *view) bool {
-	return v.primary != noPrimary && g.canWrite(v, &v.servers[v.primary]) && !g.isRetired(g.allServers()[v.primary])
-}
-
-// isRetired reports whether a server has been leaving for so long that it gets no new work.
-func (g *Group) isRetired(s *server) bool { return g.conf.leavers.done(s.ID) }
-
-// canWrite reports whether a primary answered its last poll, within the silence limit,
-// and is not sealed for a later term.
-func (g *Group) canWrite(v *view, r *report) bool {
-	return !r.missed && r.status.Sealed <= v.term && clock.Since(r.answered) < g.defaults.Load().Silence
-}
-
-// confirmPrimary waits for a majority to confirm the primary by polls that began after this
-// call, and returns the primary's position.
-func (g *Group) confirmPrimary(ctx context.Context) (ident.Floor, bool) {
-	started := clock.Now()
-	var floor ident.Floor
-	ok := g.await(ctx, func(v *view) bool {
-		asked, found, confirmed := v.confirmed()
-		if !confirmed || asked.Before(started) {
-			return false
-		}
-		floor = found
-		return true
-	})
-	return floor, ok
-}
