Let the time of a leaving server run out while a connection is opened, in its test

Cause: the test filled the queue of a server and waited until a request stood in it. Change: the time runs out while the request's connection is opened, so that nothing has to be caught in passing; what the test wants is the same, for work that waited.

--- a/internal/owner/roster_test.go
+++ b/internal/owner/roster_test.go
@@ -28,6 +28,8 @@
 	down    map[ident.ServerID]bool
 	primary ident.ServerID
 	dials   map[ident.CustomerID]int
+	// beforeDial is called before a connection for a customer is opened; it may be nil.
+	beforeDial func(ident.CustomerID)
 	// change alters the statuses that the servers report.
 	change func(*group.Status)
 }
@@ -50,6 +52,9 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.beforeDial != nil {
+		d.beforeDial(t.Customer)
+	}
 	d.dials[t.Customer]++
 	return &fakeConn{driver: d, server: t.Server}, nil
 }
@@ -145,6 +150,12 @@
 	}
 }
 
+func (d *fakeDriver) setBeforeDial(f func(ident.CustomerID)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.beforeDial = f
+}
+
 func newDriver() *fakeDriver {
 	return &fakeDriver{down: map[ident.ServerID]bool{}, primary: "a", dials: map[ident.CustomerID]int{}}
 }
