Use servers again whose entries are newer than the list that lacked them

Cause: after a restore the copy lacked two servers; they were removed 2.5 s later, and their departure was remembered. When the list was read anew within 5 s of the restore, with their entries written again, these were taken for those of the copy and left out. An entry changes only when a server's state does, so no event brought them back. Change: a departure remembers the list that lacked the server. An entry of the same epoch with a higher revision was written since, and counts.

--- a/internal/confs/cache.go
+++ b/internal/confs/cache.go
@@ -124,10 +124,11 @@
 	return true
 }
 
-// departure is when an incarnation of a server disappeared from the list.
+// departure is when an incarnation of a server disappeared, and the list that lacked it.
 type departure struct {
 	incarnation int64
 	at          time.Time
+	list        ident.Version
 }
 
 // departureRetention is how long departures are remembered; the copies that a platform is
@@ -146,7 +147,7 @@
 	for _, servers := range c.listing.Servers {
 		for _, s := range servers {
 			if !listed[s.ID] {
-				c.left[s.ID] = departure{incarnation: s.Incarnation, at: clock.Now()}
+				c.left[s.ID] = departure{incarnation: s.Incarnation, at: clock.Now(), list: next.Version}
 			}
 		}
 	}
@@ -174,12 +175,15 @@
 	return clock.Now().Before(c.copyUntil)
 }
 
-// hasLeft reports whether an incarnation of a server, or a later one, has recently left.
-func (c *Cache) hasLeft(id ident.ServerID, incarnation int64) bool {
+// hasLeft reports whether an incarnation of a server, or a later one, has recently left and its entry,
+// which has the given version, is of before that. An entry that is newer than the list that lacked
+// it was written since, in the same epoch.
+func (c *Cache) hasLeft(id ident.ServerID, incarnation int64, v ident.Version) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	d, left := c.left[id]
-	return left && incarnation <= d.incarnation
+	writtenSince := v.Epoch() == d.list.Epoch() && v > d.list
+	return left && incarnation <= d.incarnation && !writtenSince
 }
 
 // Listing returns the server list in use.
--- a/internal/confs/servers.go
+++ b/internal/confs/servers.go
@@ -107,7 +107,7 @@
 	server := conf.Server{
 		ID: id, Center: s.Center, Address: s.Address, Leaving: s.State == objs.Leaving, Incarnation: s.Incarnation, Slots: s.Slots, IsPrimary: s.IsPrimary,
 	}
-	if mayBeCopy && w.isOutdated(&server) {
+	if mayBeCopy && w.isOutdated(&server, e.Object.Version()) {
 		return
 	}
 	w.entries[id] = &entry{group: s.Group, server: server}
@@ -115,11 +115,11 @@
 
 // isOutdated reports whether an entry of a copy is of a server that has left or started again
 // since. A server that was leaving still is.
-func (w *ServerWatcher) isOutdated(s *conf.Server) bool {
+func (w *ServerWatcher) isOutdated(s *conf.Server, v ident.Version) bool {
 	known := w.entries[s.ID]
 	switch {
 	case known == nil:
-		return w.Cache.hasLeft(s.ID, s.Incarnation)
+		return w.Cache.hasLeft(s.ID, s.Incarnation, v)
 	case known.server.Incarnation > s.Incarnation:
 		known.missingSince = time.Time{}
 		return true
