Refuse requests that reached no server by the way that answers other faults

refuseRequest repeated answerFault: both refuse, fail the open transaction or end a pinned session, and answer ready or skip to the Sync. Now one calls the other. Behaviour is the same; the tests of entry, fault and those of fleet that concern messages, sessions and lost answers pass.

--- a/internal/entry/pgserve.go
+++ b/internal/entry/pgserve.go
@@ -67,7 +67,6 @@
 		return s.refuseRequest(fault.NotSupported, true)
 	}
 	if reason := s.appendMessage(message); reason != fault.None {
-		s.skipToSync = true
 		s.dropBatch()
 		return s.refuseRequest(reason, false)
 	}
@@ -76,18 +75,7 @@
 
 // refuseRequest refuses a request that has not reached a server; done also sends ReadyForQuery.
 func (s *pgSession) refuseRequest(r fault.Reason, done bool) bool {
-	f := &fault.Fault{Reason: r, Outcome: fault.NotSent, Trace: s.instance.trace()}
-	if s.pinned && s.status == TxOpen {
-		return s.endWith(f)
-	}
-	s.refuse(f)
-	if s.status == TxOpen {
-		s.failTx()
-	}
-	if done {
-		return s.ready()
-	}
-	return s.wire.Flush() == nil
+	return s.answerFault(&fault.Fault{Reason: r, Outcome: fault.NotSent, Trace: s.instance.trace()}, !done)
 }
 
 // dropBatch drops the batch. Its portals were not bound, so that their names may stand for others.
@@ -164,7 +152,6 @@
 		return s.wire.Flush() == nil
 	}
 	if s.batch.executes > 0 {
-		s.skipToSync = true
 		s.dropBatch()
 		return s.refuseRequest(fault.NotSupported, false)
 	}
