--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -93,6 +93,8 @@
 	// withoutGroup leaves the database group to the case, which lists its own servers.
 	withoutGroup bool
 	config       map[string]any
+	// serverDelay is the time one way between the nodes and the servers.
+	serverDelay time.Duration
 }
 
 func fatal(f *fleet, format string, args ...any) {
@@ -133,7 +135,7 @@
 			fatal(f, "servers: %v", err)
 		}
 		f.group.PromotionDelay, f.group.Lag, f.group.DrainTime = time.Second, 8*time.Millisecond, 7*time.Second
-		go f.register(c.serverZones)
+		go f.register(c.serverZones, c.serverDelay)
 	}
 	if c.config == nil {
 		c.config = configuration(1, c.tenants)
@@ -180,11 +182,12 @@
 
 // register keeps the servers' entries in the store: each heartbeat, at once when one changes, and
 // not any more when a server has been silent for three heartbeats.
-func (f *fleet) register(zones []string) {
+func (f *fleet) register(zones []string, delay time.Duration) {
 	sequence, born := 0, time.Now().UnixMilli()
 	type entry struct {
 		role, state string
 		zone        string
+		address     string
 		written     time.Time
 	}
 	last := map[string]*entry{}
@@ -197,7 +200,11 @@
 		for at, s := range f.group.All() {
 			e := last[s.ID]
 			if e == nil {
-				e = &entry{zone: zones[at%len(zones)]}
+				e = &entry{zone: zones[at%len(zones)], address: s.Addr()}
+				if delay > 0 {
+					path := newLink(s.Addr())
+					path.delay, e.address = delay, path.addr()
+				}
 				last[s.ID] = e
 			}
 			if !s.Running() {
@@ -218,7 +225,7 @@
 			if role != e.role || state != e.state {
 				sequence++
 				f.store.Set("servers", s.ID, map[string]any{
-					"service": "ledger", "address": s.Addr(), "zone": e.zone, "slots": 3, "state": state, "born": born, "sequence": sequence,
+					"service": "ledger", "address": e.address, "zone": e.zone, "slots": 3, "state": state, "born": born, "sequence": sequence,
 					"database_role": role, "version": "v1", "cold_remaining_ms": 0,
 				})
 				f.logf("entry of %s: %s, %s", s.ID, role, state)
--- a/review/stand/strict.go
+++ b/review/stand/strict.go
@@ -11,51 +11,79 @@
 	"strings"
 	"sync"
 	"time"
+
+	"geraniumseam.dev/platform/ptest"
 )
 
 // strictGroup is a database group without failover, whose servers read the wire to the letter: a message ends
 // at CR LF only. It notes each statement that a client's id came with.
 type strictGroup struct {
-	name    string
-	mu      sync.Mutex
-	data    map[string]string
-	number  int
-	ran     []statement
-	servers []*strictServer
+	name   string
+	mu     sync.Mutex
+	data   map[string]string
+	number int
+	ran    []statement
+	// keepsNone is set for a long run, in which no statements are noted.
+	keepsNone bool
+	servers   []*strictServer
+	store     *ptest.Store
+	delay     time.Duration
 }
 
 type strictServer struct {
 	group    *strictGroup
 	id       string
+	zone     string
 	primary  bool
 	listener net.Listener
+	address  string
+	born     int64
+	sequence int
+	// replaced is set once the server is to leave.
+	replaced bool
 }
 
 // statement is a statement as a server received and ran it.
 type statement struct{ server, id, text string }
 
 func newStrictGroup(f *fleet, name string, zones []string) *strictGroup {
-	g := &strictGroup{name: name, data: map[string]string{}}
-	for at, zone := range zones {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			os.Exit(unable)
-		}
-		s := &strictServer{group: g, id: fmt.Sprintf("i-%s-%d", name, at), primary: at == 0, listener: l}
-		g.servers = append(g.servers, s)
-		go s.accept()
-		role := "replica"
-		if s.primary {
-			role = "primary"
-		}
-		f.store.Set("servers", s.id, map[string]any{
-			"service": name, "address": l.Addr().String(), "zone": zone, "slots": 3, "state": "ready", "born": time.Now().UnixMilli(), "sequence": 1,
-			"database_role": role, "version": "v1", "cold_remaining_ms": 0,
-		})
+	g := &strictGroup{name: name, data: map[string]string{}, store: f.store}
+	for _, zone := range zones {
+		g.join(zone)
 	}
 	return g
 }
 
+// join starts a server and lists it; the first one is the primary.
+func (g *strictGroup) join(zone string) *strictServer {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		os.Exit(unable)
+	}
+	s := &strictServer{group: g, id: fmt.Sprintf("i-%s-%d", g.name, len(g.servers)), zone: zone, primary: len(g.servers) == 0, listener: l, address: l.Addr().String(), born: time.Now().UnixMilli()}
+	if g.delay > 0 {
+		path := newLink(s.address)
+		path.delay, s.address = g.delay, path.addr()
+	}
+	g.servers = append(g.servers, s)
+	go s.accept()
+	s.list("ready")
+	return s
+}
+
+// list writes the server's entry.
+func (s *strictServer) list(state string) {
+	role := "replica"
+	if s.primary {
+		role = "primary"
+	}
+	s.sequence++
+	s.group.store.Set("servers", s.id, map[string]any{
+		"service": s.group.name, "address": s.address, "zone": s.zone, "slots": 3, "state": state, "born": s.born, "sequence": s.sequence,
+		"database_role": role, "version": "v1", "cold_remaining_ms": 0,
+	})
+}
+
 func (s *strictServer) accept() {
 	for {
 		c, err := s.listener.Accept()
@@ -120,7 +148,7 @@
 // run runs a statement outside of a transaction; the caller holds the mutex.
 func (s *strictServer) run(id, text string, state *string) string {
 	g := s.group
-	if id != "-" {
+	if id != "-" && !g.keepsNone {
 		g.ran = append(g.ran, statement{s.id, id, text})
 	}
 	complete := "COMPLETE sig-" + s.id + "-" + id + "\r\n"
