--- a/review/stand/strict.go
+++ b/review/stand/strict.go
@@ -39,8 +39,7 @@
 	address  string
 	born     int64
 	sequence int
-	// replaced is set once the server is to leave.
-	replaced bool
+	conns    map[net.Conn]bool
 }
 
 // statement is a statement as a server received and ran it.
@@ -60,7 +59,7 @@
 	if err != nil {
 		os.Exit(unable)
 	}
-	s := &strictServer{group: g, id: fmt.Sprintf("i-%s-%d", g.name, len(g.servers)), zone: zone, primary: len(g.servers) == 0, listener: l, address: l.Addr().String(), born: time.Now().UnixMilli()}
+	s := &strictServer{group: g, id: fmt.Sprintf("i-%s-%d", g.name, len(g.servers)), zone: zone, primary: len(g.servers) == 0, listener: l, address: l.Addr().String(), born: time.Now().UnixMilli(), conns: map[net.Conn]bool{}}
 	if g.delay > 0 {
 		path := newLink(s.address)
 		path.delay, s.address = g.delay, path.addr()
@@ -84,6 +83,17 @@
 	})
 }
 
+// leave removes the server's entry and ends the server.
+func (s *strictServer) leave() {
+	s.group.store.Remove("servers", s.id)
+	s.listener.Close()
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	for c := range s.conns {
+		c.Close()
+	}
+}
+
 func (s *strictServer) accept() {
 	for {
 		c, err := s.listener.Accept()
@@ -112,6 +122,9 @@
 func (s *strictServer) serve(c net.Conn) {
 	defer c.Close()
 	g, r := s.group, bufio.NewReader(c)
+	g.mu.Lock()
+	s.conns[c] = true
+	g.mu.Unlock()
 	start, err := readMessage(r)
 	fields := strings.Fields(start)
 	if err != nil || len(fields) < 3 || fields[0] != "START" {
