--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -183,11 +183,12 @@
 // register keeps the servers' entries in the store: each heartbeat, at once when one changes, and
 // not any more when a server has been silent for three heartbeats.
 func (f *fleet) register(zones []string, delay time.Duration) {
-	sequence, born := 0, time.Now().UnixMilli()
+	sequence := 0
 	type entry struct {
 		role, state string
 		zone        string
 		address     string
+		born        int64
 		written     time.Time
 	}
 	last := map[string]*entry{}
@@ -208,6 +209,7 @@
 				last[s.ID] = e
 			}
 			if !s.Running() {
+				e.born = 0
 				if e.state != "" && time.Since(e.written) > 3*heartbeat {
 					f.store.Remove("servers", s.ID)
 					f.logf("entry of %s expires", s.ID)
@@ -222,10 +224,14 @@
 			if !s.Stays() {
 				state = "draining"
 			}
-			if role != e.role || state != e.state {
+			started := e.born == 0
+			if started {
+				e.born = time.Now().UnixMilli()
+			}
+			if started || role != e.role || state != e.state {
 				sequence++
 				f.store.Set("servers", s.ID, map[string]any{
-					"service": "ledger", "address": e.address, "zone": e.zone, "slots": 3, "state": state, "born": born, "sequence": sequence,
+					"service": "ledger", "address": e.address, "zone": e.zone, "slots": 3, "state": state, "born": e.born, "sequence": sequence,
 					"database_role": role, "version": "v1", "cold_remaining_ms": 0,
 				})
 				f.logf("entry of %s: %s, %s", s.ID, role, state)
--- a/review/stand/link.go
+++ b/review/stand/link.go
@@ -19,6 +19,8 @@
 	isCut    bool
 	healed   *sync.Cond
 	delay    time.Duration
+	// held is what was sent last on an open connection and is held up.
+	held []byte
 }
 
 func newLink(target string) *link {
@@ -41,6 +43,13 @@
 	k.healed.Broadcast()
 }
 
+// heldUp returns what was sent last on an open connection and is held up, nil if nothing was.
+func (k *link) heldUp() []byte {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.held
+}
+
 func (k *link) accept() {
 	for {
 		c, err := k.listener.Accept()
@@ -104,6 +113,9 @@
 		n, err := from.Read(buffer)
 		k.mu.Lock()
 		delay := k.delay
+		if k.isCut && n > 0 {
+			k.held = append([]byte(nil), buffer[:n]...)
+		}
 		for k.isCut {
 			k.healed.Wait()
 		}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -6,7 +6,7 @@
 import "os"
 
 func main() {
-	cases := map[string]func(){"smuggle": smuggled, "stale": staleOrder, "crash": crashOnJoin, "route": serviceAsDatabase}
+	cases := map[string]func(){"smuggle": smuggled, "stale": staleOrder, "restarted": orderOfRestarted, "crash": crashOnJoin, "route": serviceAsDatabase}
 	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
 		os.Exit(unable)
 	}
--- a/review/stand/stale.go
+++ b/review/stand/stale.go
@@ -3,20 +3,33 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"sync"
 	"syscall"
 	"time"
+
+	"geraniumseam.dev/platform/ptest"
 )
 
-const cutTime = 5500 * time.Millisecond
+const (
+	cutTime = 5500 * time.Millisecond
+	// maxLostNoted is how many lost commits are written to the record.
+	maxLostNoted = 50
+)
 
 type acked struct {
 	item, data string
 	at         time.Time
 }
 
-func staleOrder() {
+// staleOrder has a holder's order held up until another holder has ordered, and the holder killed meanwhile.
+func staleOrder() { heldUpOrder(false) }
+
+// orderOfRestarted has a holder's order held up, and the server that it names started again meanwhile.
+func orderOfRestarted() { heldUpOrder(true) }
+
+func heldUpOrder(restart bool) {
 	f := newFleet(fleetConfig{
 		zones:       []string{"north-a", "north-a", "north-a", "central-a", "central-a", "south-a"},
 		serverZones: []string{"north-a", "north-a", "central-a", "south-a"},
@@ -94,7 +107,19 @@
 	}
 	f.logf("primary %s crashes", f.group.Primary().ID)
 	f.group.Primary().Kill()
-	if f.trouble {
+	switch {
+	case f.trouble && restart:
+		time.Sleep(3 * time.Second)
+		named := f.named(holder.cloud.heldUp())
+		if named == nil {
+			fatal(f, "no order is held up")
+		}
+		for _, s := range f.group.All() {
+			f.logf("log of %s, which runs: %t: %d writes", s.ID, s.Running(), len(s.Writes()))
+		}
+		f.logf("%s, which the order names, crashes and starts again empty", named.ID)
+		named.Restart(500 * time.Millisecond)
+	case f.trouble:
 		time.Sleep(2500 * time.Millisecond)
 		holder.signal(syscall.SIGKILL)
 		f.logf("%s is killed", holder.name)
@@ -105,9 +130,27 @@
 	time.Sleep(14 * time.Second)
 	close(done)
 	wait.Wait()
-	// The checks.
-	highest := order{}
-	verdict := ""
+	verdict := checkOrders(f, acks)
+	f.logf("orders in the second change of primary: %d", len(f.seenOrders())-before)
+	if verdict != "" {
+		f.finish(broken, verdict)
+	}
+	f.finish(held, fmt.Sprintf("held: %d orders, %d acknowledged writes", len(f.seenOrders()), len(acks)))
+}
+
+// named returns the server that an order names, nil if there is none.
+func (f *fleet) named(sent []byte) *ptest.Server {
+	for _, s := range f.group.All() {
+		if bytes.Contains(sent, []byte(`"`+s.ID+`"`)) {
+			return s
+		}
+	}
+	return nil
+}
+
+// checkOrders returns which rules the orders and the changes of primary broke.
+func checkOrders(f *fleet, acks []acked) string {
+	highest, verdict := order{}, ""
 	for _, o := range f.seenOrders() {
 		if o.token < highest.token && o.holder != highest.holder {
 			verdict += fmt.Sprintf("ONE: %s sent token %d after %s had sent %d. ", o.holder, o.token, highest.holder, highest.token)
@@ -124,17 +167,14 @@
 		f.logf("term %d begins at %s", t.Number, t.Server)
 		for _, a := range acks {
 			if a.at.Before(t.Began) && !t.Writes[a.item][a.data] {
-				lost++
-				f.logf("LOST: %s %s, acknowledged %v before", a.item, a.data, t.Began.Sub(a.at))
+				if lost++; lost <= maxLostNoted {
+					f.logf("LOST: %s %s, acknowledged %v before", a.item, a.data, t.Began.Sub(a.at))
+				}
 			}
 		}
 	}
 	if lost > 0 {
 		verdict += fmt.Sprintf("LOST: %d acknowledged commits are not in the log of a promoted backend. ", lost)
 	}
-	f.logf("orders in the second change of primary: %d", len(f.seenOrders())-before)
-	if verdict != "" {
-		f.finish(broken, verdict)
-	}
-	f.finish(held, fmt.Sprintf("held: %d orders, %d acknowledged writes", len(f.seenOrders()), len(acks)))
+	return verdict
 }
