Serve a service under its own name only where the configuration means it (ROUTE)

The adapter enters each service under its name.

Check no longer rejects a configuration in which a host has the name of such a service.

--- a/internal/rule/conf/check.go
+++ b/internal/rule/conf/check.go
@@ -135,8 +135,8 @@
 	k.name("route", string(id))
 	_, known := k.conf.Services[r.Service]
 	k.want(known, section, "service", "the name of a section [service NAME]")
-	_, clash := k.conf.Services[id]
-	k.want(!clash || id == r.Service, section, "name", "a name that is no other service's")
+	other, clash := k.conf.Services[id]
+	k.want(!clash || other.RoutesOnly || id == r.Service, section, "name", "a name that is no other service's")
 	if r.Open != "" {
 		_, known := k.conf.Customers[r.Open]
 		k.want(known, section, "open", "the customer whose rate the open route counts against")
--- a/internal/rule/conf/conf_test.go
+++ b/internal/rule/conf/conf_test.go
@@ -94,6 +94,7 @@
 func TestAuthenticate(t *testing.T) {
 	c := validConfig()
 	c.Routes["board"] = Route{Service: "stock", Open: "dealer", Worth: 1}
+	c.Services["archive"] = Service{Group: "stock", RoutesOnly: true}
 	s := NewSnapshot(c, 1)
 	right := HashKey("secret")
 	for _, test := range []struct {
@@ -106,6 +107,7 @@
 		{"dealer", "stock", HashKey("wrong"), false},
 		{"other", "stock", right, false},
 		{"dealer", "nothing", right, false},
+		{"dealer", "archive", right, false},
 		{"anyone", "board", HashKey(""), true},
 	} {
 		a, ok := s.Authenticate(test.customer, test.database, test.hash)
--- a/internal/rule/conf/config.go
+++ b/internal/rule/conf/config.go
@@ -66,6 +66,9 @@
 // Service makes a database group available under a name.
 type Service struct {
 	Group ident.GroupID `json:"group"`
+	// RoutesOnly is set if callers reach the service only through its routes. Otherwise its name is
+	// also the name of a database.
+	RoutesOnly bool `json:"routes-only,omitempty"`
 }
 
 // Route is a database name that callers connect to, with settings for the requests on it.
--- a/internal/rule/conf/snapshot.go
+++ b/internal/rule/conf/snapshot.go
@@ -77,7 +77,7 @@
 	return s.Keys[id].Customer, known
 }
 
-// HasDatabase reports whether a route or service of this name exists.
+// HasDatabase reports whether callers can connect to a database of this name.
 func (s *Snapshot) HasDatabase(database ident.ServiceID) bool {
 	_, found := s.lookupRoute(database)
 	return found
@@ -100,12 +100,13 @@
 	Target          time.Duration
 }
 
-// lookupRoute looks up a route; every service is also a route of the same name.
+// lookupRoute looks up a route. A service is also a route of the same name, unless it is reached
+// only through its routes.
 func (s *Snapshot) lookupRoute(name ident.ServiceID) (Route, bool) {
 	if r, ok := s.Routes[name]; ok {
 		return r, true
 	}
-	if _, ok := s.Services[name]; ok {
+	if service, ok := s.Services[name]; ok && !service.RoutesOnly {
 		return Route{Service: name, Worth: 1}, true
 	}
 	return Route{}, false
