--- a/internal/rule/conf/conf_test.go
+++ b/internal/rule/conf/conf_test.go
@@ -123,6 +123,12 @@
 	if _, ok := NewSnapshot(c, 2).Revalidate(a); ok {
 		t.Error("Revalidate accepted a withdrawn key")
 	}
+	a, _ = s.Authenticate("", "board", Hash{})
+	c.Customers["visitor"] = Customer{Rate: 1, Burst: 1, Weight: 1}
+	c.Routes["board"] = Route{Service: "stock", Open: "visitor", Worth: 1}
+	if a, ok := NewSnapshot(c, 3).Revalidate(a); !ok || a.Customer != "visitor" {
+		t.Errorf("an open route counts against visitor now; Revalidate = %+v, %v", a, ok)
+	}
 }
 
 func TestExceptionEnds(t *testing.T) {
--- a/internal/rule/conf/snapshot.go
+++ b/internal/rule/conf/snapshot.go
@@ -158,12 +158,13 @@
 	if !found {
 		return a, false
 	}
-	if _, known := s.Customers[a.Customer]; !known {
-		return a, false
-	}
 	if a.Key == "" {
+		a.Customer = route.Open
 		return s.applyRoute(a, route), route.Open != ""
 	}
+	if _, known := s.Customers[a.Customer]; !known {
+		return a, false
+	}
 	key, known := s.Keys[a.Key]
 	if !known || key.Hash != a.Hash || key.Customer != a.Customer {
 		return a, false
