Let the age of a configuration's confirmation grow on its way (CONFIG)

Nobody read the platform before the cut of the two relays ended.

Cause, two faults of one kind. An instance takes over from the relays once its configuration has not been confirmed for a while, and heartbeats tell each other how old the confirmation is. 1. The cache measured that age with the time of day. The rest of the delay: an age was told as it was when the heartbeat was sent. The same held for an answer of the platform that arrives late: it confirmed what held when it arrived, not when it was given.

Change: the cache measures with internal/clock. Each heartbeat returns the time of the last one received, so that the receiver bounds its transit by its own clock and adds it; without that bound it confirms nothing. An answer of the platform counts from when the call began, or from the end of the time for which the platform held the watch; the length of a watch is the relay's decision now.

--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -25,7 +25,6 @@
 
 const (
 	callTimeout    = 2 * time.Second
-	watchTimeout   = 10 * time.Second
 	callAttempts   = 3
 	initialBackoff = 50 * time.Millisecond
 	maxBackoff     = 2 * time.Second
@@ -77,7 +76,7 @@
 
 func newPlatformClient(url string, registry prometheus.Registerer, seed uint64) *plat.Client {
 	return plat.New(plat.Config{
-		URL: url, CallTimeout: callTimeout, WatchTimeout: watchTimeout, Attempts: callAttempts,
+		URL: url, CallTimeout: callTimeout, Attempts: callAttempts,
 		Backoff: retry.Backoff{Initial: initialBackoff, Max: maxBackoff}, Random: rand.New(rand.NewPCG(seed, 3)), Registry: registry,
 	})
 }
--- a/internal/confs/cache.go
+++ b/internal/confs/cache.go
@@ -19,7 +19,7 @@
 	journal *jrnl.Journal
 	now     func() time.Time
 	current atomic.Pointer[conf.Snapshot]
-	// confirmedAt is when the current version was last confirmed, in Unix nanoseconds.
+	// confirmedAt is when the current version was last confirmed, in nanoseconds of now; 0 if never.
 	confirmedAt atomic.Int64
 
 	mu sync.Mutex
@@ -39,7 +39,7 @@
 	callbacks []func(*conf.Snapshot)
 }
 
-// NewCache returns a Cache with an empty configuration of version 0.
+// NewCache returns a Cache with an empty configuration of version 0. Ages are measured with now.
 func NewCache(j *jrnl.Journal, now func() time.Time) *Cache {
 	c := &Cache{journal: j, now: now, left: map[ident.ServerID]departure{}, bundle: Bundle{Pages: map[conf.PageName][]byte{}}}
 	c.base = conf.NewSnapshot(conf.New(), 0)
@@ -227,13 +227,16 @@
 	return content, ok
 }
 
-// Confirm records that the given version was the platform's latest one so long ago. It has
+// neverConfirmed is the age of a confirmation that has not been given yet.
+const neverConfirmed = time.Duration(1 << 62)
+
+// Confirm records that the given version was the platform's latest one at most so long ago. It has
 // no effect unless that is the version in use.
 func (c *Cache) Confirm(v ident.Version, ago time.Duration) {
 	if v != c.Current().Version {
 		return
 	}
-	at := c.now().Add(-ago).UnixNano()
+	at := c.now().Add(-max(ago, 0)).UnixNano()
 	for {
 		old := c.confirmedAt.Load()
 		if at <= old || c.confirmedAt.CompareAndSwap(old, at) {
@@ -245,5 +248,9 @@
 // SinceConfirmed returns how long ago the configuration then in use was last confirmed to be
 // the platform's latest.
 func (c *Cache) SinceConfirmed() time.Duration {
-	return c.now().Sub(time.Unix(0, c.confirmedAt.Load()))
+	at := c.confirmedAt.Load()
+	if at == 0 {
+		return neverConfirmed
+	}
+	return c.now().Sub(time.Unix(0, at))
 }
--- a/internal/confs/confs_test.go
+++ b/internal/confs/confs_test.go
@@ -18,6 +18,7 @@
 
 	"pgregory.net/rapid"
 
+	"geraniumseam.dev/internal/clock"
 	"geraniumseam.dev/internal/jrnl"
 	"geraniumseam.dev/internal/plat"
 	"geraniumseam.dev/internal/rule/conf"
@@ -35,7 +36,7 @@
 	}
 	t.Cleanup(p.Stop)
 	return p, plat.New(plat.Config{
-		URL: p.URL(), CallTimeout: time.Second, WatchTimeout: 100 * time.Millisecond, Attempts: 3,
+		URL: p.URL(), CallTimeout: time.Second, Attempts: 3,
 		Backoff: retry.Backoff{Initial: time.Millisecond, Max: 5 * time.Millisecond}, Random: rand.New(rand.NewPCG(1, 1)),
 	})
 }
@@ -267,7 +268,7 @@
 	p, s := newClient(t)
 	ctx := testContext(t)
 	k := NewCache(jrnl.New(jrnl.Config{Capacity: 100, Now: time.Now}), time.Now)
-	r := &Relay{Store: s, Cache: k}
+	r := &Relay{Store: s, Cache: k, WatchTime: 100 * time.Millisecond}
 	version := ident.Version(0)
 	for round := range 4 {
 		p.Faults().Outage.Store(round == 2)
@@ -369,7 +370,7 @@
 	return s.Store.List(ctx, k)
 }
 
-func (s *callStore) Watch(_ context.Context, _ objs.Kind, after ident.Version, _ func(objs.Event)) (ident.Version, error) {
+func (s *callStore) Watch(_ context.Context, _ objs.Kind, after ident.Version, _ time.Duration, _ func(objs.Event)) (ident.Version, error) {
 	s.calls = append(s.calls, "watch")
 	return after, nil
 }
@@ -421,6 +422,46 @@
 	}
 }
 
+// lateStore is a platform whose watches end after a time on a clock.
+type lateStore struct {
+	headStore
+	pass func()
+}
+
+func (s *lateStore) Watch(_ context.Context, _ objs.Kind, after ident.Version, _ time.Duration, _ func(objs.Event)) (ident.Version, error) {
+	s.pass()
+	return after, nil
+}
+
+// TestAnswerHeldUpConfirmsWhatHeldWhenItWasGiven guards against an old configuration that counts as
+// just confirmed (CONFIG) because the platform's answer was held up, as by a cut or a frozen process.
+func TestAnswerHeldUpConfirmsWhatHeldWhenItWasGiven(t *testing.T) {
+	head, pages, err := conf.Split(configWithCustomers(1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Unix(1000, 0)
+	cache := NewCache(jrnl.New(jrnl.Config{Capacity: 10, Now: time.Now}), func() time.Time { return now })
+	if age := cache.SinceConfirmed(); age < 24*time.Hour {
+		t.Errorf("never confirmed, and yet confirmed %v ago", age)
+	}
+	var takes time.Duration
+	store := &lateStore{headStore: headStore{bundle: Bundle{Version: 8, Head: head, Pages: pages}}, pass: func() { now = now.Add(takes) }}
+	r := &Relay{Store: store, Cache: cache, WatchTime: time.Second}
+	for _, step := range []struct{ takes, want time.Duration }{
+		{0, 0}, {time.Second, 0}, {7 * time.Second, 6 * time.Second}, {50 * time.Millisecond, 50 * time.Millisecond},
+	} {
+		takes = step.takes
+		r.position.reachedAt = clock.Now()
+		if err := r.Step(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if age := cache.SinceConfirmed(); age != step.want {
+			t.Errorf("a watch of 1 s took %v: confirmed %v ago, want %v", step.takes, age, step.want)
+		}
+	}
+}
+
 // TestLostConfigurationIsWrittenAgain guards against a configuration that is in force but lost on
 // a restored platform: instances that start later would get the older one, and an operator would
 // change that one.
--- a/internal/confs/relay.go
+++ b/internal/confs/relay.go
@@ -22,11 +22,20 @@
 	// WritesAgain makes the relay write the configuration in force again if a restore of the
 	// platform has lost it; without it, the operator does.
 	WritesAgain bool
+	// WatchTime is about how often the configuration in use is confirmed to be the latest: each
+	// watch without a change confirms it.
+	WatchTime time.Duration
 	// latest is the latest head received, with its pages and those of a head still to come.
 	latest   Bundle
 	position position
+	// answeredAt is a time after which the platform gave its last answer.
+	answeredAt time.Time
 }
 
+// minWatchTenths is the shortest watch, in tenths of WatchTime. After a change the next watch is
+// shorter than WatchTime, so that confirmations stay equally frequent.
+const minWatchTenths = 1
+
 // maxEmptyWatches is how many watches in a row may advance the version without delivering
 // an event before the objects are listed again. It amounts to some seconds, well within the
 // history that the platform keeps.
@@ -80,15 +89,25 @@
 		return r.load(ctx)
 	}
 	delivered := false
-	after, err := r.Store.Watch(ctx, objs.Configurations, r.position.after, func(e objs.Event) { delivered = true; r.apply(ctx, e) })
+	wait := min(max(r.WatchTime-r.Cache.now().Sub(r.answeredAt), r.WatchTime*minWatchTenths/10), r.WatchTime)
+	began := r.Cache.now()
+	after, err := r.Store.Watch(ctx, objs.Configurations, r.position.after, wait, func(e objs.Event) {
+		delivered, r.answeredAt = true, began
+		r.apply(ctx, e)
+	})
 	r.position.update(after, delivered, err)
 	if err == nil {
+		r.answeredAt = began
+		if held := began.Add(wait); !delivered && !held.After(r.Cache.now()) {
+			r.answeredAt = held
+		}
 		r.confirm()
 	}
 	return err
 }
 
 func (r *Relay) load(ctx context.Context) error {
+	began := r.Cache.now()
 	list, err := r.Store.List(ctx, objs.Configurations)
 	if err != nil {
 		return err
@@ -100,6 +119,7 @@
 		}
 	}
 	r.position.listed(list.Version())
+	r.answeredAt = began
 	r.offer()
 	r.confirm()
 	if r.WritesAgain {
@@ -122,11 +142,14 @@
 	r.Cache.journal.Add(jrnl.Event{Kind: jrnl.PlatformRestored, Version: lost.Version, Evidence: evidence})
 }
 
-// confirm records that the platform holds no later configuration than the one in force. After a
-// restore it may hold an earlier one, which does not outdate the one in force.
+// confirm records that the platform, when it last answered, held no later configuration than the one
+// in force. After a restore it may hold an earlier one, which does not outdate the one in force.
+//
+// An answer may arrive long after it was given, because the path or this process was held up. So it
+// counts from when the call began, or from the end of the time for which the platform held a watch.
 func (r *Relay) confirm() {
 	if current := r.Cache.Current().Version; r.latest.Version <= current {
-		r.Cache.Confirm(current, 0)
+		r.Cache.Confirm(current, r.Cache.now().Sub(r.answeredAt))
 	}
 }
 
--- a/internal/confs/servers.go
+++ b/internal/confs/servers.go
@@ -19,6 +19,10 @@
 // registered again within about two seconds.
 const removalDelay = 2500 * time.Millisecond
 
+// serverWatchTime is the length of a watch of the server list, which needs no regular
+// confirmation.
+const serverWatchTime = 4 * time.Second
+
 // entry is a server of the platform's list; missingSince is when its entry disappeared, zero
 // if it is present.
 type entry struct {
@@ -56,7 +60,7 @@
 		defer cancel()
 	}
 	delivered := false
-	after, err := w.Store.Watch(watchCtx, objs.Servers, w.position.after, func(e objs.Event) { delivered = true; w.apply(e, false) })
+	after, err := w.Store.Watch(watchCtx, objs.Servers, w.position.after, serverWatchTime, func(e objs.Event) { delivered = true; w.apply(e, false) })
 	if watchCtx.Err() != nil && ctx.Err() == nil {
 		err = nil
 	}
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -61,7 +61,9 @@
 			h.epochs.Observe(epoch, time.Duration(m.EpochSeconds)*time.Second)
 		}
 		h.members.onHeartbeat(from, m.Version, m.Leaving)
-		h.configCache.Confirm(m.Version, m.Checked)
+		if m.Transit != peer.UnknownTransit {
+			h.configCache.Confirm(m.Version, max(m.Checked, 0)+m.Transit)
+		}
 		if m.Version > h.configCache.Current().Version && h.members.mayFetch(from, configUpdate) {
 			h.fetchConfig(from)
 		}
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -170,7 +170,7 @@
 	i.journal = jrnl.New(jrnl.Config{
 		Instance: c.Instance, Center: c.Center, Capacity: journalCapacity, Registry: c.Registry, Now: time.Now,
 	})
-	i.configCache = confs.NewCache(i.journal, time.Now)
+	i.configCache = confs.NewCache(i.journal, clock.Now)
 	i.members = newMembers(i)
 	i.callers = newCallers(i)
 	i.host = owner.NewHost(owner.HostConfig{
@@ -292,7 +292,7 @@
 func (i *Instance) onConfigChange(s *conf.Snapshot) {
 	i.members.changed()
 	i.callers.recheck(s)
-	i.hub.NotifySome(i.tomb.Context(context.Background()), (*handler)(i).Heartbeat(""), i.members.propagatesTo)
+	i.hub.SendHeartbeats(i.tomb.Context(context.Background()), i.members.propagatesTo)
 }
 
 // Shutdown stops accepting callers, waits up to the drain time for running requests and
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -21,6 +21,12 @@
 	// relayRetryDelay is the mean time between the attempts of a relay while the platform does
 	// not answer.
 	relayRetryDelay = 500 * time.Millisecond
+	// watchesPerPropagation is how many watches of the configuration, one after the other, end
+	// within Config.PropagationTime; the end of each confirms the version in use. minWatchTime is
+	// the shortest such watch, defaultWatchTime the length without a PropagationTime.
+	watchesPerPropagation = 3
+	minWatchTime          = time.Second
+	defaultWatchTime      = 10 * time.Second
 	// relayCheckInterval is how often an instance that is not a relay checks whether it has
 	// become one or has to take over from one.
 	relayCheckInterval = 200 * time.Millisecond
@@ -46,7 +52,7 @@
 
 // relay keeps the configuration up to date with the platform.
 func (i *Instance) relay() error {
-	r := &confs.Relay{Store: i.conf.Store, Cache: i.configCache, WritesAgain: !i.conf.ConfigReadOnly}
+	r := &confs.Relay{Store: i.conf.Store, Cache: i.configCache, WritesAgain: !i.conf.ConfigReadOnly, WatchTime: i.watchTime()}
 	lost := false
 	known := func() bool { return i.configCache.Current().Version > 0 }
 	return i.follow(known, func(ctx context.Context) error {
@@ -58,6 +64,14 @@
 	})
 }
 
+// watchTime returns how long a relay's watch of the configuration lasts if nothing changes.
+func (i *Instance) watchTime() time.Duration {
+	if i.conf.PropagationTime == 0 {
+		return defaultWatchTime
+	}
+	return max(minWatchTime, i.conf.PropagationTime/watchesPerPropagation)
+}
+
 // relayServers keeps the list of backend servers up to date with the platform.
 func (i *Instance) relayServers() error {
 	w := &confs.ServerWatcher{Store: i.conf.Store, Cache: i.configCache}
--- a/internal/entry/start_test.go
+++ b/internal/entry/start_test.go
@@ -94,7 +94,7 @@
 			}()
 			i, err := Start(Config{
 				Instance: "started", Center: "here", Callers: callers, Peers: peers, PeerSecret: "secret", PeerDialer: &net.Dialer{}, Seed: 1, Registry: slowRegistry(t),
-				Store: plat.New(plat.Config{URL: p.URL(), CallTimeout: time.Second, WatchTimeout: time.Second, Attempts: 1, Random: rand.New(rand.NewPCG(1, 1))}),
+				Store: plat.New(plat.Config{URL: p.URL(), CallTimeout: time.Second, Attempts: 1, Random: rand.New(rand.NewPCG(1, 1))}),
 			})
 			if err != nil {
 				t.Fatal(err)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -197,14 +197,11 @@
 // Key returns a customer's key.
 func (f *Fleet) Key(id ident.CustomerID) string { return f.keys[id] }
 
-const (
-	platformCallTimeout  = 300 * time.Millisecond
-	platformWatchTimeout = 10 * time.Second
-)
+const platformCallTimeout = 300 * time.Millisecond
 
 func (f *Fleet) client(center ident.CenterID, registry *prometheus.Registry) *plat.Client {
 	c := plat.Config{
-		URL: f.Platform.URL(), CallTimeout: platformCallTimeout, WatchTimeout: platformWatchTimeout, Attempts: 3,
+		URL: f.Platform.URL(), CallTimeout: platformCallTimeout, Attempts: 3,
 		Backoff: retry.Backoff{Initial: 10 * time.Millisecond, Max: 100 * time.Millisecond},
 		Random:  rand.New(rand.NewPCG(f.random.Uint64(), f.random.Uint64())),
 	}
--- a/internal/peer/hub_test.go
+++ b/internal/peer/hub_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -16,6 +17,7 @@
 	"geraniumseam.dev/internal/proto"
 	"geraniumseam.dev/internal/quota"
 	"geraniumseam.dev/pkg/ident"
+	"geraniumseam.dev/stand/lproxy"
 )
 
 // testInstance is a Hub with a Handler that echoes requests.
@@ -25,6 +27,8 @@
 	mu         sync.Mutex
 	addresses  map[ident.InstanceID]string
 	heartbeats map[ident.InstanceID]int
+	// transits are those of the heartbeats received.
+	transits   []time.Duration
 	rolledBack []owner.TxID
 	// wants is whether links are kept; lost and retired count the links that ended.
 	wants         atomic.Bool
@@ -51,6 +55,7 @@
 	switch m := m.(type) {
 	case Heartbeat:
 		n.heartbeats[from]++
+		n.transits = append(n.transits, m.Transit)
 	case TxRollback:
 		n.rolledBack = append(n.rolledBack, m.Tx)
 	}
@@ -131,6 +136,39 @@
 	}
 }
 
+// TestHeartbeatOnASlowPathIsAsOldAsThePath guards against an age that is told again and again and
+// doesn't grow on the way (CONFIG): instances then took an old configuration for confirmed.
+func TestHeartbeatOnASlowPathIsAsOldAsThePath(t *testing.T) {
+	const delay = 150 * time.Millisecond
+	a, b := newTestInstance(t, "a", nil), newTestInstance(t, "b", nil)
+	path, err := lproxy.New(b.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(path.Close)
+	path.Delay(delay)
+	a.addresses["b"] = path.Addr()
+	if err := a.hub.Connect(testContext(t), "b"); err != nil {
+		t.Fatal(err)
+	}
+	for _, n := range []*testInstance{a, b} {
+		known := func() (transits []time.Duration) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			for _, transit := range n.transits {
+				if transit != UnknownTransit {
+					transits = append(transits, transit)
+				}
+			}
+			return transits
+		}
+		waitFor(t, func() bool { return len(known()) > 5 })
+		if shortest := slices.Min(known()); shortest < delay {
+			t.Errorf("a heartbeat was %v on its way, want at least %v", shortest, delay)
+		}
+	}
+}
+
 // TestRunAndQuery forwards a large request and sends a query, over mutual TLS.
 func TestRunAndQuery(t *testing.T) {
 	pair, pool, err := certs.Ephemeral()
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -43,13 +43,15 @@
 	unwantedSince time.Time
 	// retainedUntil is until when this end does not ask to close the link; the hub's mutex guards it.
 	retainedUntil time.Time
-	// wake is signalled when the link becomes busy, to send a heartbeat at once.
+	// wake is signalled to send a heartbeat at once, also when the link becomes busy.
 	wake chan struct{}
 	tomb tomb.Tomb
 
 	mu sync.Mutex
 	// busySince is when the link last became busy.
 	busySince time.Time
+	// last is the last heartbeat received.
+	last lastBeat
 	// streams are the requests and queries sent to the peer; serving cancels the requests
 	// that run for it, by stream. Both are nil once the link has ended.
 	streams map[uint64]*stream
@@ -185,7 +187,7 @@
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
-		if err := l.send(l.tomb.Context(context.Background()), kindHeartbeat, 0, l.hub.conf.Handler.Heartbeat(l.peer)); err != nil {
+		if err := l.sendHeartbeat(l.tomb.Context(context.Background())); err != nil {
 			return nil
 		}
 		heartbeatFactor := l.heartbeatFactor()
@@ -229,10 +231,7 @@
 		return
 	}
 	l.busySince = time.Now()
-	select {
-	case l.wake <- struct{}{}:
-	default:
-	}
+	l.wakeUp()
 }
 
 // running reports whether requests run over the link in either direction; the caller holds
@@ -262,13 +261,14 @@
 	if err != nil || m == nil {
 		return err
 	}
-	switch m := m.(type) {
+	switch received := m.(type) {
 	case Heartbeat:
+		m = l.receiveHeartbeat(received)
 	case Retire:
 		l.tomb.Go(l.answerRetire)
 		return nil
 	case RetireAnswer:
-		return l.endRetire(m)
+		return l.endRetire(received)
 	case TokensRequest:
 		l.noteRequest()
 	default:
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -52,8 +52,20 @@
 	// EpochSeconds is how long the sender has known the platform's epoch, up to
 	// MaxEpochSeconds.
 	EpochSeconds uint8 `cbor:"8,keyasint,omitempty"`
+	// Sent is when the sender's link sent the heartbeat, by the sender's clock, in milliseconds.
+	Sent uint64 `cbor:"9,keyasint,omitempty"`
+	// Echo is Sent of the last heartbeat that the sender has received over the link, 0 if there was
+	// none, and EchoAge the milliseconds since it received that one.
+	Echo    uint64 `cbor:"10,keyasint,omitempty"`
+	EchoAge uint64 `cbor:"11,keyasint,omitempty"`
+	// Transit is the longest time that the heartbeat may have been on its way, set by the link that
+	// received it; UnknownTransit if nothing bounds it.
+	Transit time.Duration `cbor:"-"`
 }
 
+// UnknownTransit is the Transit of a heartbeat whose sender had not heard from the receiver yet.
+const UnknownTransit = time.Duration(-1)
+
 // MaxEpochSeconds is the longest age of an epoch that a heartbeat reports.
 const MaxEpochSeconds = 60
 
--- a/internal/plat/client.go
+++ b/internal/plat/client.go
@@ -24,8 +24,6 @@
 	URL string
 	// CallTimeout is the timeout of one attempt of a call.
 	CallTimeout time.Duration
-	// WatchTimeout is how long the platform keeps one watch open.
-	WatchTimeout time.Duration
 	// Attempts is the maximum number of attempts of a call.
 	Attempts int
 	Backoff  retry.Backoff
@@ -121,9 +119,9 @@
 }
 
 // Watch implements Store.
-func (c *Client) Watch(ctx context.Context, kind objs.Kind, after ident.Version, f func(objs.Event)) (ident.Version, error) {
-	query := fmt.Sprintf("?watch=1&resourceVersion=%d&timeoutSeconds=%g", after, c.conf.WatchTimeout.Seconds())
-	ctx, cancel := context.WithTimeout(ctx, c.conf.WatchTimeout+c.conf.CallTimeout)
+func (c *Client) Watch(ctx context.Context, kind objs.Kind, after ident.Version, wait time.Duration, f func(objs.Event)) (ident.Version, error) {
+	query := fmt.Sprintf("?watch=1&resourceVersion=%d&timeoutSeconds=%g", after, wait.Seconds())
+	ctx, cancel := context.WithTimeout(ctx, wait+c.conf.CallTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.conf.URL+path(kind, "")+query, nil)
 	if err != nil {
--- a/internal/plat/client_test.go
+++ b/internal/plat/client_test.go
@@ -20,7 +20,7 @@
 	}
 	t.Cleanup(p.Stop)
 	return p, New(Config{
-		URL: p.URL(), CallTimeout: 2 * time.Second, WatchTimeout: 200 * time.Millisecond, Attempts: 3,
+		URL: p.URL(), CallTimeout: 2 * time.Second, Attempts: 3,
 		Backoff: retry.Backoff{Initial: time.Millisecond, Max: 10 * time.Millisecond}, Random: rand.New(rand.NewPCG(1, 1)),
 	})
 }
@@ -78,7 +78,7 @@
 		}
 	}
 	var names []string
-	after, err := c.Watch(context.Background(), objs.Groups, 1, func(e objs.Event) { names = append(names, e.Object.Metadata.Name) })
+	after, err := c.Watch(context.Background(), objs.Groups, 1, 200*time.Millisecond, func(e objs.Event) { names = append(names, e.Object.Metadata.Name) })
 	if err != nil || after < 3 || len(names) != 2 {
 		t.Fatalf("got events for %v up to version %d, error %v; want b and c", names, after, err)
 	}
--- a/internal/plat/epochs.go
+++ b/internal/plat/epochs.go
@@ -116,8 +116,8 @@
 }
 
 // Watch implements Store.
-func (s *observed) Watch(ctx context.Context, kind objs.Kind, after ident.Version, f func(objs.Event)) (ident.Version, error) {
-	reached, err := s.Store.Watch(ctx, kind, after, f)
+func (s *observed) Watch(ctx context.Context, kind objs.Kind, after ident.Version, wait time.Duration, f func(objs.Event)) (ident.Version, error) {
+	reached, err := s.Store.Watch(ctx, kind, after, wait, f)
 	s.observe(reached, err)
 	return reached, err
 }
--- a/internal/plat/store.go
+++ b/internal/plat/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"geraniumseam.dev/pkg/ident"
 	"geraniumseam.dev/pkg/objs"
@@ -68,6 +69,7 @@
 	// Delete removes an object if version is the stored one, or 0.
 	Delete(ctx context.Context, kind objs.Kind, name string, version ident.Version) error
 	// Watch calls f for each change of a kind after a version until the platform ends the
-	// watch, and returns the version up to which all changes were delivered.
-	Watch(ctx context.Context, kind objs.Kind, after ident.Version, f func(objs.Event)) (ident.Version, error)
+	// watch, and returns the version up to which all changes were delivered. The platform ends a
+	// watch without a change after wait.
+	Watch(ctx context.Context, kind objs.Kind, after ident.Version, wait time.Duration, f func(objs.Event)) (ident.Version, error)
 }
