Measure every age with one clock (CONFIG, LOST)

Change: ages come from clock.Now, deadlines of sockets from clock.Deadline, and what people read from clock.TimeOfDay.

--- a/internal/certs/certs.go
+++ b/internal/certs/certs.go
@@ -13,6 +13,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"geraniumseam.dev/internal/clock"
 )
 
 // checkInterval is the shortest time between two checks of the files for changes.
@@ -85,10 +87,10 @@
 func (p *Pair) current() *tls.Certificate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.certificate == "" || time.Since(p.checked) < checkInterval {
+	if p.certificate == "" || clock.Since(p.checked) < checkInterval {
 		return p.loaded
 	}
-	p.checked = time.Now()
+	p.checked = clock.Now()
 	if modTime, err := p.latestModTime(); err == nil && !modTime.Equal(p.modTime) {
 		_ = p.load()
 	}
@@ -151,7 +153,7 @@
 
 func certificateTemplate(name string) *x509.Certificate {
 	return &x509.Certificate{
-		SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: name},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(ephemeralLifetime), KeyUsage: x509.KeyUsageDigitalSignature,
+		SerialNumber: big.NewInt(clock.TimeOfDay().UnixNano()), Subject: pkix.Name{CommonName: name},
+		NotBefore: clock.TimeOfDay().Add(-time.Hour), NotAfter: clock.TimeOfDay().Add(ephemeralLifetime), KeyUsage: x509.KeyUsageDigitalSignature,
 	}
 }
--- a/internal/entry/gateway.go
+++ b/internal/entry/gateway.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"geraniumseam.dev/internal/clock"
 	"geraniumseam.dev/internal/rule/membr"
 	"geraniumseam.dev/internal/rule/share"
 	"geraniumseam.dev/pkg/ident"
@@ -178,7 +179,7 @@
 		return true
 	}
 	held := [updateKinds]ident.Version{configUpdate: snapshot.Version, serversUpdate: snapshot.Listed, membersUpdate: m.listVersion}[kind]
-	behind, now := &m.behind[kind], time.Now()
+	behind, now := &m.behind[kind], clock.Now()
 	if behind.since.IsZero() || behind.held != held || now.Sub(behind.since) > behindExpiry {
 		*behind = lag{since: now, held: held}
 		return false
@@ -199,7 +200,7 @@
 // linkLost records that the link to an instance has ended.
 func (m *members) linkLost(id ident.InstanceID) {
 	m.mu.Lock()
-	m.view.RecordDisconnect(time.Now(), id)
+	m.view.RecordDisconnect(clock.Now(), id)
 	m.mu.Unlock()
 	m.changed()
 }
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -168,7 +168,7 @@
 	i.bootID = fmt.Sprintf("%08x", i.random.uint32())
 	i.tracePrefix = string(c.Instance) + "-" + i.bootID + "-"
 	i.journal = jrnl.New(jrnl.Config{
-		Instance: c.Instance, Center: c.Center, Capacity: journalCapacity, Registry: c.Registry, Now: time.Now,
+		Instance: c.Instance, Center: c.Center, Capacity: journalCapacity, Registry: c.Registry, Now: clock.TimeOfDay,
 	})
 	i.configCache = confs.NewCache(i.journal, clock.Now)
 	i.members = newMembers(i)
@@ -271,9 +271,9 @@
 // that takes too long. Only an instance that has never been able to check keys makes callers wait.
 func (i *Instance) awaitReady(database ident.ServiceID) bool {
 	lacking := func() bool { return i.lacking(i.configCache.Current().IsOpen(database)) != "" }
-	for end := time.Now().Add(admitTimeout); lacking(); {
+	for end := clock.Now().Add(admitTimeout); lacking(); {
 		cutOff := i.configCache.SinceConfirmed() < clock.Since(i.started)
-		if cutOff || !time.Now().Before(end) {
+		if cutOff || !clock.Now().Before(end) {
 			return false
 		}
 		time.Sleep(admitPollInterval)
--- a/internal/entry/list.go
+++ b/internal/entry/list.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"geraniumseam.dev/internal/clock"
 	"geraniumseam.dev/internal/peer"
 	"geraniumseam.dev/internal/rule/membr"
 	"geraniumseam.dev/pkg/ident"
@@ -69,7 +70,7 @@
 	}
 	m.listHash = hash
 	m.dirty.Store(true)
-	m.view.SetList(time.Now(), found)
+	m.view.SetList(clock.Now(), found)
 	m.targets = m.view.Targets()
 }
 
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"geraniumseam.dev/internal/clock"
 	"geraniumseam.dev/internal/confs"
 	"geraniumseam.dev/internal/peer"
 	"geraniumseam.dev/internal/rule/conf"
@@ -81,8 +82,10 @@
 	// peerVersions are the versions of the configurations that the peers have in force.
 	peerVersions map[ident.InstanceID]ident.Version
 	// behind is since when this instance has known that it lacks an update of each kind.
-	behind     [updateKinds]lag
+	behind [updateKinds]lag
+	// lastReport is the last status reported to the platform, reportedAt when that was.
 	lastReport confs.CenterStatus
+	reportedAt time.Time
 	// unlistedSeen is set when a heartbeat arrives from an instance that is not in the list.
 	unlistedSeen bool
 }
@@ -90,7 +93,7 @@
 func newMembers(i *Instance) *members {
 	m := &members{
 		instance: i, wake: make(chan struct{}, 1), peerVersions: map[ident.InstanceID]ident.Version{},
-		view: membr.NewView(membr.Config{Self: i.conf.Instance, SuspectTimeout: memberTimeout, RefreshInterval: suspicionRefresh}, uint64(time.Now().UnixNano())),
+		view: membr.NewView(membr.Config{Self: i.conf.Instance, SuspectTimeout: memberTimeout, RefreshInterval: suspicionRefresh}, uint64(clock.TimeOfDay().UnixNano())),
 	}
 	m.current.Store(&fleetView{all: map[ident.InstanceID]membr.Member{}})
 	return m
@@ -105,9 +108,9 @@
 	var read time.Time
 	restored := m.instance.epochs.Changed()
 	for {
-		if time.Since(read) > m.listReadDelay() {
+		if clock.Since(read) > m.listReadDelay() {
 			m.readList(ctx)
-			read = time.Now()
+			read = clock.Now()
 		}
 		m.refresh(ctx)
 		m.instance.hub.CloseSurplus(m.linkWishes())
@@ -118,7 +121,7 @@
 		case <-m.wake:
 		case <-ticker.C:
 		case <-restored:
-			restored, m.lastReport = m.instance.epochs.Changed(), confs.CenterStatus{}
+			restored, m.lastReport, m.reportedAt = m.instance.epochs.Changed(), confs.CenterStatus{}, time.Time{}
 			if m.isRelay() {
 				read = time.Time{}
 			}
@@ -138,11 +141,11 @@
 // lowest version among the instances that this one hears. The first relay of the data centre
 // reports, and only when the version or the number of instances has changed.
 func (m *members) report(ctx context.Context) {
-	if m.instance.conf.SkipReports || time.Since(m.lastReport.At) < reportInterval || !m.reportsForCenter() {
+	if m.instance.conf.SkipReports || clock.Since(m.reportedAt) < reportInterval || !m.reportsForCenter() {
 		return
 	}
 	status := confs.CenterStatus{
-		Center: m.instance.conf.Center, Least: m.instance.configCache.Current().Version, Instances: 1, By: m.instance.conf.Instance, At: time.Now(),
+		Center: m.instance.conf.Center, Least: m.instance.configCache.Current().Version, Instances: 1, By: m.instance.conf.Instance, At: clock.TimeOfDay(),
 	}
 	m.mu.Lock()
 	for _, member := range m.current.Load().local {
@@ -161,7 +164,7 @@
 	ctx, cancel := context.WithTimeout(ctx, reportInterval)
 	defer cancel()
 	if confs.Report(ctx, m.instance.conf.Store, status) == nil {
-		m.lastReport = status
+		m.lastReport, m.reportedAt = status, clock.Now()
 	}
 }
 
@@ -174,7 +177,7 @@
 // refresh rebuilds and publishes the view if it may have changed, propagates suspicions, and
 // updates the owned groups and the shares of the rates.
 func (m *members) refresh(ctx context.Context) {
-	now := time.Now()
+	now := clock.Now()
 	m.mu.Lock()
 	targets := linkTargets(m.instance.conf.Instance, m.targets, m.current.Load())
 	suspicions := m.view.Tick(now)
@@ -259,7 +262,7 @@
 	defer m.mu.Unlock()
 	m.peerVersions[id] = version
 	m.unlistedSeen = m.unlistedSeen || !m.view.IsListed(id)
-	back := m.view.RecordContact(time.Now(), id)
+	back := m.view.RecordContact(clock.Now(), id)
 	if m.view.SetLeaving(id, leaving) || back {
 		m.changed()
 	}
@@ -268,7 +271,7 @@
 // onSuspicion applies a suspicion that a peer sent, and propagates it if it is new.
 func (m *members) onSuspicion(from ident.InstanceID, n membr.Suspicion) {
 	m.mu.Lock()
-	isNew := m.view.ApplySuspicion(time.Now(), n)
+	isNew := m.view.ApplySuspicion(clock.Now(), n)
 	m.mu.Unlock()
 	if isNew {
 		m.instance.hub.NotifySome(m.instance.tomb.Context(context.Background()), peer.SuspicionReport{Suspicion: n}, func(id ident.InstanceID) bool {
--- a/internal/entry/pgstart.go
+++ b/internal/entry/pgstart.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"geraniumseam.dev/internal/clock"
 	"geraniumseam.dev/internal/fault"
 	"geraniumseam.dev/internal/proto"
 	"geraniumseam.dev/internal/rule/conf"
@@ -58,7 +59,7 @@
 
 func (s *pgSession) run() {
 	defer s.closeConn()
-	_ = s.conn.SetDeadline(time.Now().Add(startupTimeout))
+	_ = s.conn.SetDeadline(clock.Deadline(startupTimeout))
 	s.wire = pgproto3.NewBackend(s.conn, s.conn)
 	if !s.startup() {
 		return
@@ -72,7 +73,7 @@
 func (s *pgSession) closeConn() {
 	s.EndTx()
 	if halfCloser, ok := s.conn.(interface{ CloseWrite() error }); ok && halfCloser.CloseWrite() == nil {
-		_ = s.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+		_ = s.conn.SetReadDeadline(clock.Deadline(lingerTimeout))
 		_, _ = io.Copy(io.Discard, io.LimitReader(s.conn, maxMessageBytes))
 	}
 	s.conn.Close()
@@ -264,7 +265,7 @@
 	if s.inDoubt {
 		outcome = fault.Unknown
 	}
-	_ = s.conn.SetWriteDeadline(time.Now().Add(lingerTimeout))
+	_ = s.conn.SetWriteDeadline(clock.Deadline(lingerTimeout))
 	s.refuse(&fault.Fault{Reason: reason, Outcome: outcome, Trace: s.instance.trace(), TxRolledBack: txOpen, Fatal: true})
 	_ = s.wire.Flush()
 }
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -8,6 +8,7 @@
 
 	"github.com/juju/errors"
 
+	"geraniumseam.dev/internal/clock"
 	"geraniumseam.dev/internal/confs"
 	"geraniumseam.dev/internal/jrnl"
 	"geraniumseam.dev/internal/plat"
@@ -181,7 +182,7 @@
 // once and read the platform, the others wait for a peer to deliver the state.
 func (i *Instance) awaitPeerState(known func() bool) {
 	nonBackupWait := nonBackupStartupWait + i.random.duration(nonBackupStartupWait)
-	for began := time.Now(); !known() && i.sleep(startupPollInterval); {
+	for began := clock.Now(); !known() && i.sleep(startupPollInterval); {
 		_, listed := i.members.current.Load().all[i.conf.Instance]
 		rank := i.members.backupRank()
 		wait := nonBackupWait
@@ -191,7 +192,7 @@
 		case listed && rank < backupRelays:
 			wait = startupPeerWait + time.Duration(rank)*backupStagger
 		}
-		if time.Since(began) > wait {
+		if clock.Since(began) > wait {
 			return
 		}
 	}
@@ -219,8 +220,8 @@
 // sleepUntilNeeded is like sleep, but returns early when this instance becomes a relay or has
 // to take over from one.
 func (i *Instance) sleepUntilNeeded(d time.Duration) bool {
-	for end := time.Now().Add(d); time.Now().Before(end); {
-		if !i.sleep(min(relayCheckInterval, time.Until(end))) {
+	for end := clock.Now().Add(d); clock.Now().Before(end); {
+		if !i.sleep(min(relayCheckInterval, end.Sub(clock.Now()))) {
 			return false
 		}
 		if i.members.isRelay() || i.conf.Listed && i.configCache.SinceConfirmed() > i.relayTrust() {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"geraniumseam.dev/internal/clock"
 	"geraniumseam.dev/internal/fault"
 	"geraniumseam.dev/internal/jrnl"
 	"geraniumseam.dev/internal/owner"
@@ -47,7 +48,7 @@
 	if trace == "" {
 		trace = s.instance.trace()
 	}
-	began := time.Now()
+	began := clock.Now()
 	access, reason := s.recheckAccess()
 	if reason != fault.None {
 		s.markRevoked(reason)
@@ -63,7 +64,7 @@
 	}
 	w := s.newWork(q, access, limits, trace)
 	result, ownerID := s.dispatch(w, sink)
-	elapsed := time.Since(began)
+	elapsed := clock.Since(began)
 	s.instance.metrics.observe(w, result, elapsed)
 	s.instance.recordSlow(w, result, ownerID, elapsed)
 	reply := Reply{Work: w, Result: result}
--- a/internal/peer/hub.go
+++ b/internal/peer/hub.go
@@ -16,6 +16,7 @@
 	"github.com/juju/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"geraniumseam.dev/internal/clock"
 	"geraniumseam.dev/internal/fault"
 	"geraniumseam.dev/internal/jrnl"
 	"geraniumseam.dev/internal/owner"
@@ -265,7 +266,7 @@
 			h.mu.Unlock()
 			return l, nil
 		}
-		if time.Since(h.dialFailedAt[id]) < redialDelay || h.closed {
+		if clock.Since(h.dialFailedAt[id]) < redialDelay || h.closed {
 			h.mu.Unlock()
 			return nil, &Error{Cause: Unreachable, Peer: id}
 		}
@@ -306,7 +307,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if err != nil {
-		h.dialFailedAt[id] = time.Now()
+		h.dialFailedAt[id] = clock.Now()
 	}
 	delete(h.dialing, id)
 	close(done)
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -10,6 +10,7 @@
 	"github.com/coder/websocket"
 	"gopkg.in/tomb.v2"
 
+	"geraniumseam.dev/internal/clock"
 	"geraniumseam.dev/pkg/ident"
 )
 
@@ -33,10 +34,10 @@
 	sendQueue chan []byte
 	// opened counts the streams that this end has opened.
 	opened atomic.Uint64
-	// lastHeard is when the last message arrived, in Unix nanoseconds.
+	// lastHeard is when the last message arrived, in nanoseconds of the clock.
 	lastHeard atomic.Int64
 	// lastUsed is when the last message other than a heartbeat was carried, lastRequest when the last
-	// caller's request or request for tokens was, both in Unix nanoseconds.
+	// caller's request or request for tokens was, 0 if there was none; both in nanoseconds of the clock.
 	lastUsed    atomic.Int64
 	lastRequest atomic.Int64
 	// unwantedSince is since when the handler has not wanted the link; only CloseSurplus uses it.
@@ -66,7 +67,7 @@
 		hub: h, peer: peer, socket: socket, sendQueue: make(chan []byte, sendQueueSize), wake: make(chan struct{}, 1),
 		streams: map[uint64]*stream{}, serving: map[uint64]context.CancelFunc{},
 	}
-	l.lastHeard.Store(time.Now().UnixNano())
+	l.lastHeard.Store(clock.Now().UnixNano())
 	l.noteUse()
 	l.tomb.Go(l.write)
 	l.tomb.Go(l.read)
@@ -148,7 +149,7 @@
 			return &Error{Cause: Closed, Peer: l.peer, Detail: err.Error()}
 		}
 		l.hub.bytesIn.Add(float64(len(data)))
-		l.lastHeard.Store(time.Now().UnixNano())
+		l.lastHeard.Store(clock.Now().UnixNano())
 		decoder := decMode.NewDecoder(bytes.NewReader(data))
 		for decoder.NumBytesRead() < len(data) {
 			var f frame
@@ -214,7 +215,7 @@
 	if l.running() && l.busySince.After(lastHeard) {
 		lastHeard = l.busySince
 	}
-	return time.Since(lastHeard)
+	return clock.Since(lastHeard)
 }
 
 // heartbeatFactor returns the current factor on the heartbeat interval and timeout.
@@ -230,7 +231,7 @@
 	if l.running() {
 		return
 	}
-	l.busySince = time.Now()
+	l.busySince = clock.Now()
 	l.wakeUp()
 }
 
--- a/internal/peer/retire.go
+++ b/internal/peer/retire.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"geraniumseam.dev/internal/clock"
 	"geraniumseam.dev/pkg/ident"
 )
 
@@ -22,7 +23,7 @@
 // CloseSurplus closes the links that neither end wants and that have carried nothing for a while. It is
 // called at short intervals; wants reports whether this end wants the link to a peer.
 func (h *Hub) CloseSurplus(wants func(ident.InstanceID) bool) {
-	now := time.Now()
+	now := clock.Now()
 	h.mu.Lock()
 	links := slices.Collect(maps.Keys(h.allLinks))
 	h.mu.Unlock()
@@ -77,7 +78,7 @@
 		return
 	}
 	delete(h.retiring, l)
-	l.retainedUntil = time.Now().Add(delay)
+	l.retainedUntil = clock.Now().Add(delay)
 	l.unretire()
 	if h.links[l.peer] == nil && !h.closed {
 		h.links[l.peer] = l
@@ -87,7 +88,7 @@
 
 // answerRetire answers the peer's wish to close a link.
 func (l *link) answerRetire() error {
-	agreed := !l.hub.conf.Handler.WantsLink(l.peer) && l.hub.takeOutOfUse(l, time.Now(), false)
+	agreed := !l.hub.conf.Handler.WantsLink(l.peer) && l.hub.takeOutOfUse(l, clock.Now(), false)
 	if agreed {
 		l.hub.conf.Handler.Retired(l.peer)
 	}
@@ -115,12 +116,12 @@
 }
 
 // noteUse records that the link carries a message other than a heartbeat.
-func (l *link) noteUse() { l.lastUsed.Store(time.Now().UnixNano()) }
+func (l *link) noteUse() { l.lastUsed.Store(clock.Now().UnixNano()) }
 
 // noteRequest records that the link carries a caller's request or a request for tokens.
 func (l *link) noteRequest() {
 	l.noteUse()
-	l.lastRequest.Store(time.Now().UnixNano())
+	l.lastRequest.Store(clock.Now().UnixNano())
 }
 
 // idle reports whether the link has carried nothing for a while.
@@ -132,8 +133,9 @@
 
 // idleLocked is like idle; the caller holds the mutex.
 func (l *link) idleLocked(now time.Time) bool {
+	lastRequest := l.lastRequest.Load()
 	return l.streams != nil && !l.running() && now.UnixNano()-l.lastUsed.Load() >= int64(l.hub.conf.SurplusDelay) &&
-		now.UnixNano()-l.lastRequest.Load() >= int64(l.hub.conf.RequestDelay)
+		(lastRequest == 0 || now.UnixNano()-lastRequest >= int64(l.hub.conf.RequestDelay))
 }
 
 // surplus reports whether this end has not wanted the link for a while.
--- a/internal/pgcon/conn.go
+++ b/internal/pgcon/conn.go
@@ -11,6 +11,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/juju/errors"
 
+	"geraniumseam.dev/internal/clock"
 	"geraniumseam.dev/internal/proto"
 	"geraniumseam.dev/pkg/ident"
 )
@@ -73,7 +74,7 @@
 	}
 	conn := &Conn{
 		link: proto.NewLink(t.Server, raw), reader: bufio.NewReaderSize(raw, readBuffer),
-		prepared: map[string]bool{}, Opened: time.Now(),
+		prepared: map[string]bool{}, Opened: clock.Now(),
 	}
 	stop := context.AfterFunc(ctx, func() { _ = raw.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
--- a/internal/quota/lease.go
+++ b/internal/quota/lease.go
@@ -39,8 +39,8 @@
 // awaitLink waits up to linkTimeout for a link to another instance and reports whether it is
 // open: an instance that has not started yet cannot be dialled.
 func (q *Quota) awaitLink(id ident.InstanceID) bool {
-	for deadline := time.Now().Add(linkTimeout); !q.conf.Connected(id); {
-		if time.Now().After(deadline) || !q.sleep(linkPollInterval) {
+	for deadline := clock.Now().Add(linkTimeout); !q.conf.Connected(id); {
+		if clock.Now().After(deadline) || !q.sleep(linkPollInterval) {
 			return false
 		}
 	}
@@ -191,7 +191,7 @@
 	if q.misplaced() {
 		interval = min(interval, recheckInterval)
 	}
-	return untilNext(time.Now(), interval) + q.jitter(batchWindow/2)
+	return untilNext(clock.TimeOfDay(), interval) + q.jitter(batchWindow/2)
 }
 
 // setStaticParts gives this instance an equal part of every shard, for the static baseline.
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -172,7 +172,7 @@
 		c.Epochs = plat.NewEpochs()
 	}
 	q := &Quota{conf: c, renew: make(chan struct{}, 1), random: c.Random, counts: newCounters(c.Registry), started: clock.Now()}
-	first := uint64(time.Now().UnixNano())
+	first := uint64(clock.TimeOfDay().UnixNano())
 	for shard := range q.holders {
 		q.holders[shard] = share.NewHolder(c.Self, c.Center, share.Shard(shard), first)
 	}
