Count the votes of observers that restarted with an earlier time of day

An observer numbers its reports from the time of day at its start. One that was started again after its clock had jumped back reported with lower numbers, and the others ignored it for good: an instance that failed then was found out by fewer observers, or by none.

Change: a report no longer has to follow one that has expired.

TestVotesCountAfterARestartWithAnEarlierClock failed before ("the reports of restarted observers are ignored") and passes now.

--- a/internal/rule/membr/view.go
+++ b/internal/rule/membr/view.go
@@ -45,7 +45,7 @@
 type Suspicion struct {
 	Observer ident.InstanceID `cbor:"1,keyasint"`
 	Target   ident.InstanceID `cbor:"2,keyasint"`
-	// Sequence increases with each report of Observer about Target.
+	// Sequence increases with each report of Observer about Target, in one run of Observer.
 	Sequence uint64 `cbor:"3,keyasint"`
 	Silent   bool   `cbor:"4,keyasint,omitempty"`
 }
@@ -220,7 +220,9 @@
 	if s == nil || n.Observer == v.conf.Self || !slices.Contains(s.observers, n.Observer) {
 		return false
 	}
-	if n.Sequence <= s.votes[n.Observer].sequence {
+	// An observer that has restarted may number its reports from an earlier time of day; an expired
+	// one no longer holds against it.
+	if held := s.votes[n.Observer]; n.Sequence <= held.sequence && !v.expired(now, held) {
 		return false
 	}
 	s.votes[n.Observer] = vote{sequence: n.Sequence, silent: n.Silent, receivedAt: now}
@@ -243,13 +245,18 @@
 			continue
 		}
 		voters++
-		if vote := s.votes[by]; vote.silent && now.Sub(vote.receivedAt) < expiryRefreshes*v.conf.RefreshInterval {
+		if vote := s.votes[by]; vote.silent && !v.expired(now, vote) {
 			suspecting++
 		}
 	}
 	return suspecting*2 <= voters || voters == 0 && !v.suspects(now, id)
 }
 
+// expired reports whether a report is too old to count.
+func (v *View) expired(now time.Time, held vote) bool {
+	return now.Sub(held.receivedAt) >= expiryRefreshes*v.conf.RefreshInterval
+}
+
 // suspects reports whether this instance itself observes another one and suspects it.
 func (v *View) suspects(now time.Time, id ident.InstanceID) bool {
 	s := v.state[id]
--- a/internal/rule/membr/view_test.go
+++ b/internal/rule/membr/view_test.go
@@ -224,6 +224,34 @@
 	}
 }
 
+// TestVotesCountAfterARestartWithAnEarlierClock guards against observers whose votes are ignored for
+// good: their reports are numbered from the time of day, which may be earlier after a restart.
+func TestVotesCountAfterARestartWithAnEarlierClock(t *testing.T) {
+	c := Config{Self: "i000", SuspectTimeout: time.Second, RefreshInterval: 4 * time.Second}
+	v := NewView(c, 0)
+	now := time.Unix(1000, 0)
+	v.SetList(now, members(8))
+	observers := v.state["i007"].observers
+	vote := func(sequence uint64, silent bool) {
+		for _, id := range observers {
+			if id != c.Self {
+				v.ApplySuspicion(now, Suspicion{Observer: id, Target: "i007", Sequence: sequence, Silent: silent})
+			}
+		}
+	}
+	vote(2400, false)
+	now = now.Add(time.Second)
+	vote(10, true)
+	if !v.Alive(now, "i007") {
+		t.Fatal("an earlier report that came late counts")
+	}
+	now = now.Add(expiryRefreshes * c.RefreshInterval)
+	vote(11, true)
+	if v.Alive(now, "i007") {
+		t.Fatal("the reports of restarted observers are ignored")
+	}
+}
+
 // TestUnreachableAfterLostLink checks that an instance that is not observed counts as
 // unreachable after its link ended, until it is heard from or the silence time has passed.
 func TestUnreachableAfterLostLink(t *testing.T) {
