Grant a rate to an instance that restarted with an earlier time of day

Renewals of rate shares are numbered from the time of day at the start. After a restart with a clock that had jumped back, the table ignored the requests of the instance until its former entry had expired (the grace, 15 s on the platform): it had no rate.

Change: the answer to an ignored request says which renewal the table lists, and the next request goes on from there.

TestRestartWithAnEarlierClockGetsAPart failed before ("the restarted instance may spend 0, want 1000000") and passes now.

--- a/internal/rule/share/share_test.go
+++ b/internal/rule/share/share_test.go
@@ -572,3 +572,21 @@
 		t.Fatalf("granted %d after a late request of the earlier holder, want all", part)
 	}
 }
+
+// TestRestartWithAnEarlierClockGetsAPart guards against an instance that gets no rate until its former
+// entry has expired: its requests are numbered from the time of day, which may be earlier after a restart.
+func TestRestartWithAnEarlierClockGetsAPart(t *testing.T) {
+	params, allocator := LeaseParams{Lease: 5 * time.Second, Grace: 15 * time.Second, Reserve: Whole / 2}, NewAllocator()
+	now := time.Unix(100, 0)
+	before, after := NewHolder("i0", "c", 0, 2400), NewHolder("i0", "c", 0, 10)
+	table, grants := allocator.Renew(now, Table{}, params, []Request{before.Request(now, Whole, params, 0)})
+	before.ApplyGrant(grantTo(grants, "i0"))
+	for range 2 {
+		now = now.Add(100 * time.Millisecond)
+		table, grants = allocator.Renew(now, table, params, []Request{after.Request(now, Whole, params, 0)})
+		after.ApplyGrant(grantTo(grants, "i0"))
+	}
+	if part := after.Usable(now); part != Whole {
+		t.Errorf("the restarted instance may spend %d, want %d", part, Whole)
+	}
+}
--- a/internal/rule/share/table.go
+++ b/internal/rule/share/table.go
@@ -136,8 +136,8 @@
 	notListed // not-listed
 )
 
-// NewHolder returns a holder of nothing. Renewal numbers continue from first, which must
-// exceed those of earlier runs of the instance, as a clock reading does.
+// NewHolder returns a holder of nothing. Renewal numbers continue from first, which should
+// exceed those of earlier runs of the instance, as the time of day does unless it has jumped back.
 func NewHolder(self ident.InstanceID, center ident.CenterID, shard Shard, first uint64) *Holder {
 	return &Holder{self: self, center: center, shard: shard, pending: Request{Instance: self, Center: center, Shard: shard, Renewal: first}}
 }
@@ -163,6 +163,11 @@
 // ApplyGrant starts the lease that a grant answers, counted from when its request was made.
 // Grants for any but the latest request are ignored.
 func (h *Holder) ApplyGrant(g Grant) {
+	if g.Listed > h.pending.Renewal {
+		// An earlier run of the instance had a later time of day.
+		h.pending.Renewal = g.Listed
+		return
+	}
 	if g.Renewal != h.pending.Renewal {
 		return
 	}
@@ -292,7 +297,11 @@
 	var grants []Grant
 	for _, r := range requests {
 		old, known := next[r.Instance]
-		if r.Center != center || r.Shard != shard || known && r.Renewal <= old.Renewal {
+		if r.Center != center || r.Shard != shard {
+			continue
+		}
+		if known && r.Renewal <= old.Renewal {
+			grants = append(grants, Grant{Instance: r.Instance, Shard: shard, Listed: old.Renewal})
 			continue
 		}
 		lost, counting := next[lostHolder]
@@ -326,6 +335,9 @@
 	Shard    Shard            `cbor:"4,keyasint"`
 	Renewal  uint64           `cbor:"1,keyasint"`
 	Part     Part             `cbor:"2,keyasint"`
+	// Listed is set instead of Renewal and Part if the request was ignored: the table lists this renewal
+	// of the instance, which is not an earlier one.
+	Listed uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // entryFor returns the entry for a request and the part that it is granted. The holder may
