Answer every statement around a planned stop (LOST)

What callers saw: around SIGTERM connections ended without an answer to a statement that had been read and passed on, and open transactions ended without a word.

Cause: nothing ended an open transaction but the end of the process; the end closed the callers' connections before the requests that ran for them were answered; an owner didn't wait for the callers of other instances; a statement that arrived while its idle session was closed was dropped.

Change: a shutdown has stages (internal/entry/stop.go). Open transactions are rolled back after half the grace, and the next statement of each is answered with a promise; running requests are cancelled and answered after five sixths; connections and links close last. An instance waits for what it runs for others and then refuses it.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -175,28 +175,6 @@
 	}
 }
 
-// drain stops accepting callers and ends the sessions: idle ones at once, the others after
-// their request or transaction. It returns when all have ended, or after limit.
-func (c *callers) drain(ctx context.Context, limit time.Duration) {
-	c.mu.Lock()
-	c.closed = true
-	c.mu.Unlock()
-	c.instance.conf.Callers.Close()
-	for _, s := range c.all() {
-		s.closeWhenIdle()
-	}
-	done := make(chan struct{})
-	go func() {
-		c.active.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
-	case <-time.After(limit):
-	}
-}
-
 // kill closes the connection of every caller at once.
 func (c *callers) kill() {
 	c.mu.Lock()
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -21,7 +21,7 @@
 
 // Work implements peer.Handler.
 func (h *handler) Work(ctx context.Context, _ ident.InstanceID, w *owner.Work, sink proto.Sink) owner.Result {
-	return h.host.Run(ctx, w, sink)
+	return h.instance().runForPeer(ctx, w, sink)
 }
 
 // Heartbeat implements peer.Handler.
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -83,9 +83,7 @@
 	// Regions gives the region of each data centre; a data centre without an entry is in a
 	// region of its own.
 	Regions map[ident.CenterID]string
-	// LameDuck is how long an instance that shuts down still accepts callers after it reports
-	// that it is not ready, because load balancers notice that late.
-	LameDuck time.Duration
+	Stop    StopTimes
 	// ConfigReadOnly is set if only the platform's operator writes configurations, and again
 	// after a restore.
 	ConfigReadOnly bool
@@ -137,6 +135,10 @@
 	primaryCenters sync.Map
 	// draining is set once shutdown has begun.
 	draining atomic.Bool
+	// txEnded and workEnded are set once a shutdown lets no transaction go on, and runs nothing for other
+	// instances; peerWork is how many requests run for them.
+	txEnded, workEnded atomic.Bool
+	peerWork           atomic.Int64
 	// fetchingConfig, fetchingServers and fetchingMembers are set while the respective state is
 	// fetched from a peer.
 	fetchingConfig  atomic.Bool
@@ -295,25 +297,6 @@
 	i.hub.SendHeartbeats(i.tomb.Context(context.Background()), i.members.propagatesTo)
 }
 
-// Shutdown stops accepting callers, waits up to the drain time for running requests and
-// transactions, returns this instance's part of the rates and ends.
-func (i *Instance) Shutdown(ctx context.Context) {
-	if i.draining.Swap(true) {
-		return
-	}
-	i.journal.Add(jrnl.Event{Kind: jrnl.Stopping})
-	i.hub.NotifyAll(ctx, (*handler)(i).Heartbeat(""))
-	i.members.changed()
-	select {
-	case <-time.After(i.conf.LameDuck):
-	case <-ctx.Done():
-	}
-	i.callers.drain(ctx, i.configCache.Current().Defaults.DrainTime)
-	i.quota.Stop(ctx)
-	i.members.awaitLeaveNotice(ctx)
-	i.end()
-}
-
 // Kill ends the instance at once, as a crash would.
 func (i *Instance) Kill() {
 	i.draining.Store(true)
--- a/internal/entry/pgserve.go
+++ b/internal/entry/pgserve.go
@@ -17,7 +17,7 @@
 func (s *pgSession) serve() {
 	for s.enterStage(idle) {
 		message, err := s.wire.Receive()
-		if !s.enterStage(running) {
+		if !s.enterStage(running) || err == nil && s.endForStop() {
 			break
 		}
 		if err != nil {
@@ -34,6 +34,17 @@
 	s.sendTermination(txOpen)
 }
 
+// endForStop begins to close the session if a shutdown has ended its transaction.
+func (s *pgSession) endForStop() bool {
+	if !s.TxEnded() {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stage = closing
+	return true
+}
+
 // refuseMalformed answers a message that cannot be decoded. If the caller has disconnected, it
 // does nothing.
 func (s *pgSession) refuseMalformed(err error) {
--- a/internal/owner/host.go
+++ b/internal/owner/host.go
@@ -217,3 +217,21 @@
 	}
 	h.groups.Store(&map[ident.GroupID]*hostedGroup{})
 }
+
+// OpenTransactions returns how many transactions are open on this instance.
+func (h *Host) OpenTransactions() int {
+	count := 0
+	for _, g := range *h.groups.Load() {
+		count += g.group.openTransactions()
+	}
+	return count
+}
+
+// EndTransactions rolls back the open transactions in which no request runs.
+func (h *Host) EndTransactions() {
+	for _, g := range *h.groups.Load() {
+		for _, id := range g.group.txsIdleFor(h.conf.Now(), 0) {
+			g.group.End(id)
+		}
+	}
+}
--- a/internal/owner/tx.go
+++ b/internal/owner/tx.go
@@ -264,9 +264,14 @@
 	}
 }
 
-// idleTxs returns the transactions that have been idle too long; pinned connections outside a
-// transaction and transactions that run a request are left out.
+// idleTxs returns the transactions that have been idle for longer than the configured limit.
 func (g *Group) idleTxs(now time.Time) []TxID {
+	return g.txsIdleFor(now, g.defaults.Load().IdleTransaction)
+}
+
+// txsIdleFor returns the transactions that have been idle for longer than a limit; pinned connections outside a
+// transaction and transactions that run a request are left out.
+func (g *Group) txsIdleFor(now time.Time, limit time.Duration) []TxID {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var ids []TxID
@@ -275,10 +280,28 @@
 			continue
 		}
 		inTx := !t.pinned || t.conn != nil && t.conn.inOpenTx()
-		if inTx && now.Sub(t.lastUsed) > g.defaults.Load().IdleTransaction {
+		if inTx && now.Sub(t.lastUsed) > limit {
 			ids = append(ids, id)
 		}
 		t.mu.Unlock()
 	}
 	return ids
 }
+
+// openTransactions returns how many transactions are open, without pinned connections outside one.
+func (g *Group) openTransactions() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	count := 0
+	for _, t := range g.txs {
+		if !t.mu.TryLock() {
+			count++
+			continue
+		}
+		if !t.pinned || t.conn != nil && t.conn.inOpenTx() {
+			count++
+		}
+		t.mu.Unlock()
+	}
+	return count
+}
--- a/internal/owner/work.go
+++ b/internal/owner/work.go
@@ -103,6 +103,11 @@
 	return a.Refusal.NotRun() && (a.Refusal != proto.ReadOnly || q.NeverCommits || q.WritesNothing || q.TxOpening != proto.OpenNone)
 }
 
+// OpensTx reports whether the request begins a transaction.
+func (w *Work) OpensTx() bool {
+	return w.Tx == 0 && (w.Kind == stmt.Begin || w.Request.TxOpening != proto.OpenNone)
+}
+
 // HasNoEffect reports whether the protocol rules out that the request has an effect outside its
 // session. One that runs in a transaction may write nothing itself and commit what others wrote.
 func (w *Work) HasNoEffect() bool { return w.Tx == 0 && w.Request.WritesNothing }
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -141,6 +143,21 @@
 	}
 }
 
+// CancelServed cancels the requests that run for peers, which are told the outcomes.
+func (h *Hub) CancelServed() {
+	h.mu.Lock()
+	links := slices.Collect(maps.Keys(h.allLinks))
+	h.mu.Unlock()
+	for _, l := range links {
+		l.mu.Lock()
+		cancels := slices.Collect(maps.Values(l.serving))
+		l.mu.Unlock()
+		for _, cancel := range cancels {
+			cancel()
+		}
+	}
+}
+
 // responseSink is the proto.Sink of a request of the peer.
 type responseSink struct {
 	link   *link
