Let no promotion order be overtaken by another holder's (ONE)

What the platform saw: an order of one holder, with a lower fencing token, after one of another with a higher token.

Cause: another instance took an order to have lapsed 3.5 s after it had seen the claim, and nothing made it lapse: it may be held up by its path, by the platform that has read it, or by its holder between check and write.

Change: the group's record says while orders of its holder may be under way, written directly before the first one and taken back once each is known to be answered or not sent. Nobody else claims meanwhile, or for 12 s if the holder doesn't say more. A holder keeps its token, over restarts too.

TestStepsOfChangeAreRecorded writes the claim of its order into the record now, since an order without one is not sent.

--- a/internal/owner/change.go
+++ b/internal/owner/change.go
@@ -147,7 +147,7 @@
 // recordOrder records that a promotion order is about to be sent.
 func (g *Group) recordOrder(a group.Promote) {
 	g.noteChange(orderSeen)
-	g.recordStep(jrnl.Event{Kind: jrnl.OrderSent, Server: a.Server, Term: a.Term, Evidence: fmt.Sprintf("claim %d; %s", a.Claim, g.describeServers())})
+	g.recordStep(jrnl.Event{Kind: jrnl.OrderSent, Server: a.Server, Term: a.Term, Evidence: fmt.Sprintf("fence %d of claim %d; %s", a.Fence, a.Claim, g.describeServers())})
 }
 
 // describeServers lists the group's servers with their last reports, and the version of the list that names them.
--- a/internal/owner/change_test.go
+++ b/internal/owner/change_test.go
@@ -199,7 +199,8 @@
 // had last reported.
 func TestStepsOfChangeAreRecorded(t *testing.T) {
 	d := &positionDriver{newDriver()}
-	g := startGroup(t, d, &claimStore{})
+	store := &claimStore{accepts: true}
+	g := startGroup(t, d, store)
 	eventually(t, "the primary is confirmed", func() bool {
 		return slices.ContainsFunc(g.conf.Journal.Since(time.Time{}), func(e jrnl.Event) bool { return e.Kind == jrnl.PrimaryConfirmed })
 	})
@@ -208,6 +209,13 @@
 	g.seal(group.Seal{Server: "b", Term: 2})
 	d.setDown("c", true)
 	g.seal(group.Seal{Server: "c", Term: 2})
+	claimed := func(kept group.Record, _ ident.Version) (group.Record, bool) {
+		kept.Claim = 5
+		return kept, true
+	}
+	if _, _, written, err := g.updateRecord(t.Context(), claimed); err != nil || !written {
+		t.Fatalf("written: %t, error: %v", written, err)
+	}
 	g.promote(group.Promote{Server: "b", Term: 2, Claim: 5})
 	g.releaseSeal("b")
 	servers := "list 7 of servers: a primary of term 1 at position 1.0/0, sealed for term 0, asked "
--- a/internal/owner/coordinate.go
+++ b/internal/owner/coordinate.go
@@ -19,7 +19,7 @@
 // coordinate feeds events to the group's state machine and starts the actions it returns.
 func (g *Group) coordinate() error {
 	machine := group.New(group.Config{
-		Servers: g.serverIDs(), Claimant: g.conf.Claimant, Rank: g.place.Load().Rank, Timing: timing(g.defaults.Load()),
+		Servers: g.serverIDs(), Claimant: g.conf.Claimant, Holder: g.conf.Self, Rank: g.place.Load().Rank, Timing: timing(g.defaults.Load()),
 		Synchronous: g.conf.Group.Synchronous > 0,
 	})
 	ticker := time.NewTicker(tickInterval)
@@ -225,22 +225,27 @@
 	if !a.NotBefore.IsZero() {
 		time.Sleep(a.NotBefore.Sub(g.conf.Now()))
 	}
+	if !g.startOrdering(ctx, a) {
+		g.postEvent(group.Promoted{Term: a.Term, Server: a.Server})
+		return
+	}
 	g.recordOrder(a)
-	promoted := false
+	var promotion proto.Promotion
 	err := s.run(ctx, func(ctx context.Context, c proto.Conn) (err error) {
-		promoted, err = g.conf.Driver.Promote(ctx, c, s.target, proto.PromotionOrder{
-			Term: a.Term, Claimant: a.Claimant, Claim: a.Claim,
+		promotion, err = g.conf.Driver.Promote(ctx, c, s.target, proto.PromotionOrder{
+			Term: a.Term, Claimant: a.Claimant, Fence: a.Fence, Until: a.Until,
 			ClaimValid: func() bool { return g.mayOrder(ctx, c, a) },
 		})
 		return err
 	})
+	g.settleOrders(a, promotion.Unsettled)
 	if err != nil {
 		return
 	}
-	if promoted && g.conf.Group.Synchronous == 0 {
+	if promotion.Accepted && g.conf.Group.Synchronous == 0 {
 		_, _ = g.refreshStatus(ctx, s)
 	}
-	g.postEvent(group.Promoted{Term: a.Term, Server: a.Server, OK: promoted})
+	g.postEvent(group.Promoted{Term: a.Term, Server: a.Server, OK: promotion.Accepted})
 }
 
 // mayOrder reports whether an order may be sent, again perhaps: its claim is valid, and the server as it was sealed.
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -121,6 +121,7 @@
 	// change is the latest sign that the primary is being replaced; nil means none.
 	change  atomic.Pointer[change]
 	records recordReads
+	orders  orders
 	// publishing is the term whose primary is being published; 0 means none.
 	publishing atomic.Uint64
 	tomb       tomb.Tomb
--- a/internal/owner/roster_test.go
+++ b/internal/owner/roster_test.go
@@ -64,8 +64,8 @@
 func (*fakeDriver) PerCustomer() bool { return true }
 func (*fakeDriver) ChecksFloor() bool { return true }
 
-func (*fakeDriver) Promote(_ context.Context, _ proto.Conn, _ proto.Target, o proto.PromotionOrder) (bool, error) {
-	return o.ClaimValid(), nil
+func (*fakeDriver) Promote(_ context.Context, _ proto.Conn, _ proto.Target, o proto.PromotionOrder) (proto.Promotion, error) {
+	return proto.Promotion{Accepted: o.ClaimValid()}, nil
 }
 
 type fakeConn struct {
@@ -114,6 +114,8 @@
 	object objs.Object
 	claims int
 	down   bool
+	// accepts is set if the store stores claims.
+	accepts bool
 }
 
 func (s *claimStore) setDown(down bool) {
@@ -141,7 +143,7 @@
 	err := json.Unmarshal(o.Spec, &r)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if r.Claim > 0 || s.down {
+	if r.Claim > 0 && !s.accepts || s.down {
 		s.claims++
 		return o, &plat.Error{Cause: plat.Unreachable}
 	}
--- a/internal/pgcon/run.go
+++ b/internal/pgcon/run.go
@@ -297,12 +297,13 @@
 func (c *Conn) Release(context.Context) error { return nil }
 
 // Promote implements proto.Driver.
-func (*Driver) Promote(ctx context.Context, c proto.Conn, _ proto.Target, o proto.PromotionOrder) (bool, error) {
+func (*Driver) Promote(ctx context.Context, c proto.Conn, _ proto.Target, o proto.PromotionOrder) (proto.Promotion, error) {
 	conn, ok := c.(*Conn)
 	if !ok {
-		return false, &proto.ProtocolError{What: "promotion on a connection of another driver, want *pgcon.Conn"}
+		return proto.Promotion{}, &proto.ProtocolError{What: "promotion on a connection of another driver, want *pgcon.Conn"}
 	}
-	return conn.controlBool(ctx, fmt.Sprintf("SELECT group_promote(%d,'%s')", o.Term, o.Claimant))
+	accepted, err := conn.controlBool(ctx, fmt.Sprintf("SELECT group_promote(%d,'%s')", o.Term, o.Claimant))
+	return proto.Promotion{Accepted: accepted, Unsettled: err != nil}, err
 }
 
 // controlBool runs a control function and reports whether it returned true.
--- a/internal/proto/conn.go
+++ b/internal/proto/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"geraniumseam.dev/internal/rule/group"
 	"geraniumseam.dev/pkg/ident"
@@ -31,18 +32,28 @@
 	PerCustomer() bool
 	// ChecksFloor reports whether servers check Request.RequiredFloor.
 	ChecksFloor() bool
-	// Promote makes a sealed server the primary of the term; false means that it was refused.
-	Promote(ctx context.Context, c Conn, t Target, o PromotionOrder) (bool, error)
+	// Promote makes a sealed server the primary of the term.
+	Promote(ctx context.Context, c Conn, t Target, o PromotionOrder) (Promotion, error)
 }
 
 // PromotionOrder is the order to promote a server to primary of a term.
 type PromotionOrder struct {
 	Term     ident.Term
 	Claimant group.Claimant
-	// Claim is the number of the claim under which the order is given; ClaimValid reports, before
-	// each attempt, whether that claim is still valid and the server as it was sealed.
-	Claim      uint64
+	// Fence is the number that the order carries; ClaimValid reports, before each attempt, whether the claim
+	// under which it is given is still valid and the server as it was sealed. Until is when the claim
+	// expires, by internal/clock; zero means never.
+	Fence      uint64
 	ClaimValid func() bool
+	Until      time.Time
+}
+
+// Promotion is the outcome of a PromotionOrder.
+type Promotion struct {
+	// Accepted is set if the order was accepted; otherwise it was refused or its claim has expired.
+	Accepted bool
+	// Unsettled is set if an attempt was sent and not answered, so that it may still take effect.
+	Unsettled bool
 }
 
 // Conn is a connection to a server. Except for Interrupt it is not safe for concurrent use.
--- a/internal/rule/group/attempt.go
+++ b/internal/rule/group/attempt.go
@@ -15,6 +15,10 @@
 	// claimBackoff is how long an instance that has learnt of another's claim waits before
 	// it claims the same change of primary itself.
 	claimBackoff = claimValidity + 1500*time.Millisecond
+	// orderSettleTime is how long after a holder has said that it orders another one waits if the first does
+	// not say that its orders are settled: the platform may be slow with them, and the holder may be frozen
+	// just before it sends one.
+	orderSettleTime = 12 * time.Second
 )
 
 // publishMissingRecord stores a primary that the platform's record lacks because the
@@ -54,15 +58,16 @@
 	m.sealed, m.candidate = map[ident.ServerID]Status{}, ""
 	m.claimedAt, m.releasing = now, false
 	m.claimed = m.claimRecord()
-	return []Action{
-		JournalEntry{Decision: Claiming, Server: m.primary, Term: m.attemptTerm, Evidence: evidence},
-		Claim{Record: m.claimed, LastClaim: m.record.Claim, Epoch: m.epoch},
+	claim := Claim{Record: m.claimed, LastClaim: m.record.Claim, Epoch: m.epoch}
+	if m.othersOrder() {
+		claim.Outwaited = m.record.Claim
 	}
+	return []Action{JournalEntry{Decision: Claiming, Server: m.primary, Term: m.attemptTerm, Evidence: evidence}, claim}
 }
 
 // claimRecord returns the record that claims the attempt's term.
 func (m *Machine) claimRecord() Record {
-	r := Record{Term: m.attemptTerm, Primary: m.primary, Claimant: m.conf.Claimant, ReplacedTerm: m.latestTerm()}
+	r := Record{Term: m.attemptTerm, Primary: m.primary, Claimant: m.conf.Claimant, Holder: m.conf.Holder, ReplacedTerm: m.latestTerm()}
 	if m.conf.Synchronous {
 		for _, id := range m.conf.Servers {
 			r.Candidates = append(r.Candidates, m.member(id))
@@ -103,6 +108,7 @@
 		actions = append(actions, m.journalEntry(ClaimNotRecorded, m.primary, "the platform did not answer; going on without a recorded claim, since the servers' seals exclude a second promotion in the term"))
 	} else {
 		m.claimed.Claim, m.claimed.Members, m.claimed.Former = e.Record.Claim, e.Record.Members, e.Record.Former
+		m.claimed.Fence, m.claimed.Ordering = e.Record.Fence, e.Record.Ordering
 		m.learnRecord(now, m.claimed, max(m.recordVersion, e.Version))
 		m.claimSeenAt = now
 	}
@@ -203,7 +209,7 @@
 	}
 	return []Action{
 		JournalEntry{Decision: Sealing, Server: successor.Server, Term: m.attemptTerm, Evidence: describeSealed(statuses)},
-		Promote{Server: successor.Server, Term: m.attemptTerm, Claimant: m.conf.Claimant, Claim: m.claimed.Claim, Sealed: sealed, NotBefore: notBefore, Until: until},
+		Promote{Server: successor.Server, Term: m.attemptTerm, Claimant: m.conf.Claimant, Claim: m.claimed.Claim, Fence: m.claimed.Fence, Sealed: sealed, NotBefore: notBefore, Until: until},
 	}
 }
 
--- a/internal/rule/group/claims_test.go
+++ b/internal/rule/group/claims_test.go
@@ -330,3 +330,82 @@
 		t.Fatalf("got claim %+v, want one on term 1", claim)
 	}
 }
+
+// TestOrderUnderWayIsNotOvertaken guards against a fencing token below one that the platform has seen (ONE): while
+// orders of another holder may be under way, no other one claims, until that holder has said that they are settled, or
+// for as long as one can take.
+func TestOrderUnderWayIsNotOvertaken(t *testing.T) {
+	ordering := Record{Term: 2, Claimant: "other-1", Holder: "other", Claim: 5, Fence: 3, ReplacedTerm: 1, Ordering: true}
+	lost := func(t *testing.T) *harness {
+		h := newHarness(t)
+		h.m.conf.Holder = "me"
+		claim := h.claim()
+		if _, granted := claim.Evaluate(ordering, 0, true); granted {
+			t.Fatal("the claim is granted while another holder orders")
+		}
+		h.step(Claimed{Term: claim.Record.Term, Record: ordering, Version: 1})
+		return h
+	}
+	t.Run("until it is settled", func(t *testing.T) {
+		h := lost(t)
+		if again, ok := find[Claim](h.advance(claimBackoff+time.Second, h.reportPrimaryDown)); ok {
+			t.Fatalf("claimed while orders may be under way: %+v", again)
+		}
+		settled, changed := ordering.SettleOrders(5)
+		if !changed {
+			t.Fatal("the holder's word that its orders are settled is not written")
+		}
+		h.step(Recorded{Record: settled, Version: 2})
+		again, ok := find[Claim](h.advance(time.Second, h.reportPrimaryDown))
+		if !ok {
+			t.Fatal("no claim once the orders are settled")
+		}
+		if r, granted := again.Evaluate(settled, 0, true); !granted || r.Fence <= ordering.Fence || r.Ordering {
+			t.Fatalf("granted: %t, record %+v; want a fence above %d", granted, r, ordering.Fence)
+		}
+	})
+	t.Run("for as long as an order can take", func(t *testing.T) {
+		h := lost(t)
+		if again, ok := find[Claim](h.advance(orderSettleTime-100*time.Millisecond, h.reportPrimaryDown)); ok {
+			t.Fatalf("claimed while orders may be under way: %+v", again)
+		}
+		again, ok := find[Claim](h.advance(time.Second, h.reportPrimaryDown))
+		if !ok {
+			t.Fatal("no claim although no order can be under way any more")
+		}
+		if _, granted := again.Evaluate(ordering, 0, true); !granted {
+			t.Fatal("the claim is not granted")
+		}
+		ordering := ordering
+		ordering.Claim++
+		if _, granted := again.Evaluate(ordering, 0, true); granted {
+			t.Fatal("the claim is granted although the other holder orders again")
+		}
+	})
+}
+
+// TestHolderKeepsItsFence guards against a holder's late order below its own later ones, also over a restart.
+func TestHolderKeepsItsFence(t *testing.T) {
+	epoch := ident.NewVersion(1, 0)
+	first, _ := Claim{Record: Record{Claimant: "a-1", Holder: "a", ReplacedTerm: 1}}.Evaluate(Record{}, epoch, true)
+	if r, started := first.StartOrdering(first.Claim); !started || !r.Ordering {
+		t.Fatal("the claim does not cover its orders")
+	}
+	if _, started := first.StartOrdering(first.Claim - 1); started {
+		t.Fatal("an earlier claim covers orders")
+	}
+	first.Ordering = true
+	again, granted := Claim{Record: Record{Claimant: "a-2", Holder: "a", ReplacedTerm: 1}, LastClaim: first.Claim}.Evaluate(first, epoch, true)
+	if !granted || again.Claim <= first.Claim || again.Fence != first.Fence || !again.Ordering {
+		t.Errorf("granted: %t, %+v after %+v; want the same fence, and the orders still under way", granted, again, first)
+	}
+	again.Ordering = false
+	other, granted := Claim{Record: Record{Claimant: "b-1", Holder: "b", ReplacedTerm: 1}, LastClaim: again.Claim}.Evaluate(again, epoch, true)
+	if !granted || other.Fence <= again.Claim {
+		t.Errorf("granted: %t, fence %d; another holder wants one above every earlier claim", granted, other.Fence)
+	}
+	restored, granted := Claim{Record: Record{Claimant: "a-2", Holder: "a", ReplacedTerm: 1}, LastClaim: first.Claim}.Evaluate(first, ident.NewVersion(2, 0), true)
+	if !granted || restored.Fence <= other.Fence {
+		t.Errorf("granted: %t, fence %d; after a restore it wants one above those that the store has lost", granted, restored.Fence)
+	}
+}
--- a/internal/rule/group/event.go
+++ b/internal/rule/group/event.go
@@ -29,6 +29,12 @@
 	Former []FormerMember `json:"former,omitempty"`
 	// Candidates are the servers of which the last claim may have ordered one to lead.
 	Candidates []Member `json:"candidates,omitempty"`
+	// Holder is the instance that claimed last, in whatever run. Fence is the number that its orders carry: the
+	// number of the claim with which it took the place of another holder.
+	Holder ident.InstanceID `json:"holder,omitempty"`
+	Fence  uint64           `json:"fence,omitempty"`
+	// Ordering is set before Holder sends an order, until each order that it has sent is known to be settled.
+	Ordering bool `json:"ordering,omitempty"`
 }
 
 // Event is an input to a Machine.
@@ -118,6 +124,9 @@
 	LastClaim uint64
 	// Epoch is the epoch of the platform's store in which the claim is made.
 	Epoch ident.Epoch
+	// Outwaited is the number of the last claim, if its orders may still be under way and the claimant has
+	// waited for as long as one can take.
+	Outwaited uint64
 }
 
 // Seal asks a server to follow no term below Held, for the attempt that is numbered Term.
@@ -136,6 +145,8 @@
 	Term     ident.Term
 	Claimant Claimant
 	Claim    uint64
+	// Fence is the number that the order carries.
+	Fence uint64
 	// Sealed is what the server reported when it was sealed, in a synchronous group.
 	Sealed Status
 	// NotBefore is the earliest time to send the order, so that read leases at the old
--- a/internal/rule/group/machine.go
+++ b/internal/rule/group/machine.go
@@ -11,7 +11,9 @@
 type Config struct {
 	Servers  []ident.ServerID
 	Claimant Claimant
-	Timing   Timing
+	// Holder is the instance, which is another claimant in each run.
+	Holder ident.InstanceID
+	Timing Timing
 	// Rank orders the instances that watch the group: rank 0 acts first. SetRank changes it.
 	Rank int
 	// Synchronous is set if the primary acknowledges a write once any one replica has
@@ -84,7 +86,9 @@
 	// recordVersion is the version of record, and claimSeenAt when its last claim was first seen.
 	recordVersion ident.Version
 	claimSeenAt   time.Time
-	suspected     bool
+	// orderingSeenAt is when the orders of the record's claim were first seen to be under way.
+	orderingSeenAt time.Time
+	suspected      bool
 	// suspectedSince is when the primary became suspected.
 	suspectedSince time.Time
 	// abandonedSealSince is when the primary was first seen sealed for a term that has no
@@ -192,9 +196,13 @@
 	otherClaims := m.record.Claimant != m.conf.Claimant && m.record.ReplacedTerm >= m.latestTerm() && now.Before(m.claimSeenAt.Add(claimBackoff))
 	// A server is in a term whose primary this instance has not reached yet.
 	primaryUnknown := m.latestTerm() > m.term && now.Before(m.latestTermAt.Add(postPromotionHold))
-	return !now.Before(m.claimNotBefore) && !now.Before(m.epochSince.Add(claimBackoff)) && !otherClaims && !primaryUnknown
+	otherOrders := m.othersOrder() && now.Before(m.orderingSeenAt.Add(orderSettleTime))
+	return !now.Before(m.claimNotBefore) && !now.Before(m.epochSince.Add(claimBackoff)) && !otherClaims && !otherOrders && !primaryUnknown
 }
 
+// othersOrder reports whether orders of another holder may be under way.
+func (m *Machine) othersOrder() bool { return m.record.Ordering && m.record.Holder != m.conf.Holder }
+
 // Primary returns the current primary and its term; an empty name means that none is known.
 func (m *Machine) Primary() (ident.ServerID, ident.Term) { return m.primary, m.term }
 
--- a/internal/rule/group/member.go
+++ b/internal/rule/group/member.go
@@ -51,6 +51,9 @@
 	if r.Claim != m.record.Claim {
 		m.claimSeenAt = now
 	}
+	if r.Ordering && (!m.record.Ordering || r.Claim != m.record.Claim) {
+		m.orderingSeenAt = now
+	}
 	if m.recordVersion != 0 && v.Epoch() > m.recordVersion.Epoch() {
 		m.restoredAt = now
 	}
--- a/internal/rule/group/synch.go
+++ b/internal/rule/group/synch.go
@@ -262,8 +262,9 @@
 
 // Evaluate checks a claim against the record kept on the platform and its version, which is at
 // least that of the beginning of the store's epoch. It returns the record to write, or false if
-// another claimant was first. Claim numbers follow the versions, so that no number is used
-// again after a restore has lost the record of a claim.
+// another claimant was first, or if orders of another holder may be under way. Claim numbers follow the
+// versions, so that no number is used again after a restore has lost the record of a claim. A holder keeps its
+// fence in one epoch, so that an order of its own that comes late carries no lower one.
 func (c Claim) Evaluate(kept Record, version ident.Version, synchronous bool) (Record, bool) {
 	r := c.Record
 	if !synchronous {
@@ -272,9 +273,42 @@
 	if kept.Claimant != r.Claimant && kept.ReplacedTerm >= r.ReplacedTerm && kept.Claim > c.LastClaim {
 		return r, false
 	}
+	if kept.Ordering && kept.Holder != r.Holder && kept.Claim != c.Outwaited {
+		return r, false
+	}
 	r.Claim, r.Members, r.Former = max(kept.Claim, uint64(version))+1, kept.Members, kept.Former
+	r.Fence = r.Claim
+	if kept.Holder == r.Holder && kept.Fence != 0 {
+		r.Ordering = kept.Ordering
+		if ident.Version(kept.Fence).Epoch() == version.Epoch() {
+			r.Fence = kept.Fence
+		}
+	}
 	if kept.Claim > 0 && kept.ReplacedTerm == r.ReplacedTerm {
 		r.Earlier = kept.Earlier + 1
 	}
 	return r, true
 }
+
+// StartOrdering returns the record to write before the first order of a claim; false if another claim has
+// been made since.
+func (r Record) StartOrdering(claim uint64) (Record, bool) {
+	if r.Claim != claim {
+		return r, false
+	}
+	r.Ordering = true
+	return r, true
+}
+
+// SettleOrders returns the record to write once all orders of a claim's holder are settled; false if
+// there is nothing to write.
+func (r Record) SettleOrders(claim uint64) (Record, bool) {
+	if r.Claim != claim || !r.Ordering {
+		return r, false
+	}
+	r.Ordering = false
+	return r, true
+}
+
+// OrderSettleTime is how long an order that was not answered may still take effect.
+const OrderSettleTime = orderSettleTime
