--- a/internal/owner/coordinate.go
+++ b/internal/owner/coordinate.go
@@ -121,6 +121,10 @@
 		result.PlatformDown = true
 	default:
 		result.Granted, result.Record, result.Version = written, r, v
+		if written && r.Ordering {
+			// An earlier order of this instance has not been answered, perhaps in another run.
+			g.orders.markUnsettled()
+		}
 	}
 	if err == nil {
 		g.tracker.applyRecord(r, v, asked, clock.Now())
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -36,15 +36,8 @@
 	if g.conf.Group.Synchronous == 0 {
 		return true
 	}
-	earlier := false
-	r, _, written, err := g.updateRecord(ctx, func(kept group.Record, _ ident.Version) (group.Record, bool) {
-		earlier = kept.Ordering
-		return kept.StartOrdering(a.Claim)
-	})
-	if earlier {
-		// An earlier order of this holder has not been answered, perhaps in another run.
-		g.orders.markUnsettled()
-	}
+	start := func(kept group.Record, _ ident.Version) (group.Record, bool) { return kept.StartOrdering(a.Claim) }
+	r, _, written, err := g.updateRecord(ctx, start)
 	if err != nil || !written {
 		// The write may have been stored all the same.
 		g.settleOrders(a, false)
