Settle an order by its own end, not by that of the step

A step of a change of primary ends after its time, while the order that it sent may still wait for an answer.

Change: whether an order is settled is decided where it ends. TestOrdersAreSentUnderTheRecord/unanswered_until_the_step_ends failed before ("an order without an answer counts as settled") and passes now.

--- a/internal/owner/coordinate.go
+++ b/internal/owner/coordinate.go
@@ -234,22 +234,14 @@
 		return
 	}
 	g.recordOrder(a)
-	var promotion proto.Promotion
-	err := s.run(ctx, func(ctx context.Context, c proto.Conn) (err error) {
-		promotion, err = g.conf.Driver.Promote(ctx, c, s.target, proto.PromotionOrder{
-			Term: a.Term, Claimant: a.Claimant, Fence: a.Fence, Until: a.Until,
-			ClaimValid: func() bool { return g.mayOrder(ctx, c, a) },
-		})
-		return err
-	})
-	g.settleOrders(a, promotion.Unsettled)
+	promoted, err := g.sendOrders(ctx, s, a)
 	if err != nil {
 		return
 	}
-	if promotion.Accepted && g.conf.Group.Synchronous == 0 {
+	if promoted && g.conf.Group.Synchronous == 0 {
 		_, _ = g.refreshStatus(ctx, s)
 	}
-	g.postEvent(group.Promoted{Term: a.Term, Server: a.Server, OK: promotion.Accepted})
+	g.postEvent(group.Promoted{Term: a.Term, Server: a.Server, OK: promoted})
 }
 
 // mayOrder reports whether an order may be sent, again perhaps: its claim is valid, and the server as it was sealed.
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -8,6 +8,7 @@
 
 	"geraniumseam.dev/internal/clock"
 	"geraniumseam.dev/internal/jrnl"
+	"geraniumseam.dev/internal/proto"
 	"geraniumseam.dev/internal/rule/group"
 	"geraniumseam.dev/pkg/ident"
 )
@@ -51,6 +52,34 @@
 	return true
 }
 
+// sendOrders orders a server to lead and reports whether that was accepted. On an error the order may still be
+// on its way, and end later than this call.
+func (g *Group) sendOrders(ctx context.Context, s *server, a group.Promote) (bool, error) {
+	var begun atomic.Bool
+	accepted := make(chan bool, 1)
+	err := s.run(ctx, func(ctx context.Context, c proto.Conn) error {
+		begun.Store(true)
+		if ctx.Err() != nil {
+			g.settleOrders(a, false)
+			return ctx.Err()
+		}
+		promotion, err := g.conf.Driver.Promote(ctx, c, s.target, proto.PromotionOrder{
+			Term: a.Term, Claimant: a.Claimant, Fence: a.Fence, Until: a.Until,
+			ClaimValid: func() bool { return g.mayOrder(ctx, c, a) },
+		})
+		g.settleOrders(a, promotion.Unsettled)
+		accepted <- promotion.Accepted
+		return err
+	})
+	if err != nil {
+		if !begun.Load() {
+			g.settleOrders(a, false)
+		}
+		return false, err
+	}
+	return <-accepted, nil
+}
+
 // settleOrders records that the orders of a claim are settled, unless one may still take effect.
 func (g *Group) settleOrders(a group.Promote, unsettled bool) {
 	if unsettled {
--- a/internal/owner/orders_test.go
+++ b/internal/owner/orders_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,15 +16,21 @@
 type orderDriver struct {
 	*fakeDriver
 	ordering   func() bool
-	sent       int
-	covered    int
+	sent       atomic.Int32
+	covered    atomic.Int32
 	unanswered bool
+	// slow is set if Promote returns only after its context has ended.
+	slow bool
 }
 
-func (d *orderDriver) Promote(context.Context, proto.Conn, proto.Target, proto.PromotionOrder) (proto.Promotion, error) {
-	d.sent++
+func (d *orderDriver) Promote(ctx context.Context, _ proto.Conn, _ proto.Target, _ proto.PromotionOrder) (proto.Promotion, error) {
+	d.sent.Add(1)
 	if d.ordering() {
-		d.covered++
+		d.covered.Add(1)
+	}
+	if d.slow {
+		<-ctx.Done()
+		time.Sleep(100 * time.Millisecond)
 	}
 	return proto.Promotion{Accepted: !d.unanswered, Unsettled: d.unanswered}, nil
 }
@@ -37,17 +44,19 @@
 		// claim is that of the order; the record has claim 5.
 		claim      uint64
 		unanswered bool
+		slow       bool
 		down       bool
-		sent       int
+		sent       int32
 		ordering   bool
 	}{
 		{name: "answered", claim: 5, sent: 1},
 		{name: "unanswered", claim: 5, unanswered: true, sent: 1, ordering: true},
+		{name: "unanswered until the step ends", claim: 5, unanswered: true, slow: true, sent: 1, ordering: true},
 		{name: "after another claim", claim: 4},
 		{name: "without the store", claim: 5, down: true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			d := &orderDriver{fakeDriver: newDriver(), unanswered: test.unanswered}
+			d := &orderDriver{fakeDriver: newDriver(), unanswered: test.unanswered, slow: test.slow}
 			store := &claimStore{accepts: true}
 			g := startGroup(t, d, store)
 			record := func() group.Record {
@@ -67,8 +76,8 @@
 			store.setDown(test.down)
 			g.promote(group.Promote{Server: "b", Term: 2, Claim: test.claim})
 			store.setDown(false)
-			if d.sent != test.sent || d.covered != d.sent {
-				t.Errorf("%d orders sent, %d of them with the record telling so; want %d", d.sent, d.covered, test.sent)
+			if sent, covered := d.sent.Load(), d.covered.Load(); sent != test.sent || covered != sent {
+				t.Errorf("%d orders sent, %d of them with the record telling so; want %d", sent, covered, test.sent)
 			}
 			if test.ordering {
 				time.Sleep(500 * time.Millisecond)
