--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -83,7 +83,8 @@
 	// Regions gives the region of each data centre; a data centre without an entry is in a
 	// region of its own.
 	Regions map[ident.CenterID]string
-	Stop    StopTimes
+	// Stop has the times of a planned stop.
+	Stop StopTimes
 	// ConfigReadOnly is set if only the platform's operator writes configurations, and again
 	// after a restore.
 	ConfigReadOnly bool
