Say once what the change for stops and orders said twice

Found by reading the whole change again; behaviour stays as it is.

- The condition for an open transaction stood in txsIdleFor and openTransactions: transaction.isOpen.
- callers.drain and callers.kill both closed the listener: stopAccepting.
The wait group of the callers had lost its only reader and goes.
- CloseSurplus and CancelServed both collected all links: Hub.everyLink.
- orderSettleTime and OrderSettleTime were two names of one constant; one is left.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -29,7 +29,6 @@
 	sessions map[uint32]*Session
 	lastID   uint32
 	closed   bool
-	active   sync.WaitGroup
 }
 
 func newCallers(i *Instance) *callers {
@@ -72,7 +71,6 @@
 		}
 		s := newSession(c.instance, id, conn)
 		c.sessions[id] = s
-		c.active.Add(1)
 		c.instance.metrics.callers.Inc()
 		return s, true
 	}
@@ -82,7 +80,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.sessions, s.processID)
-	c.active.Done()
 	c.instance.metrics.callers.Dec()
 }
 
@@ -175,12 +172,17 @@
 	}
 }
 
-// kill closes the connection of every caller at once.
-func (c *callers) kill() {
+// stopAccepting closes the listener; callers that it has accepted already are turned away.
+func (c *callers) stopAccepting() {
 	c.mu.Lock()
 	c.closed = true
 	c.mu.Unlock()
 	c.instance.conf.Callers.Close()
+}
+
+// kill closes the connection of every caller at once.
+func (c *callers) kill() {
+	c.stopAccepting()
 	for _, s := range c.all() {
 		s.conn.Close()
 	}
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -98,12 +98,11 @@
 func (i *Instance) runForPeer(ctx context.Context, w *owner.Work, sink proto.Sink) owner.Result {
 	i.peerWork.Add(1)
 	defer i.peerWork.Add(-1)
-	ended := i.workEnded.Load()
 	switch {
 	case w.Tx != 0 && i.txEnded.Load():
 		i.host.End(w.Group, w.Tx)
 		return owner.Result{Outcome: fault.NotSent, Reason: fault.TransactionLost, Evidence: "the owner is shutting down"}
-	case ended || i.txEnded.Load() && w.OpensTx():
+	case i.workEnded.Load() || i.txEnded.Load() && w.OpensTx():
 		return owner.Result{Outcome: fault.NotSent, Reason: fault.NoOwner, Evidence: "the owner is shutting down"}
 	}
 	return i.host.Run(ctx, w, sink)
@@ -112,10 +111,7 @@
 // drain stops accepting callers and ends the sessions: idle ones at once, the others after
 // their request or transaction.
 func (c *callers) drain() {
-	c.mu.Lock()
-	c.closed = true
-	c.mu.Unlock()
-	c.instance.conf.Callers.Close()
+	c.stopAccepting()
 	for _, s := range c.all() {
 		s.closeWhenIdle()
 	}
--- a/internal/owner/tx.go
+++ b/internal/owner/tx.go
@@ -33,6 +33,9 @@
 	lastUsed time.Time
 }
 
+// isOpen reports whether a transaction is open, not just a connection pinned; the caller holds mu.
+func (t *transaction) isOpen() bool { return !t.pinned || t.conn != nil && t.conn.inOpenTx() }
+
 // closeConn closes the connection, upon which the server rolls the transaction back.
 func (t *transaction) closeConn() {
 	t.mu.Lock()
@@ -279,8 +282,7 @@
 		if !t.mu.TryLock() {
 			continue
 		}
-		inTx := !t.pinned || t.conn != nil && t.conn.inOpenTx()
-		if inTx && now.Sub(t.lastUsed) > limit {
+		if t.isOpen() && now.Sub(t.lastUsed) > limit {
 			ids = append(ids, id)
 		}
 		t.mu.Unlock()
@@ -294,11 +296,12 @@
 	defer g.mu.Unlock()
 	count := 0
 	for _, t := range g.txs {
+		// One that runs a request is locked.
 		if !t.mu.TryLock() {
 			count++
 			continue
 		}
-		if !t.pinned || t.conn != nil && t.conn.inOpenTx() {
+		if t.isOpen() {
 			count++
 		}
 		t.mu.Unlock()
--- a/internal/peer/hub.go
+++ b/internal/peer/hub.go
@@ -381,6 +381,13 @@
 	return all
 }
 
+// everyLink returns all links, also those that are out of use.
+func (h *Hub) everyLink() []*link {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Collect(maps.Keys(h.allLinks))
+}
+
 // ConnectedPeers returns the peers with an open link.
 func (h *Hub) ConnectedPeers() []ident.InstanceID {
 	var ids []ident.InstanceID
--- a/internal/peer/retire.go
+++ b/internal/peer/retire.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"time"
 
 	"geraniumseam.dev/internal/clock"
@@ -24,10 +22,7 @@
 // called at short intervals; wants reports whether this end wants the link to a peer.
 func (h *Hub) CloseSurplus(wants func(ident.InstanceID) bool) {
 	now := clock.Now()
-	h.mu.Lock()
-	links := slices.Collect(maps.Keys(h.allLinks))
-	h.mu.Unlock()
-	for _, l := range links {
+	for _, l := range h.everyLink() {
 		if h.conf.Self > l.peer || !l.idle(now) || !l.surplus(now, wants(l.peer)) || !h.takeOutOfUse(l, now, true) {
 			continue
 		}
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -145,10 +145,7 @@
 
 // CancelServed cancels the requests that run for peers, which are told the outcomes.
 func (h *Hub) CancelServed() {
-	h.mu.Lock()
-	links := slices.Collect(maps.Keys(h.allLinks))
-	h.mu.Unlock()
-	for _, l := range links {
+	for _, l := range h.everyLink() {
 		l.mu.Lock()
 		cancels := slices.Collect(maps.Values(l.serving))
 		l.mu.Unlock()
--- a/internal/rule/group/attempt.go
+++ b/internal/rule/group/attempt.go
@@ -15,10 +15,10 @@
 	// claimBackoff is how long an instance that has learnt of another's claim waits before
 	// it claims the same change of primary itself.
 	claimBackoff = claimValidity + 1500*time.Millisecond
-	// orderSettleTime is how long after a holder has said that it orders another one waits if the first does
+	// OrderSettleTime is how long after a holder has said that it orders another one waits if the first does
 	// not say that its orders are settled: the platform may be slow with them, and the holder may be frozen
 	// just before it sends one.
-	orderSettleTime = 12 * time.Second
+	OrderSettleTime = 12 * time.Second
 )
 
 // publishMissingRecord stores a primary that the platform's record lacks because the
--- a/internal/rule/group/claims_test.go
+++ b/internal/rule/group/claims_test.go
@@ -366,7 +366,7 @@
 	})
 	t.Run("for as long as an order can take", func(t *testing.T) {
 		h := lost(t)
-		if again, ok := find[Claim](h.advance(orderSettleTime-100*time.Millisecond, h.reportPrimaryDown)); ok {
+		if again, ok := find[Claim](h.advance(OrderSettleTime-100*time.Millisecond, h.reportPrimaryDown)); ok {
 			t.Fatalf("claimed while orders may be under way: %+v", again)
 		}
 		again, ok := find[Claim](h.advance(time.Second, h.reportPrimaryDown))
--- a/internal/rule/group/machine.go
+++ b/internal/rule/group/machine.go
@@ -196,7 +196,7 @@
 	otherClaims := m.record.Claimant != m.conf.Claimant && m.record.ReplacedTerm >= m.latestTerm() && now.Before(m.claimSeenAt.Add(claimBackoff))
 	// A server is in a term whose primary this instance has not reached yet.
 	primaryUnknown := m.latestTerm() > m.term && now.Before(m.latestTermAt.Add(postPromotionHold))
-	otherOrders := m.othersOrder() && now.Before(m.orderingSeenAt.Add(orderSettleTime))
+	otherOrders := m.othersOrder() && now.Before(m.orderingSeenAt.Add(OrderSettleTime))
 	return !now.Before(m.claimNotBefore) && !now.Before(m.epochSince.Add(claimBackoff)) && !otherClaims && !otherOrders && !primaryUnknown
 }
 
--- a/internal/rule/group/orders_model_test.go
+++ b/internal/rule/group/orders_model_test.go
@@ -88,7 +88,7 @@
 		h.learn(m.now, m.record)
 	}
 	others := h.view.Ordering && h.view.Holder != h.id
-	if others && m.now.Before(h.orderingSeenAt.Add(orderSettleTime)) && m.disabled != "no-wait-for-orders" {
+	if others && m.now.Before(h.orderingSeenAt.Add(OrderSettleTime)) && m.disabled != "no-wait-for-orders" {
 		return
 	}
 	c := Claim{Record: Record{Claimant: Claimant(fmt.Sprint(h.id, h.run)), Holder: h.id, ReplacedTerm: 1}, LastClaim: h.view.Claim}
@@ -114,7 +114,7 @@
 	h.learn(m.now, r)
 	h.claim, h.fence, h.validUntil = r.Claim, r.Fence, m.now.Add(claimValidity)
 	if r.Ordering && m.disabled != "orders-of-earlier-run-settled" {
-		h.unsettledUntil = m.now.Add(orderSettleTime)
+		h.unsettledUntil = m.now.Add(OrderSettleTime)
 	}
 }
 
@@ -135,7 +135,7 @@
 	flight := m.millis(20)
 	late := m.oneIn(3)
 	if late {
-		flight = m.millis(int((orderSettleTime - claimValidity).Milliseconds()))
+		flight = m.millis(int((OrderSettleTime - claimValidity).Milliseconds()))
 	}
 	m.arrivals = append(m.arrivals, lateOrder{at: m.now.Add(flight), by: h.id, fence: h.fence})
 	if !late {
@@ -144,7 +144,7 @@
 		return
 	}
 	if m.disabled != "settled-without-an-answer" {
-		h.unsettledUntil = m.now.Add(orderSettleTime)
+		h.unsettledUntil = m.now.Add(OrderSettleTime)
 	}
 	m.settle(h)
 }
--- a/internal/rule/group/synch.go
+++ b/internal/rule/group/synch.go
@@ -309,6 +309,3 @@
 	r.Ordering = false
 	return r, true
 }
-
-// OrderSettleTime is how long an order that was not answered may still take effect.
-const OrderSettleTime = orderSettleTime
