Tell apart in logs and metrics what was wrong with a server connection

- proto.Condition (usable, in-transaction, broken, ended, surplus) takes the place of Clean.
- proto.ProtocolError names its violation: malformed, too-long, cut (the connection ended inside an answer), misfit (an answer that can't be for its request).
A connection reports what it finds through Target.Report.
- surplus-answer and the new malformed-answer have the server, and the customer and trace of the connection's last request; geraniumseam_connection_faults_total counts them by reason, control connections included.

What happens to a request is unchanged.

--- a/internal/jrnl/event.go
+++ b/internal/jrnl/event.go
@@ -55,6 +55,7 @@
 	OrderSent                     // order-sent
 	SupersededAnswer              // superseded-answer
 	MembersChanged                // members-changed
+	MalformedAnswer               // malformed-answer
 	Other                         // other
 	kindCount
 )
--- a/internal/jrnl/kind_string.go
+++ b/internal/jrnl/kind_string.go
@@ -49,13 +49,14 @@
 	_ = x[OrderSent-38]
 	_ = x[SupersededAnswer-39]
 	_ = x[MembersChanged-40]
-	_ = x[Other-41]
-	_ = x[kindCount-42]
+	_ = x[MalformedAnswer-41]
+	_ = x[Other-42]
+	_ = x[kindCount-43]
 }
 
-const _Kind_name = "instance-startedinstance-stoppingrequest-refusedrequest-retriedoutcome-unknownprimary-suspectedprimary-recoveredterm-claimedclaim-lostclaim-without-platformmajority-sealedseal-failedserver-promotedprimary-confirmedserver-repointedtail-discardedconfiguration-in-forceconfiguration-refusedcallers-of-withdrawn-key-endedplatform-lostplatform-backshare-changedtokens-movedpeer-joinedpeer-lostowner-changedserver-leavingsurplus-answersession-movedconnection-silentincident-unwrittenservers-listedrequest-slowplatform-restoredanswer-lostserver-sealedserver-not-sealedseal-releasedorder-sentsuperseded-answermembers-changedotherkindCount"
+const _Kind_name = "instance-startedinstance-stoppingrequest-refusedrequest-retriedoutcome-unknownprimary-suspectedprimary-recoveredterm-claimedclaim-lostclaim-without-platformmajority-sealedseal-failedserver-promotedprimary-confirmedserver-repointedtail-discardedconfiguration-in-forceconfiguration-refusedcallers-of-withdrawn-key-endedplatform-lostplatform-backshare-changedtokens-movedpeer-joinedpeer-lostowner-changedserver-leavingsurplus-answersession-movedconnection-silentincident-unwrittenservers-listedrequest-slowplatform-restoredanswer-lostserver-sealedserver-not-sealedseal-releasedorder-sentsuperseded-answermembers-changedmalformed-answerotherkindCount"
 
-var _Kind_index = [...]uint16{0, 16, 33, 48, 63, 78, 95, 112, 124, 134, 156, 171, 182, 197, 214, 230, 244, 266, 287, 317, 330, 343, 356, 368, 379, 388, 401, 415, 429, 442, 459, 477, 491, 503, 520, 531, 544, 561, 574, 584, 601, 616, 621, 630}
+var _Kind_index = [...]uint16{0, 16, 33, 48, 63, 78, 95, 112, 124, 134, 156, 171, 182, 197, 214, 230, 244, 266, 287, 317, 330, 343, 356, 368, 379, 388, 401, 415, 429, 442, 459, 477, 491, 503, 520, 531, 544, 561, 574, 584, 601, 616, 632, 637, 646}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/internal/owner/conns.go
+++ b/internal/owner/conns.go
@@ -32,6 +32,7 @@
 	txStatus byte
 	// inTransaction is set while the connection belongs to an open transaction.
 	inTransaction bool
+	last          connUse
 }
 
 // inOpenTx reports whether a transaction was open on the connection at the server's last answer.
@@ -96,8 +97,17 @@
 	p.dispatchWaiting()
 }
 
+// usable reports whether a connection that runs no request can be used again.
+func (p *pool) usable(c *pooledConn) bool {
+	condition := c.Condition()
+	if p.conf.found != nil {
+		p.conf.found(c.last, condition)
+	}
+	return condition == proto.Usable
+}
+
 // popIdle returns the customer's most recently used idle connection, closing those
-// that are no longer clean; the caller holds mu.
+// that are no longer usable; the caller holds mu.
 func (p *pool) popIdle(customer ident.CustomerID) *pooledConn {
 	for at := len(p.idle) - 1; at >= 0; at-- {
 		c := p.idle[at]
@@ -105,7 +115,7 @@
 			continue
 		}
 		p.idle = slices.Delete(p.idle, at, at+1)
-		if c.Clean() {
+		if p.usable(c) {
 			return c
 		}
 		c.Close()
@@ -151,6 +161,10 @@
 	defer cancel()
 	target := p.conf.target
 	target.Customer = customer
+	dialed := &pooledConn{customer: customer, last: connUse{customer: customer}}
+	if p.conf.report != nil {
+		target.Report = func(f proto.Finding) { p.conf.report(dialed.last, f) }
+	}
 	c, err := p.conf.driver.Dial(ctx, target)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -159,7 +173,8 @@
 		delete(p.dialing, customer)
 	}
 	if err == nil {
-		p.recycle(&pooledConn{Conn: c, customer: customer})
+		dialed.Conn = c
+		p.recycle(dialed)
 		return
 	}
 	p.open--
@@ -200,7 +215,7 @@
 func (p *pool) recycle(c *pooledConn) {
 	delete(p.active, c)
 	c.inTransaction = false
-	if p.closed || p.open > p.limit || !c.Clean() || c.TooManyStatements() {
+	if p.closed || p.open > p.limit || !p.usable(c) || c.TooManyStatements() {
 		c.Close()
 		p.open--
 	} else {
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -47,6 +47,8 @@
 	Baseline Baseline
 	// lost counts lost answers; nil counts none.
 	lost *lostAnswers
+	// faults counts what was wrong with connections; nil counts none.
+	faults *connFaults
 	// leavers knows since when servers are leaving; nil means that none is.
 	leavers *leavers
 	// changes counts answers of superseded primaries; nil counts none.
@@ -200,6 +202,8 @@
 			Server: s, at: len(next.servers), target: target, pollRequests: make(chan struct{}, 1), controlCalls: make(chan *controlCall, 8),
 			pool: newPool(poolConfig{
 				target: target, driver: g.conf.Driver, slots: cmp.Or(s.Slots, c.Slots), queue: g.defaults.Load().QueueLength, now: g.conf.Now, random: g.random,
+				found:  func(last connUse, c proto.Condition) { g.recordCondition(s.ID, last, c) },
+				report: func(last connUse, f proto.Finding) { g.recordFinding(s.ID, last, f) },
 			}, 1),
 			removed: make(chan struct{}),
 		}
--- a/internal/owner/host.go
+++ b/internal/owner/host.go
@@ -60,6 +60,7 @@
 	ownedGauge prometheus.Gauge
 	budget     *retry.Budget
 	lost       *lostAnswers
+	faults     *connFaults
 	leavers    *leavers
 	changes    *changes
 }
@@ -72,6 +73,7 @@
 	h := &Host{
 		conf:       c,
 		lost:       newLostAnswers(c.Registry),
+		faults:     newConnFaults(c.Registry),
 		leavers:    &leavers{now: c.Now},
 		changes:    newChanges(c.Registry),
 		budget:     retry.NewBudget(conf.DefaultValues().RetryRatio, retryBudgetCeiling),
@@ -141,7 +143,7 @@
 		ID: id, Group: g, Defaults: d, Self: h.conf.Self, Center: h.conf.Center, Claimant: h.conf.Claimant, Place: p,
 		Driver: h.conf.Driver, Store: h.conf.Store, Epochs: h.conf.Epochs, Journal: h.conf.Journal,
 		Budget: h.budget, Random: rand.New(rand.NewPCG(h.conf.Random.Uint64(), h.conf.Random.Uint64())),
-		Now: h.conf.Now, ReportServer: h.conf.ReportServer, ReadRecord: h.conf.ReadRecord, Baseline: h.conf.Baseline, lost: h.lost, leavers: h.leavers, changes: h.changes,
+		Now: h.conf.Now, ReportServer: h.conf.ReportServer, ReadRecord: h.conf.ReadRecord, Baseline: h.conf.Baseline, lost: h.lost, faults: h.faults, leavers: h.leavers, changes: h.changes,
 	})
 	h.conf.Journal.Add(jrnl.Event{Kind: jrnl.OwnerChanged, Group: id, Evidence: "this instance now owns the group"})
 	if current != nil {
--- a/internal/owner/pinned_test.go
+++ b/internal/owner/pinned_test.go
@@ -54,8 +54,8 @@
 				t.Fatalf("a request that pins: %+v", r)
 			}
 			r := run("done I", stmt.Commit, false)
-			if r.Outcome != fault.Done || (r.Tx == tx.id) == replica || conn.Clean() == replica {
-				t.Errorf("COMMIT: %+v, connection open: %t", r, conn.Clean())
+			if r.Outcome != fault.Done || (r.Tx == tx.id) == replica || (conn.Condition() == proto.Usable) == replica {
+				t.Errorf("COMMIT: %+v, connection %s", r, conn.Condition())
 			}
 		})
 	}
--- a/internal/owner/pool.go
+++ b/internal/owner/pool.go
@@ -31,6 +31,10 @@
 	now   func() time.Time
 	// random returns a number in [0, 1) for the jitter of retry times; nil means no jitter.
 	random func() float64
+	// found receives the condition of each connection that is taken out or given back, report what
+	// connections find wrong with messages; both may be nil and must not block.
+	found  func(connUse, proto.Condition)
+	report func(connUse, proto.Finding)
 }
 
 // grant answers a request for a connection: a connection, or the reason why there is
--- a/internal/owner/pool_test.go
+++ b/internal/owner/pool_test.go
@@ -40,13 +40,13 @@
 	p.silent()
 	p.end(answered, true)
 	p.begin(answered, false)
-	for end := time.Now().Add(10 * time.Second); unanswered.Clean(); time.Sleep(5 * time.Millisecond) {
+	for end := time.Now().Add(10 * time.Second); unanswered.Condition() == proto.Usable; time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(end) {
 			t.Fatal("the write that was not answered was not interrupted within 10 s")
 		}
 	}
 	time.Sleep(silentWriteGrace / 5)
-	if !answered.Clean() {
+	if answered.Condition() != proto.Usable {
 		t.Fatal("a later write was interrupted in place of an earlier one that was answered")
 	}
 }
--- a/internal/owner/promise_test.go
+++ b/internal/owner/promise_test.go
@@ -161,8 +161,8 @@
 	for _, s := range g.allServers() {
 		s.pool.mu.Lock()
 		for _, c := range s.pool.idle {
-			if c.inOpenTx() || !c.Clean() {
-				t.Errorf("%s: a connection of status %c, clean: %t, is in the pool of server %s", position, c.txStatus, c.Clean(), s.ID)
+			if c.inOpenTx() || c.Condition() != proto.Usable {
+				t.Errorf("%s: a connection of status %c, condition %s, is in the pool of server %s", position, c.txStatus, c.Condition(), s.ID)
 			}
 		}
 		s.pool.mu.Unlock()
--- a/internal/owner/read.go
+++ b/internal/owner/read.go
@@ -203,7 +203,7 @@
 		request.RequiredFloor = floor
 	}
 	term := g.leasedTerm(s)
-	answer, err := s.pool.run(ctx, c, &request, buffer, true)
+	answer, err := s.pool.run(ctx, w, c, &request, buffer, true)
 	if err != nil {
 		s.pool.release(c)
 		lost := g.failedRead(ctx, w, err, buffer)
@@ -211,7 +211,7 @@
 		return lost
 	}
 	failed := answer.Refusal == proto.ServerError && w.HasNoEffect() && answer.TxStatus == 'I'
-	ended := answer.TxStatus == 'I' || !c.Clean()
+	ended := answer.TxStatus == 'I' || c.Condition() != proto.Usable
 	if (w.refused(answer) && ended || failed) && !buffer.forwarded {
 		s.pool.release(c)
 		g.handleRefusal(s, answer.Refusal)
--- a/internal/owner/roster_test.go
+++ b/internal/owner/roster_test.go
@@ -99,7 +99,13 @@
 func (c *fakeConn) Seal(context.Context, ident.Term, group.Claimant) (bool, error) { return true, nil }
 func (c *fakeConn) Follow(context.Context, ident.Term, ident.ServerID) error       { return nil }
 func (c *fakeConn) Release(context.Context) error                                  { return nil }
-func (c *fakeConn) Clean() bool                                                    { return !c.closed }
+
+func (c *fakeConn) Condition() proto.Condition {
+	if c.closed {
+		return proto.Broken
+	}
+	return proto.Usable
+}
 
 func (c *fakeConn) TooManyStatements() bool { return false }
 func (c *fakeConn) InvalidateSettings()     {}
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -187,14 +187,14 @@
 	request := w.Request
 	request.WantStatus = true
 	term := g.leasedTerm(s)
-	answer, err := s.pool.run(ctx, got.conn, &request, buffer, false)
+	answer, err := s.pool.run(ctx, w, got.conn, &request, buffer, false)
 	if err != nil {
 		s.pool.release(got.conn)
 		failed := g.failedWrite(ctx, err)
 		g.recordLost(w, s, got.conn, err, failed.result)
 		return failed
 	}
-	if w.refused(answer) && (answer.TxStatus == 'I' || !got.conn.Clean()) {
+	if w.refused(answer) && (answer.TxStatus == 'I' || got.conn.Condition() != proto.Usable) {
 		if w.Pin {
 			// The server has undone the request, but not what it left on the connection.
 			got.conn.Close()
--- a/internal/owner/silent.go
+++ b/internal/owner/silent.go
@@ -21,12 +21,14 @@
 
 // run runs a request on a connection so that silent can interrupt it; readOnly marks a
 // read, which can be interrupted at once.
-func (p *pool) run(ctx context.Context, c *pooledConn, r *proto.Request, sink proto.Sink, readOnly bool) (proto.Answer, error) {
+func (p *pool) run(ctx context.Context, w *Work, c *pooledConn, r *proto.Request, sink proto.Sink, readOnly bool) (proto.Answer, error) {
+	c.last = connUse{trace: w.Trace, customer: w.Customer}
 	p.begin(c, readOnly)
 	answer, err := c.Run(ctx, r, sink)
 	if err == nil {
 		c.txStatus = answer.TxStatus
 	}
+	c.last.ended = p.conf.now()
 	p.end(c, err == nil && !answer.Refusal.NotRun())
 	return answer, err
 }
--- a/internal/owner/tx.go
+++ b/internal/owner/tx.go
@@ -159,7 +159,7 @@
 	request.WantStatus = !t.replica && (w.Kind != stmt.Read || !wasOpen)
 	t.readsOnly = t.readsOnly && request.WritesNothing
 	term := g.leasedTerm(t.server)
-	answer, err := t.server.pool.run(ctx, conn, &request, buffer, false)
+	answer, err := t.server.pool.run(ctx, w, conn, &request, buffer, false)
 	t.lastUsed = clock.Now()
 	if w.Kind > stmt.Rollback {
 		t.wrote = true
--- a/internal/owner/watch.go
+++ b/internal/owner/watch.go
@@ -172,11 +172,15 @@
 	return asked, status, nil
 }
 
+// connect opens the control connection if there is none.
 func (w *watcher) connect(ctx context.Context) error {
 	if w.conn != nil {
+		w.group.recordCondition(w.server.ID, connUse{}, w.conn.Condition())
 		return nil
 	}
-	c, err := w.group.conf.Driver.Dial(ctx, w.server.target)
+	target := w.server.target
+	target.Report = func(f proto.Finding) { w.group.recordFinding(w.server.ID, connUse{}, f) }
+	c, err := w.group.conf.Driver.Dial(ctx, target)
 	if err != nil {
 		return err
 	}
--- a/internal/pgcon/conn.go
+++ b/internal/pgcon/conn.go
@@ -184,5 +184,11 @@
 // other methods it may be called from another goroutine.
 func (c *Conn) Interrupt() { c.link.Interrupt() }
 
-// Clean reports whether the connection is open and no unsolicited data has arrived on it.
-func (c *Conn) Clean() bool { return c.reader.Buffered() == 0 && c.link.Quiet() }
+// Condition implements proto.Conn.
+func (c *Conn) Condition() proto.Condition {
+	condition := c.link.Condition()
+	if condition == proto.Usable && c.reader.Buffered() > 0 {
+		return proto.Surplus
+	}
+	return condition
+}
--- a/internal/pgcon/conn_test.go
+++ b/internal/pgcon/conn_test.go
@@ -99,7 +99,7 @@
 	if err != nil || !bytes.Equal(sink.Bytes(), row("mine")) {
 		t.Fatalf("got %q, %v", sink.Bytes(), err)
 	}
-	for end := time.Now().Add(10 * time.Second); c.Clean(); {
+	for end := time.Now().Add(10 * time.Second); c.Condition() == proto.Usable; {
 		if time.Now().After(end) {
 			t.Fatal("a connection with a surplus answer still counts as clean after 10 s")
 		}
@@ -115,7 +115,7 @@
 	if !errors.As(err, &failed) || failed.Stage != proto.Sent {
 		t.Fatalf("got %v, want a *RunError at stage sent", err)
 	}
-	if c.Clean() {
+	if c.Condition() == proto.Usable {
 		t.Fatal("a connection with an unanswered request counts as clean")
 	}
 	if _, _, err := run(t, c, time.Second); err == nil {
@@ -135,7 +135,7 @@
 		if _, err := c.Run(ctx, request(), &collectSink{}); err == nil {
 			rt.Fatalf("an answer truncated after %d of %d bytes counted as complete", cut, len(whole))
 		}
-		if c.Clean() {
+		if c.Condition() == proto.Usable {
 			rt.Fatal("the connection counts as clean after a truncated answer")
 		}
 	})
--- a/internal/proto/conn.go
+++ b/internal/proto/conn.go
@@ -22,6 +22,8 @@
 	// Customer is whom the connection serves, for drivers with one customer per
 	// connection; empty for a connection of the proxy's own.
 	Customer ident.CustomerID
+	// Report receives what the connection finds wrong with the server's messages; it may be nil and must not block.
+	Report func(Finding)
 }
 
 // Driver connects to servers that speak one dialect.
@@ -59,7 +61,7 @@
 // Conn is a connection to a server. Except for Interrupt it is not safe for concurrent use.
 type Conn interface {
 	// Run sends a request and passes its answer to sink. After a *RunError the
-	// connection is unusable; otherwise it can be reused if Clean reports true.
+	// connection is unusable; otherwise it can be reused if Condition returns Usable.
 	Run(ctx context.Context, r *Request, sink Sink) (Answer, error)
 	// Status queries the server's status in its group.
 	Status(ctx context.Context) (group.Status, error)
@@ -70,8 +72,8 @@
 	Follow(ctx context.Context, term ident.Term, primary ident.ServerID) error
 	// Release unseals a server, so that it follows its primary again.
 	Release(ctx context.Context) error
-	// Clean reports whether the connection is open and no unsolicited data has arrived on it.
-	Clean() bool
+	// Condition returns whether the connection can be reused, and why not.
+	Condition() Condition
 	// TooManyStatements reports whether the connection holds so many prepared statements that it
 	// should be closed instead of reused.
 	TooManyStatements() bool
--- a/internal/proto/link.go
+++ b/internal/proto/link.go
@@ -71,29 +71,45 @@
 	return &RunError{Server: l.server, Stage: stage, Unresponsive: l.silent.Load(), Cause: err}
 }
 
-// Quiet reports whether the link is open and no unsolicited data has arrived on it. It
+// Condition returns whether the link is open and no unsolicited data has arrived on it. It
 // peeks at the socket without blocking.
-func (l *Link) Quiet() bool {
+func (l *Link) Condition() Condition {
 	if l.broken || l.silent.Load() {
-		return false
+		return Broken
 	}
-	if wrapped, ok := l.Conn.(interface{ Quiet() bool }); ok {
-		return wrapped.Quiet()
+	if wrapped, ok := l.Conn.(interface{ Unread() (int, bool) }); ok {
+		return condition(wrapped.Unread())
 	}
 	raw, ok := l.Conn.(syscall.Conn)
 	if !ok {
-		return true
+		return Usable
 	}
 	control, err := raw.SyscallConn()
 	if err != nil {
-		return false
+		return Broken
 	}
-	var quiet bool
+	var unread int
+	var open bool
 	var one [1]byte
 	err = control.Read(func(fd uintptr) bool {
-		_, _, e := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(e, syscall.EAGAIN)
+		var e error
+		unread, _, e = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = errors.Is(e, syscall.EAGAIN)
 		return true
 	})
-	return err == nil && quiet
+	if err != nil {
+		return Broken
+	}
+	return condition(unread, open)
+}
+
+// condition returns the condition of a link on which bytes are unread, or that is open without any.
+func condition(unread int, open bool) Condition {
+	switch {
+	case unread > 0:
+		return Surplus
+	case open:
+		return Usable
+	}
+	return Ended
 }
--- a/internal/proto/request.go
+++ b/internal/proto/request.go
@@ -186,7 +186,20 @@
 }
 
 // ProtocolError reports a message that violates the protocol or is not supported.
-type ProtocolError struct{ What string }
+type ProtocolError struct {
+	Violation Violation
+	What      string
+	// Cause is the error that a read ended with; nil if there was none.
+	Cause error
+}
 
 // Error implements error.
-func (e *ProtocolError) Error() string { return "protocol violation: " + e.What }
+func (e *ProtocolError) Error() string {
+	if e.Cause != nil {
+		return fmt.Sprintf("protocol violation (%s): %s: %v", e.Violation, e.What, e.Cause)
+	}
+	return fmt.Sprintf("protocol violation (%s): %s", e.Violation, e.What)
+}
+
+// Unwrap returns the error that a read ended with.
+func (e *ProtocolError) Unwrap() error { return e.Cause }
--- a/stand/netem/net.go
+++ b/stand/netem/net.go
@@ -210,11 +210,11 @@
 	}
 }
 
-// Quiet reports whether the connection is open and has no data to read.
-func (c *conn) Quiet() bool {
+// Unread returns how much data can be read now, in bytes or chunks, and whether the connection is open.
+func (c *conn) Unread() (int, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.unread) == 0 && len(c.delivered) == 0 && c.readErr == nil
+	return len(c.unread) + len(c.delivered), c.readErr == nil
 }
 
 // Write implements net.Conn; it returns as soon as the data is queued.
