Decide in a pure package which request an answer belongs to

A signature that was seen before marks a copy; one that was not belongs to the request, for no earlier request can still have a signed answer to come. Other answers are certain only if nothing that looks the same was seen, and no earlier one was uncertain. A marker settles an error that isn't.

--- /dev/null
+++ b/internal/rule/match/ledger.go
@@ -0,0 +1,111 @@
+package match
+
+//go:generate go tool stringer -type=Verdict -linecomment -output=verdict_string.go
+
+// Verdict says whether an answer is that to the current request.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Own: the answer is the request's.
+	Own Verdict = iota // own
+	// Likely: the answer is the request's, or a copy of an earlier one that looks the same.
+	Likely // likely
+	// Copy: the answer is a copy of an earlier one; the request's is still to come.
+	Copy // copy
+	// Foreign: the answer is neither a copy nor can it be the request's.
+	Foreign // foreign
+)
+
+// LedgerConfig configures a Ledger.
+type LedgerConfig struct {
+	// MaxAnswers is the number of different answers from which on Full reports true.
+	MaxAnswers int
+}
+
+// Ledger holds what a connection has been answered so far. It is not safe for concurrent use.
+type Ledger struct {
+	conf LedgerConfig
+	// signed holds the signatures seen, contents identifies the other answers, errors the errors by code and text.
+	signed, contents, errors map[Digest]bool
+	// unsure is set while a request may have got a copy for its answer, which is then still to come; none of these
+	// requests is one whose answer is signed.
+	unsure bool
+	// unknownName is set once an error has said that there is no such prepared statement.
+	unknownName bool
+	// without is a check that is left out, to show that it is needed.
+	without check
+}
+
+// check is a check that tests can leave out.
+type check uint8
+
+const (
+	noCheck check = iota
+	checkSignatures
+	checkContents
+	checkErrors
+	checkShape
+	checkUnsure
+	checkMarker
+	checkOthers
+	checkMisfit
+)
+
+// NewLedger returns the ledger of a new connection.
+func NewLedger(c LedgerConfig) *Ledger {
+	return &Ledger{conf: c, signed: map[Digest]bool{}, contents: map[Digest]bool{}, errors: map[Digest]bool{}}
+}
+
+// Full reports whether the connection should be closed when its request or transaction has ended.
+func (l *Ledger) Full() bool { return len(l.signed)+len(l.contents) >= l.conf.MaxAnswers }
+
+// Judge decides about the next answer and remembers it. A request goes on until an answer is Own or Likely. After
+// an error that is Likely nothing but a Settlement may follow on the connection.
+//
+// Strict is for servers that are known to repeat answers: there an error may be a copy of any with its code and text.
+func (l *Ledger) Judge(r Request, a Answer, strict bool) Verdict {
+	known := l.knows(a, strict)
+	l.remember(a)
+	_, signed := a.(Signed)
+	switch fits := l.without == checkShape || r.fits(a); {
+	case known && (signed || !fits):
+		return Copy
+	case !fits:
+		return Foreign
+	case signed:
+		// Earlier requests whose answers may still be to come get none with a signature.
+		l.unsure = false
+		return Own
+	case known || l.unsure && l.without != checkUnsure:
+		l.unsure = true
+		return Likely
+	}
+	return Own
+}
+
+// knows reports whether an answer can be a copy of an earlier one.
+func (l *Ledger) knows(a Answer, strict bool) bool {
+	switch a := a.(type) {
+	case Signed:
+		return l.signed[a.Signature] && l.without != checkSignatures
+	case Refused:
+		if strict && l.without != checkErrors {
+			return l.errors[a.Error]
+		}
+	}
+	return l.contents[a.content()] && l.without != checkContents
+}
+
+// remember adds an answer to those seen.
+func (l *Ledger) remember(a Answer) {
+	switch a := a.(type) {
+	case Signed:
+		l.signed[a.Signature] = true
+		return
+	case Refused:
+		l.errors[a.Error] = true
+		l.unknownName = l.unknownName || a.UnknownName
+	}
+	l.contents[a.content()] = true
+}
--- /dev/null
+++ b/internal/rule/match/settle.go
@@ -0,0 +1,62 @@
+package match
+
+//go:generate go tool stringer -type=Outcome -linecomment -output=outcome_string.go
+
+// Outcome is what a Settlement has found.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// Pending: more answers have to be read.
+	Pending Outcome = iota // pending
+	// Answered: the answer just added is the request's.
+	Answered // answered
+	// Confirmed: the error is the request's.
+	Confirmed // confirmed
+	// Unclear: it is not known which answer is the request's.
+	Unclear // unclear
+)
+
+// Settlement finds out whether an error that may be a copy is the answer to its request, which is one whose success
+// is signed. The request is followed by a marker, a statement that names a prepared statement which the connection
+// never had. The request's answer is among those up to the marker's.
+type Settlement struct {
+	ledger  *Ledger
+	request Request
+	refused Refused
+	strict  bool
+	// others is set if there was another error.
+	others bool
+}
+
+// Settle begins a settlement; false if the answer to a marker could be a copy as well.
+func (l *Ledger) Settle(r Request, refused Refused, strict bool) (*Settlement, bool) {
+	known := l.unknownName && l.without != checkMarker
+	return &Settlement{ledger: l, request: r, refused: refused, strict: strict}, r.signed() && !known
+}
+
+// Add adds the next answer.
+func (s *Settlement) Add(a Answer) Outcome {
+	verdict := s.ledger.Judge(s.request, a, s.strict)
+	switch a := a.(type) {
+	case Signed:
+		switch verdict {
+		case Own:
+			return Answered
+		case Foreign:
+			// The request has run, though not as it was meant to.
+			if s.ledger.without != checkMisfit {
+				return Unclear
+			}
+		}
+	case Refused:
+		switch {
+		case a.UnknownName && s.others:
+			return Unclear
+		case a.UnknownName:
+			return Confirmed
+		}
+		s.others = s.others || a.Error != s.refused.Error && s.ledger.without != checkOthers
+	}
+	return Pending
+}
