--- a/internal/owner/conns.go
+++ b/internal/owner/conns.go
@@ -215,7 +215,7 @@
 func (p *pool) recycle(c *pooledConn) {
 	delete(p.active, c)
 	c.inTransaction = false
-	if p.closed || p.open > p.limit || !p.usable(c) || c.TooManyStatements() {
+	if p.closed || p.open > p.limit || !p.usable(c) || c.Exhausted() {
 		c.Close()
 		p.open--
 	} else {
--- a/internal/owner/faults.go
+++ b/internal/owner/faults.go
@@ -45,7 +45,7 @@
 
 // violationKinds gives the journal's kind for each violation.
 var violationKinds = map[proto.Violation]jrnl.Kind{
-	proto.Malformed: jrnl.MalformedAnswer, proto.TooLong: jrnl.MalformedAnswer, proto.Cut: jrnl.MalformedAnswer, proto.Misfit: jrnl.SurplusAnswer,
+	proto.Malformed: jrnl.MalformedAnswer, proto.TooLong: jrnl.MalformedAnswer, proto.Cut: jrnl.MalformedAnswer, proto.Repeated: jrnl.SurplusAnswer, proto.Misfit: jrnl.SurplusAnswer,
 }
 
 // recordFinding counts and logs what a connection to a server has found.
--- a/internal/owner/roster_test.go
+++ b/internal/owner/roster_test.go
@@ -107,10 +107,11 @@
 	return proto.Usable
 }
 
-func (c *fakeConn) TooManyStatements() bool { return false }
-func (c *fakeConn) InvalidateSettings()     {}
-func (c *fakeConn) Interrupt()              {}
-func (c *fakeConn) Close()                  { c.closed = true }
+func (c *fakeConn) Exhausted() bool     { return false }
+func (c *fakeConn) Distrust()           {}
+func (c *fakeConn) InvalidateSettings() {}
+func (c *fakeConn) Interrupt()          {}
+func (c *fakeConn) Close()              { c.closed = true }
 
 // claimStore holds the record of a group whose members are a, b and c. It counts the claims and fails them,
 // and all calls while it is down.
--- a/internal/pgcon/run.go
+++ b/internal/pgcon/run.go
@@ -93,8 +93,11 @@
 	}
 }
 
-// TooManyStatements reports whether the connection holds too many prepared statements to be reused.
-func (c *Conn) TooManyStatements() bool { return len(c.prepared) > maxStatements }
+// Distrust implements proto.Conn.
+func (*Conn) Distrust() {}
+
+// Exhausted reports whether the connection holds too many prepared statements to be reused.
+func (c *Conn) Exhausted() bool { return len(c.prepared) > maxStatements }
 
 // readAnswer passes on messages up to ReadyForQuery. It leaves out the answers to injected
 // Parse messages, which it counts in parsed, as well as ParameterStatus and
--- a/internal/proto/condition.go
+++ b/internal/proto/condition.go
@@ -32,7 +32,9 @@
 	TooLong // too-long
 	// Cut: the connection ended inside an answer.
 	Cut // cut
-	// Misfit: an answer cannot be for the request that was outstanding.
+	// Repeated: while a request was outstanding, there came the answer to an earlier one or a copy of it.
+	Repeated // repeated
+	// Misfit: there came an answer that cannot be to any request of the connection.
 	Misfit // misfit
 	violationCount
 )
--- a/internal/proto/conn.go
+++ b/internal/proto/conn.go
@@ -74,9 +74,11 @@
 	Release(ctx context.Context) error
 	// Condition returns whether the connection can be reused, and why not.
 	Condition() Condition
-	// TooManyStatements reports whether the connection holds so many prepared statements that it
-	// should be closed instead of reused.
-	TooManyStatements() bool
+	// Exhausted reports whether the connection has been used so much that it should be closed instead of reused.
+	Exhausted() bool
+	// Distrust makes the connection take no answer that could be a copy of an earlier one, because the server is
+	// known to repeat answers.
+	Distrust()
 	// InvalidateSettings makes the next use of the connection reset its session settings first.
 	InvalidateSettings()
 	// Interrupt aborts the running request because the connection seems dead; it may be
--- a/internal/proto/request.go
+++ b/internal/proto/request.go
@@ -201,5 +201,11 @@
 	return fmt.Sprintf("protocol violation (%s): %s", e.Violation, e.What)
 }
 
+// DoubtError reports an answer that may be a copy of an earlier one.
+type DoubtError struct{ What string }
+
+// Error implements error.
+func (e *DoubtError) Error() string { return "perhaps a copy of an earlier answer: " + e.What }
+
 // Unwrap returns the error that a read ended with.
 func (e *ProtocolError) Unwrap() error { return e.Cause }
--- a/internal/proto/violation_string.go
+++ b/internal/proto/violation_string.go
@@ -11,13 +11,14 @@
 	_ = x[Malformed-0]
 	_ = x[TooLong-1]
 	_ = x[Cut-2]
-	_ = x[Misfit-3]
-	_ = x[violationCount-4]
+	_ = x[Repeated-3]
+	_ = x[Misfit-4]
+	_ = x[violationCount-5]
 }
 
-const _Violation_name = "malformedtoo-longcutmisfitviolationCount"
+const _Violation_name = "malformedtoo-longcutrepeatedmisfitviolationCount"
 
-var _Violation_index = [...]uint8{0, 9, 17, 20, 26, 40}
+var _Violation_index = [...]uint8{0, 9, 17, 20, 28, 34, 48}
 
 func (i Violation) String() string {
 	idx := int(i) - 0
--- a/internal/rule/match/ledger.go
+++ b/internal/rule/match/ledger.go
@@ -11,10 +11,12 @@
 	Own Verdict = iota // own
 	// Likely: the answer is the request's, or a copy of an earlier one that looks the same.
 	Likely // likely
-	// Copy: the answer is a copy of an earlier one; the request's is still to come.
-	Copy // copy
-	// Foreign: the answer is neither a copy nor can it be the request's.
+	// Earlier: the answer is that to an earlier request or a copy of it; the request's is still to come.
+	Earlier // earlier
+	// Foreign: the answer cannot be to any request of the connection.
 	Foreign // foreign
+	// Unfit: the answer is the request's, which did not run as it was meant to; the connection must be closed.
+	Unfit // unfit
 )
 
 // LedgerConfig configures a Ledger.
@@ -31,6 +33,8 @@
 	// unsure is set while a request may have got a copy for its answer, which is then still to come; none of these
 	// requests is one whose answer is signed.
 	unsure bool
+	// foreign is set once there was an answer to none of the connection's requests.
+	foreign bool
 	// unknownName is set once an error has said that there is no such prepared statement.
 	unknownName bool
 	// without is a check that is left out, to show that it is needed.
@@ -49,7 +53,8 @@
 	checkUnsure
 	checkMarker
 	checkOthers
-	checkMisfit
+	checkUnfit
+	checkForeign
 )
 
 // NewLedger returns the ledger of a new connection.
@@ -60,8 +65,8 @@
 // Full reports whether the connection should be closed when its request or transaction has ended.
 func (l *Ledger) Full() bool { return len(l.signed)+len(l.contents) >= l.conf.MaxAnswers }
 
-// Judge decides about the next answer and remembers it. A request goes on until an answer is Own or Likely. After
-// an error that is Likely nothing but a Settlement may follow on the connection.
+// Judge decides about the next answer and remembers it. A request goes on until an answer is Own or Likely. If that
+// is a Likely error to a request whose success is signed, nothing but a Settlement may follow on the connection.
 //
 // Strict is for servers that are known to repeat answers: there an error may be a copy of any with its code and text.
 func (l *Ledger) Judge(r Request, a Answer, strict bool) Verdict {
@@ -70,8 +75,13 @@
 	_, signed := a.(Signed)
 	switch fits := l.without == checkShape || r.fits(a); {
 	case known && (signed || !fits):
-		return Copy
+		return Earlier
+	case !fits && l.unsure && signed && r.signed() && l.without != checkUnfit:
+		return Unfit
+	case !fits && l.unsure:
+		return Earlier
 	case !fits:
+		l.foreign = true
 		return Foreign
 	case signed:
 		// Earlier requests whose answers may still be to come get none with a signature.
@@ -84,6 +94,16 @@
 	return Own
 }
 
+// Unasked decides about an answer that came while no request was outstanding: Earlier or Foreign.
+func (l *Ledger) Unasked(a Answer) Verdict {
+	known := l.knows(a, true)
+	l.remember(a)
+	if _, signed := a.(Signed); known || l.unsure && !signed {
+		return Earlier
+	}
+	return Foreign
+}
+
 // knows reports whether an answer can be a copy of an earlier one.
 func (l *Ledger) knows(a Answer, strict bool) bool {
 	switch a := a.(type) {
--- a/internal/rule/match/match_test.go
+++ b/internal/rule/match/match_test.go
@@ -114,6 +114,11 @@
 		}
 		state = taken.state()
 	}
+	for g, ok := m.read(); ok; g, ok = m.read() {
+		if l.Unasked(g.answer) == Foreign {
+			return fmt.Sprintf("%+v is taken for one that no request can have had", g)
+		}
+	}
 	return ""
 }
 
@@ -132,10 +137,12 @@
 		switch {
 		case verdict == Own && !own:
 			return nil, fmt.Sprintf("%s in state %s: %+v is taken for its own", r.Kind, r.State, g)
-		case verdict == Own || verdict == Likely && !isRefused(g.answer):
+		case verdict == Own || verdict == Likely && !(r.signed() && isRefused(g.answer)):
 			return g.answer, ""
-		case verdict == Copy && own && r.signed():
-			return nil, fmt.Sprintf("%s in state %s: its own %+v is taken for a copy", r.Kind, r.State, g)
+		case verdict == Unfit:
+			return nil, ""
+		case verdict == Foreign:
+			return nil, fmt.Sprintf("%s in state %s: %+v is taken for one that no request can have had", r.Kind, r.State, g)
 		case verdict == Likely:
 			return nil, playSettlement(m, l, r, g)
 		}
@@ -193,7 +200,7 @@
 func TestEachCheckIsNeeded(t *testing.T) {
 	for without, name := range map[check]string{
 		checkSignatures: "signatures", checkContents: "contents", checkErrors: "errors of repeating servers", checkShape: "shape",
-		checkUnsure: "answers to come", checkMarker: "marker seen before", checkOthers: "other errors before the marker", checkMisfit: "signatures that do not fit before the marker",
+		checkUnsure: "answers to come", checkMarker: "marker seen before", checkOthers: "other errors before the marker", checkUnfit: "signatures that do not fit", checkForeign: "signatures that do not fit before the marker",
 	} {
 		t.Run(name, func(t *testing.T) {
 			example := rapid.Custom(func(rt *rapid.T) string { return play(rt, without) })
--- a/internal/rule/match/settle.go
+++ b/internal/rule/match/settle.go
@@ -32,31 +32,28 @@
 // Settle begins a settlement; false if the answer to a marker could be a copy as well.
 func (l *Ledger) Settle(r Request, refused Refused, strict bool) (*Settlement, bool) {
 	known := l.unknownName && l.without != checkMarker
-	return &Settlement{ledger: l, request: r, refused: refused, strict: strict}, r.signed() && !known
+	return &Settlement{ledger: l, request: r, refused: refused, strict: strict}, r.signed() && !known && !l.foreign
 }
 
 // Add adds the next answer.
 func (s *Settlement) Add(a Answer) Outcome {
-	verdict := s.ledger.Judge(s.request, a, s.strict)
-	switch a := a.(type) {
-	case Signed:
-		switch verdict {
-		case Own:
+	switch s.ledger.Judge(s.request, a, s.strict) {
+	case Own:
+		if _, signed := a.(Signed); signed {
 			return Answered
-		case Foreign:
-			// The request has run, though not as it was meant to.
-			if s.ledger.without != checkMisfit {
-				return Unclear
-			}
 		}
-	case Refused:
-		switch {
-		case a.UnknownName && s.others:
+	case Unfit, Foreign:
+		if s.ledger.without != checkForeign {
 			return Unclear
-		case a.UnknownName:
-			return Confirmed
 		}
-		s.others = s.others || a.Error != s.refused.Error && s.ledger.without != checkOthers
 	}
+	another, failed := a.(Refused)
+	switch {
+	case failed && another.UnknownName && s.others:
+		return Unclear
+	case failed && another.UnknownName:
+		return Confirmed
+	}
+	s.others = s.others || failed && another.Error != s.refused.Error && s.ledger.without != checkOthers
 	return Pending
 }
--- a/internal/rule/match/verdict_string.go
+++ b/internal/rule/match/verdict_string.go
@@ -10,13 +10,14 @@
 	var x [1]struct{}
 	_ = x[Own-0]
 	_ = x[Likely-1]
-	_ = x[Copy-2]
+	_ = x[Earlier-2]
 	_ = x[Foreign-3]
+	_ = x[Unfit-4]
 }
 
-const _Verdict_name = "ownlikelycopyforeign"
+const _Verdict_name = "ownlikelyearlierforeignunfit"
 
-var _Verdict_index = [...]uint8{0, 3, 9, 13, 20}
+var _Verdict_index = [...]uint8{0, 3, 9, 16, 23, 28}
 
 func (i Verdict) String() string {
 	idx := int(i) - 0
