Tell callers' malformed, overlong and cut messages apart

Both have reasons of their own now, message-too-long and message-cut, in the log line, in geraniumseam_refusals_total and for the former in the text after TOOLARGE. Where a message ends is unchanged.

--- a/internal/fault/reason.go
+++ b/internal/fault/reason.go
@@ -53,6 +53,8 @@
 	RouteGone                         // route-gone
 	NotReady                          // not-ready
 	OtherOwnerPreferred               // better-placed
+	MessageTooLong                    // message-too-long
+	MessageCut                        // message-cut
 	reasonCount
 )
 
@@ -68,7 +70,7 @@
 // sqlStates gives the SQLSTATE for each reason of a request that did not run.
 var sqlStates = map[Reason]string{
 	KeyRefused: "28P01", KeyWithdrawn: "28000", KeyUnchecked: "28000", PlaintextKey: "28000",
-	BadStartup: "08P01", BadMessage: "08P01", NotSupported: "0A000",
+	BadStartup: "08P01", BadMessage: "08P01", MessageTooLong: "08P01", MessageCut: "08P01", NotSupported: "0A000",
 	RateExceeded: "53400", RateUnavailable: "53400", QueueFull: "53300", QueueLate: "53300",
 	NoServer: "57P03", NoPrimary: "57P03", NoOwner: "57P03", FloorUnreached: "57P03",
 	ConnectFailed: "57P03", ServerFull: "53300", ServerReadOnly: "57P03", ServerStopping: "57P03",
