Keep copies out of polls and orders, and remember which servers repeat answers

- A control connection is used again only if it is usable.
A status that falls behind an earlier one on its connection is asked again on a new one.
Orders, the statuses that a claim rests on included, run each on a connection of their own.
If an answer was to no request of its connection, connections are used once.

Statuses that look alike are taken from a server that has never repeated an answer: until its first copy is seen, a status may be older than it says.

--- a/internal/owner/conns.go
+++ b/internal/owner/conns.go
@@ -103,7 +103,11 @@
 	if p.conf.found != nil {
 		p.conf.found(c.last, condition)
 	}
-	return condition == proto.Usable
+	if p.conf.distrust.repeats() {
+		c.Distrust()
+	}
+	used := !c.last.ended.IsZero()
+	return condition == proto.Usable && !c.Exhausted() && !(used && p.conf.distrust.crosses())
 }
 
 // popIdle returns the customer's most recently used idle connection, closing those
@@ -215,7 +219,7 @@
 func (p *pool) recycle(c *pooledConn) {
 	delete(p.active, c)
 	c.inTransaction = false
-	if p.closed || p.open > p.limit || !p.usable(c) || c.Exhausted() {
+	if p.closed || p.open > p.limit || !p.usable(c) {
 		c.Close()
 		p.open--
 	} else {
--- a/internal/owner/coordinate.go
+++ b/internal/owner/coordinate.go
@@ -247,13 +247,27 @@
 // mayOrder reports whether an order may be sent, again perhaps: its claim is valid, and the server as it was sealed.
 func (g *Group) mayOrder(ctx context.Context, c proto.Conn, a group.Promote) bool {
 	if a.Sealed.Server != "" {
-		if s, err := c.Status(ctx); err != nil || !a.Allows(s) {
+		status, err := c.Status(ctx)
+		if s := g.at(a.Server); s != nil && isDoubtful(err) {
+			status, err = g.freshStatus(ctx, s)
+		}
+		if err != nil || !a.Allows(status) {
 			return false
 		}
 	}
 	return a.Until.IsZero() || g.conf.Now().Before(a.Until)
 }
 
+// freshStatus queries a server's status on a connection of its own.
+func (g *Group) freshStatus(ctx context.Context, s *server) (group.Status, error) {
+	c, err := g.dialControl(ctx, s)
+	if err != nil {
+		return group.Status{}, err
+	}
+	defer c.Close()
+	return c.Status(ctx)
+}
+
 func (g *Group) releaseSeal(id ident.ServerID) {
 	ctx, cancel := g.stepContext()
 	defer cancel()
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -89,7 +89,8 @@
 	// conns counts the control connections opened so far.
 	conns atomic.Uint64
 	// removed is closed once the server has left the group.
-	removed chan struct{}
+	removed  chan struct{}
+	distrust distrust
 }
 
 // roster lists all servers that a group has had. An index is never reused; the map
@@ -200,13 +201,14 @@
 		target := proto.Target{Server: s.ID, Address: s.Address, Group: g.conf.ID}
 		added := &server{
 			Server: s, at: len(next.servers), target: target, pollRequests: make(chan struct{}, 1), controlCalls: make(chan *controlCall, 8),
-			pool: newPool(poolConfig{
-				target: target, driver: g.conf.Driver, slots: cmp.Or(s.Slots, c.Slots), queue: g.defaults.Load().QueueLength, now: g.conf.Now, random: g.random,
-				found:  func(last connUse, c proto.Condition) { g.recordCondition(s.ID, last, c) },
-				report: func(last connUse, f proto.Finding) { g.recordFinding(s.ID, last, f) },
-			}, 1),
 			removed: make(chan struct{}),
 		}
+		added.pool = newPool(poolConfig{
+			target: target, driver: g.conf.Driver, slots: cmp.Or(s.Slots, c.Slots), queue: g.defaults.Load().QueueLength, now: g.conf.Now, random: g.random,
+			found:    func(last connUse, c proto.Condition) { g.recordCondition(added, last, c) },
+			report:   func(last connUse, f proto.Finding) { g.recordFinding(added, last, f) },
+			distrust: &added.distrust,
+		}, 1)
 		next.index[s.ID] = added.at
 		next.servers = append(next.servers, added)
 		newServers = append(newServers, added)
--- a/internal/owner/pool.go
+++ b/internal/owner/pool.go
@@ -35,6 +35,8 @@
 	// connections find wrong with messages; both may be nil and must not block.
 	found  func(connUse, proto.Condition)
 	report func(connUse, proto.Finding)
+	// distrust is what is known of the server's answers out of turn; nil if nothing can be.
+	distrust *distrust
 }
 
 // grant answers a request for a connection: a connection, or the reason why there is
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -245,7 +245,7 @@
 // it was sent; otherwise its outcome is unknown.
 func (g *Group) failedWrite(ctx context.Context, err error) attempt {
 	if unsent(err) {
-		return attempt{result: notSent(fault.ConnectionLost), retryable: true}
+		return attempt{result: notSent(fault.ConnectionLost), retryable: true, uncharged: isDoubtful(err)}
 	}
 	return attempt{result: unknown(lostAnswerReason(ctx, err))}
 }
--- a/internal/owner/watch.go
+++ b/internal/owner/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/juju/errors"
@@ -42,6 +43,8 @@
 	group  *Group
 	server *server
 	conn   proto.Conn
+	// last is the last status on conn; its server is empty if there was none.
+	last group.Status
 	// reportedAt is when the peers were last told whether the server answers, reachable
 	// what they were told.
 	reportedAt time.Time
@@ -159,12 +162,24 @@
 	if err := w.connect(ctx); err != nil {
 		return time.Time{}, group.Status{}, err
 	}
+	reused := w.last.Server != ""
 	asked := clock.Now()
 	status, err := w.conn.Status(ctx)
+	if err == nil && reused && fallsBehind(status, w.last) {
+		evidence := fmt.Sprintf("a status of term %d at position %v came after one of term %d at position %v", status.Term, status.Received, w.last.Term, w.last.Received)
+		w.group.recordFinding(w.server, connUse{}, proto.Finding{Violation: proto.Repeated, Evidence: evidence})
+		err = &proto.DoubtError{What: evidence}
+	}
+	if reused && isDoubtful(err) {
+		// The first answer on a connection is no copy of another.
+		w.closeConn()
+		return w.queryStatus(ctx)
+	}
 	if err != nil {
 		w.closeConn()
 		return asked, status, errors.Trace(err)
 	}
+	w.last = status
 	if status.Server != w.server.ID {
 		w.closeConn()
 		return asked, status, &proto.ProtocolError{What: "the server at the address of " + string(w.server.ID) + " identifies itself as " + string(status.Server)}
@@ -172,23 +187,51 @@
 	return asked, status, nil
 }
 
-// connect opens the control connection if there is none.
+func isDoubtful(err error) bool {
+	var doubt *proto.DoubtError
+	return errors.As(err, &doubt)
+}
+
+// fallsBehind reports whether a status shows less than one that was given before on the same connection.
+func fallsBehind(s, before group.Status) bool {
+	if s.Term != before.Term {
+		return s.Term < before.Term
+	}
+	return s.LogTerm < before.LogTerm || s.LogTerm == before.LogTerm && s.Received < before.Received
+}
+
+// connect opens the control connection if there is none that can be used.
 func (w *watcher) connect(ctx context.Context) error {
-	if w.conn != nil {
-		w.group.recordCondition(w.server.ID, connUse{}, w.conn.Condition())
+	if w.conn != nil && w.reusable() {
 		return nil
 	}
-	target := w.server.target
-	target.Report = func(f proto.Finding) { w.group.recordFinding(w.server.ID, connUse{}, f) }
-	c, err := w.group.conf.Driver.Dial(ctx, target)
+	w.closeConn()
+	c, err := w.group.dialControl(ctx, w.server)
 	if err != nil {
 		return err
 	}
-	w.conn = c
+	w.conn, w.last = c, group.Status{}
 	w.server.conns.Add(1)
 	return nil
 }
 
+// reusable reports whether the control connection can be used again.
+func (w *watcher) reusable() bool {
+	condition := w.conn.Condition()
+	w.group.recordCondition(w.server, connUse{}, condition)
+	if w.server.distrust.repeats() {
+		w.conn.Distrust()
+	}
+	return condition == proto.Usable && !w.conn.Exhausted() && !w.server.distrust.crosses()
+}
+
+// dialControl opens a connection for polls or orders.
+func (g *Group) dialControl(ctx context.Context, s *server) (proto.Conn, error) {
+	target := s.target
+	target.Report = func(f proto.Finding) { g.recordFinding(s, connUse{}, f) }
+	return g.conf.Driver.Dial(ctx, target)
+}
+
 func (w *watcher) closeConn() {
 	if w.conn != nil {
 		w.conn.Close()
@@ -220,16 +263,17 @@
 	w.group.conf.ReportServer(w.group.conf.ID, w.server.ID, reachable)
 }
 
-// call runs a control function on the watcher's connection.
+// call runs a control function on a connection of its own, which takes the place of the one for polls and on which no
+// answer is taken that could be a copy.
 func (w *watcher) call(c *controlCall) {
+	w.closeConn()
 	if err := w.connect(c.ctx); err != nil {
 		c.done <- err
 		return
 	}
+	w.conn.Distrust()
 	err := c.run(c.ctx, w.conn)
-	if err != nil {
-		w.closeConn()
-	}
+	w.closeConn()
 	c.done <- err
 }
 
