Close the connection of a read that is run again for want of a proof

An answer that could not be proved to be replicated is thrown away, and the read is run again under its id. On the same connection a server whose signature follows from the id would give the one that it gave before, which now counts as a copy: the read would wait for another answer until its deadline. TestUnconfirmedReadLeavesItsConnection failed without the change.

--- a/internal/owner/conns.go
+++ b/internal/owner/conns.go
@@ -33,6 +33,8 @@
 	// inTransaction is set while the connection belongs to an open transaction.
 	inTransaction bool
 	last          connUse
+	// retired is set if the connection is to be closed when its request or transaction has ended.
+	retired bool
 }
 
 // inOpenTx reports whether a transaction was open on the connection at the server's last answer.
@@ -107,7 +109,7 @@
 		c.Distrust()
 	}
 	used := !c.last.ended.IsZero()
-	return condition == proto.Usable && !c.Exhausted() && !(used && p.conf.distrust.crosses())
+	return condition == proto.Usable && !c.retired && !c.Exhausted() && !(used && p.conf.distrust.crosses())
 }
 
 // popIdle returns the customer's most recently used idle connection, closing those
@@ -229,6 +231,16 @@
 	p.dispatchWaiting()
 }
 
+// retire closes a connection as soon as it is idle.
+func (p *pool) retire(c *pooledConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.retired = true
+	if slices.Contains(p.idle, c) {
+		p.evict(c)
+	}
+}
+
 // resize sets the limit of open connections. Idle connections above it are closed at
 // once, active ones when they are released.
 func (p *pool) resize(limit int) {
--- a/internal/owner/distrust_test.go
+++ b/internal/owner/distrust_test.go
@@ -10,6 +10,7 @@
 	"geraniumseam.dev/internal/fault"
 	"geraniumseam.dev/internal/jrnl"
 	"geraniumseam.dev/internal/proto"
+	"geraniumseam.dev/internal/rule/conf"
 	"geraniumseam.dev/internal/rule/group"
 	"geraniumseam.dev/pkg/ident"
 	"geraniumseam.dev/pkg/stmt"
@@ -22,6 +23,8 @@
 	conns []*doubtfulConn
 	// found is reported by the next request of a caller.
 	found []proto.Finding
+	// ahead is the position after a caller's request, beyond which no replica has received.
+	ahead ident.Position
 	// polled returns the status that a control connection reports, given how many it has reported before.
 	polled func(s group.Status, c *doubtfulConn, before int) (group.Status, error)
 }
@@ -95,6 +98,7 @@
 		c.target.Report(f)
 	}
 	a, err := c.fakeConn.Run(ctx, r, sink)
+	a.Status.Received, a.Status.Applied = c.driver.ahead, c.driver.ahead
 	return a, err
 }
 
@@ -286,3 +290,28 @@
 		}
 	}
 }
+
+// TestUnconfirmedReadLeavesItsConnection: a read that is run again under its id may get the signature that it had,
+// which would look like a copy there.
+func TestUnconfirmedReadLeavesItsConnection(t *testing.T) {
+	d, g := startDoubtful(t)
+	d.ahead = 9
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	w := Work{
+		Customer: "c", Group: "g", Kind: stmt.Read, ReadConsistency: conf.LatestReads, Limits: Limits{Run: 5 * time.Second, QueueWait: 5 * time.Second},
+		Request: proto.Request{NeverCommits: true, WritesNothing: true},
+	}
+	if r := g.Run(ctx, &w, &bufferSink{}); r.Reason != fault.AnswerUnconfirmed {
+		t.Fatalf("%+v, want an unconfirmed answer", r)
+	}
+	conns := d.opened("a", "c")
+	if len(conns) < 2 {
+		t.Fatalf("the read ran on %d connections, want it to be run again", len(conns))
+	}
+	for _, c := range conns {
+		if c.runs != 1 || c.Condition() != proto.Broken {
+			t.Errorf("a connection ran the read %d times and is %s", c.runs, c.Condition())
+		}
+	}
+}
--- a/internal/owner/read.go
+++ b/internal/owner/read.go
@@ -237,6 +237,8 @@
 	}
 	s.pool.release(c)
 	if buffer.bufferAll && answer.HasStatus && !g.awaitReadReplicated(ctx, w, answer.Status, term) {
+		// Some servers sign by the request's id: a second run there could look like a copy of the first one's answer.
+		s.pool.retire(c)
 		return attempt{result: w.lost(fault.AnswerUnconfirmed), retryable: true}
 	}
 	if err := buffer.flush(); err != nil {
