--- a/internal/plat/client.go
+++ b/internal/plat/client.go
@@ -48,7 +48,7 @@
 // New returns a Client.
 func New(c Config) *Client {
 	if c.Transport == nil {
-		c.Transport = &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 90 * time.Second}
+		c.Transport = &http.Transport{DisableKeepAlives: true}
 	}
 	client := &Client{
 		conf: c, http: &http.Client{Transport: c.Transport}, rng: make(chan *rand.Rand, 1),
@@ -123,9 +123,9 @@
 	query := fmt.Sprintf("?watch=1&resourceVersion=%d&timeoutSeconds=%g", after, wait.Seconds())
 	ctx, cancel := context.WithTimeout(ctx, wait+c.conf.CallTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.conf.URL+path(kind, "")+query, nil)
+	request, err := newRequest(ctx, http.MethodGet, c.conf.URL+path(kind, "")+query, nil)
 	if err != nil {
-		return after, errors.Trace(err)
+		return after, err
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
@@ -171,9 +171,9 @@
 		}
 		content = bytes.NewReader(text)
 	}
-	request, err := http.NewRequestWithContext(ctx, method, c.conf.URL+target, content)
+	request, err := newRequest(ctx, method, c.conf.URL+target, content)
 	if err != nil {
-		return errors.Trace(err)
+		return err
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
@@ -192,6 +192,17 @@
 	return nil
 }
 
+// newRequest returns a request that has a connection to itself: an answer doesn't say which call it is
+// for, only the connection that it came on does.
+func newRequest(ctx context.Context, method, target string, content io.Reader) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, method, target, content)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	request.Close = true
+	return request, nil
+}
+
 // responseError returns the error for a response with a status other than 200.
 func responseError(response *http.Response) *Error {
 	failed := &Error{Status: response.StatusCode}
--- a/internal/plat/client_test.go
+++ b/internal/plat/client_test.go
@@ -12,7 +12,7 @@
 	"geraniumseam.dev/stand/platf"
 )
 
-func startPlatform(t *testing.T) (*platf.Platform, *Client) {
+func startPlatform(t testing.TB) (*platf.Platform, *Client) {
 	t.Helper()
 	p, err := platf.Start("127.0.0.1:0")
 	if err != nil {
