--- /dev/null
+++ b/internal/peer/frames_test.go
@@ -0,0 +1,251 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/coder/websocket"
+	"pgregory.net/rapid"
+
+	"geraniumseam.dev/internal/fault"
+	"geraniumseam.dev/internal/owner"
+	"geraniumseam.dev/pkg/ident"
+	"geraniumseam.dev/pkg/stmt"
+)
+
+// rawPeer is the other end of a link, which sends what frames a test wants.
+type rawPeer struct {
+	t      testing.TB
+	socket *websocket.Conn
+	// received are the frames that have arrived and were not taken.
+	received []frame
+}
+
+// acceptRaw has an instance open a link, whose other end the returned peer is, under the name "b".
+func acceptRaw(t testing.TB, from *testInstance) *rawPeer {
+	t.Helper()
+	accepted := make(chan *rawPeer, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		socket, err := websocket.Accept(w, r, nil)
+		if err != nil {
+			return
+		}
+		p := &rawPeer{t: t, socket: socket}
+		p.greet("b")
+		accepted <- p
+	}))
+	t.Cleanup(server.Close)
+	from.mu.Lock()
+	from.addresses["b"] = strings.TrimPrefix(server.URL, "http://")
+	from.mu.Unlock()
+	if err := from.hub.Connect(t.Context(), "b"); err != nil {
+		t.Fatal(err)
+	}
+	p := <-accepted
+	t.Cleanup(func() { _ = p.socket.CloseNow() })
+	return p
+}
+
+func (p *rawPeer) greet(name ident.InstanceID) {
+	p.send(p.frame(kindHello, 0, Hello{MinProtocol: minProtocol, MaxProtocol: maxProtocol, Instance: name}))
+	if f := p.next(); f.Kind != kindHello {
+		p.t.Errorf("first frame is of kind %d, want a hello", f.Kind)
+	}
+	go func() {
+		for beat := p.frame(kindHeartbeat, 0, Heartbeat{}); p.socket.Write(context.Background(), websocket.MessageBinary, beat) == nil; {
+			time.Sleep(100 * time.Millisecond)
+		}
+	}()
+}
+
+func (p *rawPeer) frame(k kind, stream uint64, body any) []byte {
+	data, err := encodeFrame(k, stream, body)
+	if err != nil {
+		p.t.Error(err)
+	}
+	return data
+}
+
+// send sends frames in one message.
+func (p *rawPeer) send(frames ...[]byte) {
+	_ = p.socket.Write(context.Background(), websocket.MessageBinary, bytes.Join(frames, nil))
+}
+
+// next returns the next frame that is not a heartbeat; one without a kind if the link has ended.
+func (p *rawPeer) next() frame {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	for {
+		for len(p.received) > 0 {
+			f := p.received[0]
+			p.received = p.received[1:]
+			if f.Kind != kindHeartbeat {
+				return f
+			}
+		}
+		_, data, err := p.socket.Read(ctx)
+		if err != nil {
+			return frame{}
+		}
+		decoder := decMode.NewDecoder(bytes.NewReader(data))
+		for decoder.NumBytesRead() < len(data) {
+			var f frame
+			if err := decoder.Decode(&f); err != nil {
+				p.t.Error(err)
+				return f
+			}
+			p.received = append(p.received, f)
+		}
+	}
+}
+
+// runRaw runs a request at the raw peer, which sends the frames that a function returns, and returns the result and what
+// was passed on.
+func (p *rawPeer) runRaw(a *testInstance, answer func(stream uint64) [][]byte) (owner.Result, string) {
+	p.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	var sink textSink
+	done := make(chan owner.Result, 1)
+	go func() { done <- a.hub.Run(ctx, "b", &owner.Work{Kind: stmt.Read}, &sink) }()
+	var f frame
+	for f.Kind != kindWork {
+		if f = p.next(); f.Kind == 0 {
+			p.t.Fatal("the link has ended")
+		}
+	}
+	p.send(answer(f.Stream)...)
+	return <-done, sink.String()
+}
+
+const wholeAnswer = "one two three four"
+
+// parts returns the frames of an answer.
+func (p *rawPeer) parts(stream uint64) [][]byte {
+	return [][]byte{
+		p.frame(kindChunk, stream, chunk{Bytes: []byte("one "), Number: 1}),
+		p.frame(kindChunk, stream, chunk{Bytes: []byte("two "), Number: 2}),
+		p.frame(kindChunk, stream, chunk{Bytes: []byte("three "), Number: 3}),
+		p.frame(kindResult, stream, result{Result: &owner.Result{Outcome: fault.Done}, Bytes: []byte("four"), Chunks: 3}),
+	}
+}
+
+// TestResultWithoutOutcomeIsUnknown guards against a request that counts as done by the end of an answer that doesn't say so.
+func TestResultWithoutOutcomeIsUnknown(t *testing.T) {
+	a := newTestInstance(t, "a", nil)
+	p := acceptRaw(t, a)
+	for name, bad := range map[string]any{
+		"empty": map[int]any{}, "without an outcome": map[int]any{1: map[int]any{}}, "null": nil, "of another type": "done", "without a result": map[int]any{2: []byte("x")},
+	} {
+		if r, _ := p.runRaw(a, func(stream uint64) [][]byte { return [][]byte{p.frame(kindResult, stream, bad)} }); !r.Outcome.Unknown() {
+			t.Errorf("a result that is %s counts as %s", name, r.Outcome)
+		}
+	}
+}
+
+// TestAnswerInPartsIsWholeOrUnknown guards against rows that a caller gets twice, out of order or not at all (MIXED): parts of
+// an answer come again, in another order or not at all.
+func TestAnswerInPartsIsWholeOrUnknown(t *testing.T) {
+	a := newTestInstance(t, "a", nil)
+	p := acceptRaw(t, a)
+	if r, text := p.runRaw(a, p.parts); r.Outcome != fault.Done || text != wholeAnswer {
+		t.Fatalf("an answer in order: %s, %q", r.Outcome, text)
+	}
+	older := func(stream uint64) [][]byte {
+		return [][]byte{
+			p.frame(kindChunk, stream, map[int]any{1: []byte("one two ")}),
+			p.frame(kindChunk, stream, map[int]any{1: []byte("three ")}),
+			p.frame(kindResult, stream, map[int]any{1: owner.Result{}, 2: []byte("four")}),
+		}
+	}
+	if r, text := p.runRaw(a, older); r.Outcome != fault.Done || text != wholeAnswer {
+		t.Fatalf("an answer of an earlier release: %s, %q", r.Outcome, text)
+	}
+	rapid.Check(t, func(r *rapid.T) {
+		order := rapid.SliceOfN(rapid.IntRange(0, 3), 0, 6).Draw(r, "order")
+		got, text := p.runRaw(a, func(stream uint64) [][]byte {
+			all := p.parts(stream)
+			var sent [][]byte
+			for _, at := range order {
+				sent = append(sent, all[at])
+			}
+			return append(sent, all[3])
+		})
+		if got.Outcome == fault.Done && text != wholeAnswer || !strings.HasPrefix(wholeAnswer, text) {
+			r.Fatalf("parts %v: %s, %q", order, got.Outcome, text)
+		}
+	})
+}
+
+// TestBrokenAnswerIsCancelled guards against work that goes on at a peer, and a transaction that stays open there, after this
+// end has given up the answer.
+func TestBrokenAnswerIsCancelled(t *testing.T) {
+	a := newTestInstance(t, "a", nil)
+	p := acceptRaw(t, a)
+	var opened uint64
+	r, _ := p.runRaw(a, func(stream uint64) [][]byte {
+		opened = stream
+		return p.parts(stream)[1:2]
+	})
+	if f := p.next(); !r.Outcome.Unknown() || f.Kind != kindCancel || f.Stream != opened {
+		t.Fatalf("outcome %s, then a frame of kind %d for stream %d; want a cancel for stream %d", r.Outcome, f.Kind, f.Stream, opened)
+	}
+}
+
+// textSink collects an answer.
+type textSink struct{ strings.Builder }
+
+func (s *textSink) Emit(messages []byte) error {
+	_, err := s.Write(messages)
+	return err
+}
+
+// TestFrameOfAnotherStreamIsNoAnswer guards against an answer that is taken for another request's: it is late, of a stream
+// that was never opened, or of a kind that answers nothing of the sort.
+func TestFrameOfAnotherStreamIsNoAnswer(t *testing.T) {
+	a := newTestInstance(t, "a", nil)
+	p := acceptRaw(t, a)
+	var last uint64
+	for number := range 20 {
+		var sink textSink
+		done := make(chan owner.Result, 1)
+		go func() { done <- a.hub.Run(testContext(t), "b", &owner.Work{Kind: stmt.Write}, &sink) }()
+		var f frame
+		for f.Kind != kindWork {
+			if f = p.next(); f.Kind == 0 {
+				t.Fatal("the link has ended")
+			}
+		}
+		if f.Stream <= last {
+			t.Fatalf("stream %d is opened after %d", f.Stream, last)
+		}
+		p.send(
+			p.frame(kindResult, last, result{Result: &owner.Result{}, Bytes: []byte("late")}),
+			p.frame(kindResult, f.Stream+2, result{Result: &owner.Result{}, Bytes: []byte("early")}),
+			p.frame(kindResult, f.Stream+1, result{Result: &owner.Result{}, Bytes: []byte("other end's")}),
+			p.frame(kindChunk, last, chunk{Bytes: []byte("late"), Number: 1}),
+			p.frame(kindResult, f.Stream, result{Result: &owner.Result{}, Bytes: fmt.Append(nil, "answer ", number)}),
+			p.frame(kindResult, f.Stream, result{Result: &owner.Result{}, Bytes: []byte("again")}),
+		)
+		if r := <-done; r.Outcome != fault.Done || sink.String() != fmt.Sprint("answer ", number) {
+			t.Fatalf("request %d: %s, %q", number, r.Outcome, sink.String())
+		}
+		last = f.Stream
+	}
+	query := make(chan error, 1)
+	go func() {
+		_, err := QueryFor[TokensResponse](testContext(t), a.hub, "b", TokensRequest{})
+		query <- err
+	}()
+	f := p.next()
+	p.send(p.frame(kindResult, f.Stream, result{Result: &owner.Result{}}))
+	if err := <-query; err == nil {
+		t.Error("a query takes the answer to a request")
+	}
+}
--- a/internal/peer/hub.go
+++ b/internal/peer/hub.go
@@ -85,6 +85,14 @@
 	redialDelay = 200 * time.Millisecond
 )
 
+// The reasons why a frame is ignored.
+const (
+	// lateResponse: nothing waits for the response, which has ended or has been given up.
+	lateResponse = "late-response"
+	// brokenResponse: the response is not whole, or could not be passed on.
+	brokenResponse = "broken-response"
+)
+
 // Hub manages the links to other instances. It is safe for concurrent use.
 type Hub struct {
 	conf Config
@@ -96,6 +104,8 @@
 	bytesIn   prometheus.Counter
 	bytesOut  prometheus.Counter
 	linkCount prometheus.Gauge
+	// ignored counts frames that were not acted on, by reason.
+	ignored *prometheus.CounterVec
 
 	mu sync.Mutex
 	// links has the link used for sending to each peer; allLinks also has older links that
@@ -121,11 +131,14 @@
 		dialing: map[ident.InstanceID]chan struct{}{}, dialFailedAt: map[ident.InstanceID]time.Time{},
 		bytesIn:   prometheus.NewCounter(prometheus.CounterOpts{Name: "geraniumseam_peer_bytes_in_total", Help: "Bytes received from peers."}),
 		bytesOut:  prometheus.NewCounter(prometheus.CounterOpts{Name: "geraniumseam_peer_bytes_out_total", Help: "Bytes sent to peers."}),
+		ignored: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "geraniumseam_peer_frames_ignored_total", Help: "Frames from peers that were not acted on, by reason.",
+		}, []string{"reason"}),
 		linkCount: prometheus.NewGauge(prometheus.GaugeOpts{Name: "geraniumseam_peer_links", Help: "Open links to peers."}),
 	}
 	h.secret.Store(&c.Secret)
 	if c.Registry != nil {
-		c.Registry.MustRegister(h.bytesIn, h.bytesOut, h.linkCount)
+		c.Registry.MustRegister(h.bytesIn, h.bytesOut, h.linkCount, h.ignored)
 	}
 	h.client = &http.Client{Transport: &http.Transport{DialContext: c.Dialer.DialContext, TLSClientConfig: c.Client}}
 	h.server = &http.Server{Handler: http.HandlerFunc(h.accept), ReadHeaderTimeout: c.Timeout}
--- a/internal/peer/hub_test.go
+++ b/internal/peer/hub_test.go
@@ -35,6 +35,8 @@
 	lost, retired atomic.Int32
 	// work replaces the echo if set.
 	work func(ctx context.Context, w *owner.Work, sink proto.Sink) owner.Result
+	// query replaces the answer to requests for tokens if set.
+	query func(m Message) Message
 }
 
 func (n *testInstance) Work(ctx context.Context, _ ident.InstanceID, w *owner.Work, sink proto.Sink) owner.Result {
@@ -62,6 +64,9 @@
 }
 
 func (n *testInstance) HandleQuery(_ context.Context, _ ident.InstanceID, m Message) Message {
+	if n.query != nil {
+		return n.query(m)
+	}
 	if request, ok := m.(TokensRequest); ok {
 		return TokensResponse{TokenResponse: quota.TokenResponse{Amount: request.TokenRequest.Amount}}
 	}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -256,12 +256,16 @@
 // chunk is a part of a streamed response.
 type chunk struct {
 	Bytes []byte `cbor:"1,keyasint"`
+	// Number counts the chunks of a response from 1; earlier releases don't count them.
+	Number uint64 `cbor:"2,keyasint,omitempty"`
 }
 
 // result is the last frame of a streamed response.
 type result struct {
-	Result owner.Result `cbor:"1,keyasint"`
-	Bytes  []byte       `cbor:"2,keyasint,omitempty"`
+	Result *owner.Result `cbor:"1,keyasint"`
+	Bytes  []byte        `cbor:"2,keyasint,omitempty"`
+	// Chunks is the number of numbered chunks before it.
+	Chunks uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 func kindOf(m Message) kind {
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -76,6 +76,7 @@
 	s := l.streams[f.Stream]
 	l.mu.Unlock()
 	if s == nil {
+		l.hub.ignored.WithLabelValues(lateResponse).Inc()
 		return
 	}
 	if !s.put(f) {
@@ -113,7 +114,10 @@
 			r = undeliveredResult(&w, r)
 			sink.bytes = nil
 		}
-		if err := l.send(l.tomb.Context(context.Background()), kindResult, f.Stream, result{Result: r, Bytes: sink.bytes}); err != nil && r.Tx != 0 {
+		if sink.failed && r.Outcome == fault.Done {
+			r.Outcome, r.Reason = fault.Unknown, fault.PeerLost
+		}
+		if err := l.send(l.tomb.Context(context.Background()), kindResult, f.Stream, result{Result: &r, Bytes: sink.bytes, Chunks: sink.chunks}); err != nil && r.Tx != 0 {
 			l.hub.conf.Handler.HandleNotification(l.peer, TxRollback{Group: w.Group, Tx: r.Tx})
 		}
 		return nil
@@ -161,14 +165,19 @@
 	ctx    context.Context
 	stream uint64
 	bytes  []byte
+	// chunks counts the chunks sent; failed is set once one could not be sent.
+	chunks uint64
+	failed bool
 }
 
 // Emit implements proto.Sink.
 func (r *responseSink) Emit(messages []byte) error {
 	if len(r.bytes)+len(messages) > maxBatch {
-		if err := r.link.send(r.ctx, kindChunk, r.stream, chunk{Bytes: r.bytes}); err != nil {
+		if err := r.link.send(r.ctx, kindChunk, r.stream, chunk{Bytes: r.bytes, Number: r.chunks + 1}); err != nil {
+			r.failed = true
 			return err
 		}
+		r.chunks++
 		r.bytes = nil
 	}
 	r.bytes = append(r.bytes, messages...)
@@ -188,6 +197,7 @@
 	if err := l.send(ctx, kindWork, id, w); err != nil {
 		return owner.Result{Outcome: fault.NotSent, Reason: fault.PeerLost}
 	}
+	response := response{sink: sink}
 	stop := ctx.Done()
 	var expired <-chan time.Time
 	for {
@@ -202,9 +212,15 @@
 			return owner.Result{Outcome: fault.Unknown, Reason: stopReason(ctx)}
 		}
 		for _, f := range s.take() {
-			r, ended := l.handleResponse(f, sink)
+			ended, err := response.handle(f)
+			if err != nil {
+				// The peer may still be at work, or keep a transaction open.
+				l.hub.ignored.WithLabelValues(brokenResponse).Inc()
+				_ = l.send(l.tomb.Context(context.Background()), kindCancel, id, nil)
+				return owner.Result{Outcome: fault.Unknown, Reason: fault.PeerLost}
+			}
 			if ended {
-				return r
+				return response.result
 			}
 		}
 	}
@@ -218,25 +234,45 @@
 	return fault.Cancelled
 }
 
-// handleResponse handles one frame of a response and reports whether it was the last one.
-func (l *link) handleResponse(f frame, sink proto.Sink) (owner.Result, bool) {
-	lost := owner.Result{Outcome: fault.Unknown, Reason: fault.PeerLost}
+// response is the response to a request, as far as it has arrived.
+type response struct {
+	sink proto.Sink
+	// chunks counts the numbered chunks.
+	chunks uint64
+	result owner.Result
+}
+
+// handle handles the next frame and reports whether it was the last one. It fails if the response is not whole.
+func (r *response) handle(f frame) (bool, error) {
 	switch f.Kind {
 	case kindChunk:
 		var c chunk
-		if decMode.Unmarshal(f.Body, &c) != nil || sink.Emit(c.Bytes) != nil {
-			return lost, true
+		if err := decMode.Unmarshal(f.Body, &c); err != nil {
+			return false, &Error{Cause: BadMessage, Detail: err.Error()}
 		}
-		return owner.Result{}, false
+		if c.Number != 0 {
+			r.chunks++
+		}
+		if c.Number != 0 && c.Number != r.chunks {
+			return false, &Error{Cause: BadMessage, Detail: "chunks out of order"}
+		}
+		return false, r.sink.Emit(c.Bytes)
 	case kindResult:
-		var r result
-		if decMode.Unmarshal(f.Body, &r) != nil {
-			return lost, true
+		// What has no outcome is not done.
+		last := result{Result: &owner.Result{Outcome: fault.Unknown}}
+		if err := decMode.Unmarshal(f.Body, &last); err != nil {
+			return false, &Error{Cause: BadMessage, Detail: err.Error()}
 		}
-		if len(r.Bytes) > 0 && sink.Emit(r.Bytes) != nil {
-			return lost, true
+		if last.Result == nil || last.Chunks != r.chunks {
+			return false, &Error{Cause: BadMessage, Detail: "an end of a response without all of it"}
+		}
+		if len(last.Bytes) > 0 {
+			if err := r.sink.Emit(last.Bytes); err != nil {
+				return false, err
+			}
 		}
-		return r.Result, true
+		r.result = *last.Result
+		return true, nil
 	}
-	return lost, true
+	return false, &Error{Cause: Closed}
 }
