--- a/internal/peer/frames_test.go
+++ b/internal/peer/frames_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -15,6 +16,9 @@
 
 	"geraniumseam.dev/internal/fault"
 	"geraniumseam.dev/internal/owner"
+	"geraniumseam.dev/internal/proto"
+	"geraniumseam.dev/internal/quota"
+	"geraniumseam.dev/internal/rule/share"
 	"geraniumseam.dev/pkg/ident"
 	"geraniumseam.dev/pkg/stmt"
 )
@@ -27,6 +31,22 @@
 	received []frame
 }
 
+// dialRaw opens a link to an instance under a name.
+func dialRaw(t testing.TB, to *testInstance, name ident.InstanceID) *rawPeer {
+	t.Helper()
+	header := http.Header{}
+	header.Set(secretHeader, "secret")
+	header.Set(instanceHeader, string(name))
+	socket, _, err := websocket.Dial(t.Context(), "ws://"+to.address+linkPath, &websocket.DialOptions{HTTPHeader: header})
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &rawPeer{t: t, socket: socket}
+	t.Cleanup(func() { _ = socket.CloseNow() })
+	p.greet(name)
+	return p
+}
+
 // acceptRaw has an instance open a link, whose other end the returned peer is, under the name "b".
 func acceptRaw(t testing.TB, from *testInstance) *rawPeer {
 	t.Helper()
@@ -105,6 +125,72 @@
 	}
 }
 
+// discard reads whatever arrives.
+func (p *rawPeer) discard() {
+	for {
+		if _, _, err := p.socket.Read(context.Background()); err != nil {
+			return
+		}
+	}
+}
+
+// TestRepeatedRequestRunsOnce guards against work that runs twice (TWICE) and tokens that are given twice: the frame of a
+// request comes again, at once or later, or out of order.
+func TestRepeatedRequestRunsOnce(t *testing.T) {
+	a := newTestInstance(t, "a", nil)
+	var mu sync.Mutex
+	ran := map[uint64]int{}
+	a.work = func(_ context.Context, w *owner.Work, _ proto.Sink) owner.Result {
+		mu.Lock()
+		defer mu.Unlock()
+		ran[uint64(w.Tx)]++
+		return owner.Result{}
+	}
+	a.query = func(m Message) Message {
+		mu.Lock()
+		defer mu.Unlock()
+		ran[uint64(m.(TokensRequest).TokenRequest.Amount)]++
+		return TokensResponse{}
+	}
+	rapid.Check(t, func(r *rapid.T) {
+		mu.Lock()
+		clear(ran)
+		mu.Unlock()
+		p := dialRaw(t, a, "b")
+		go p.discard()
+		order := rapid.Permutation([]uint64{1, 2, 3, 4, 5, 6, 7, 8}).Draw(r, "order")
+		order = append(order, rapid.SliceOfN(rapid.SampledFrom(order), 0, 8).Draw(r, "again")...)
+		together := rapid.Bool().Draw(r, "together")
+		var all [][]byte
+		for _, number := range order {
+			stream := 2 * number
+			data := p.frame(kindWork, stream, owner.Work{Tx: owner.TxID(number), Kind: stmt.Write})
+			if number%2 == 1 {
+				data = p.frame(kindTokensRequest, stream, TokensRequest{TokenRequest: quota.TokenRequest{Amount: share.Tokens(number)}})
+			}
+			all = append(all, data)
+			if !together {
+				p.send(data)
+			}
+		}
+		if together {
+			p.send(all...)
+		}
+		// What is sent last is handled last.
+		p.send(p.frame(kindWork, 20, owner.Work{Tx: 20}))
+		waitFor(t, func() bool { mu.Lock(); defer mu.Unlock(); return len(ran) == 9 })
+		time.Sleep(time.Millisecond)
+		mu.Lock()
+		defer mu.Unlock()
+		for number, times := range ran {
+			if times != 1 {
+				r.Fatalf("request %d ran %d times; sent: %v", number, times, order)
+			}
+		}
+		_ = p.socket.CloseNow()
+	})
+}
+
 // runRaw runs a request at the raw peer, which sends the frames that a function returns, and returns the result and what
 // was passed on.
 func (p *rawPeer) runRaw(a *testInstance, answer func(stream uint64) [][]byte) (owner.Result, string) {
--- a/internal/peer/hub.go
+++ b/internal/peer/hub.go
@@ -87,6 +87,8 @@
 
 // The reasons why a frame is ignored.
 const (
+	// repeatedRequest: the request came before.
+	repeatedRequest = "repeated-request"
 	// lateResponse: nothing waits for the response, which has ended or has been given up.
 	lateResponse = "late-response"
 	// brokenResponse: the response is not whole, or could not be passed on.
@@ -129,8 +131,8 @@
 	h := &Hub{
 		conf: c, listener: l, links: map[ident.InstanceID]*link{}, allLinks: map[*link]bool{}, retiring: map[*link]time.Time{},
 		dialing: map[ident.InstanceID]chan struct{}{}, dialFailedAt: map[ident.InstanceID]time.Time{},
-		bytesIn:   prometheus.NewCounter(prometheus.CounterOpts{Name: "geraniumseam_peer_bytes_in_total", Help: "Bytes received from peers."}),
-		bytesOut:  prometheus.NewCounter(prometheus.CounterOpts{Name: "geraniumseam_peer_bytes_out_total", Help: "Bytes sent to peers."}),
+		bytesIn:  prometheus.NewCounter(prometheus.CounterOpts{Name: "geraniumseam_peer_bytes_in_total", Help: "Bytes received from peers."}),
+		bytesOut: prometheus.NewCounter(prometheus.CounterOpts{Name: "geraniumseam_peer_bytes_out_total", Help: "Bytes sent to peers."}),
 		ignored: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "geraniumseam_peer_frames_ignored_total", Help: "Frames from peers that were not acted on, by reason.",
 		}, []string{"reason"}),
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -44,6 +44,8 @@
 	unwantedSince time.Time
 	// retainedUntil is until when this end does not ask to close the link; the hub's mutex guards it.
 	retainedUntil time.Time
+	// arrived has the streams that the peer has opened; only read uses it.
+	arrived arrivals
 	// wake is signalled to send a heartbeat at once, also when the link becomes busy.
 	wake chan struct{}
 	tomb tomb.Tomb
@@ -283,6 +285,9 @@
 		l.deliver(f)
 		return nil
 	}
+	if ok, err := l.arrives(f); !ok {
+		return err
+	}
 	l.tomb.Go(func() error { return l.answer(f.Stream, m) })
 	return nil
 }
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"k8s.io/klog/v2"
 
 	"geraniumseam.dev/internal/fault"
 	"geraniumseam.dev/internal/owner"
@@ -85,8 +86,24 @@
 	}
 }
 
+// arrives reports whether a frame opens a stream of the peer; not if the stream was opened before.
+func (l *link) arrives(f frame) (bool, error) {
+	if f.Stream < 2 || f.Stream%2 == l.streamParity() {
+		return false, &Error{Cause: BadMessage, Peer: l.peer, Detail: "a request over a stream that the peer can't open"}
+	}
+	if !l.arrived.add(f.Stream / 2) {
+		l.hub.ignored.WithLabelValues(repeatedRequest).Inc()
+		klog.InfoS("repeated request of a peer ignored", "peer", l.peer, "stream", f.Stream, "kind", f.Kind)
+		return false, nil
+	}
+	return true, nil
+}
+
 // serve runs a request of the peer and streams its response back.
 func (l *link) serve(f frame) error {
+	if ok, err := l.arrives(f); !ok {
+		return err
+	}
 	var w owner.Work
 	if err := decMode.Unmarshal(f.Body, &w); err != nil {
 		return &Error{Cause: BadMessage, Peer: l.peer, Detail: err.Error()}
