--- a/internal/peer/hub.go
+++ b/internal/peer/hub.go
@@ -180,7 +180,7 @@
 func (h *Hub) accept(w http.ResponseWriter, r *http.Request) {
 	peer := ident.InstanceID(r.Header.Get(instanceHeader))
 	secret := r.Header.Get(secretHeader)
-	if subtle.ConstantTimeCompare([]byte(secret), []byte(*h.secret.Load())) != 1 || peer == "" {
+	if subtle.ConstantTimeCompare([]byte(secret), []byte(*h.secret.Load())) != 1 || peer == "" || peer == h.conf.Self {
 		http.Error(w, "", http.StatusForbidden)
 		return
 	}
--- a/internal/peer/hub_test.go
+++ b/internal/peer/hub_test.go
@@ -326,3 +326,24 @@
 		})
 	}
 }
+
+// TestLinkLeadsToTheInstanceItIsFor guards against requests that reach another instance, which has taken over the address, or
+// come back to their sender.
+func TestLinkLeadsToTheInstanceItIsFor(t *testing.T) {
+	a, c := newTestInstance(t, "a", nil), newTestInstance(t, "c", nil)
+	namesake := newTestInstance(t, "a", nil)
+	a.addresses["b"], a.addresses["a"], namesake.addresses["c"] = c.address, a.address, c.address
+	c.work = func(context.Context, *owner.Work, proto.Sink) owner.Result {
+		t.Error("a request for another instance has run")
+		return owner.Result{}
+	}
+	a.work = c.work
+	for _, id := range []ident.InstanceID{"a", "b"} {
+		if r := a.hub.Run(t.Context(), id, &owner.Work{}, &countingSink{}); r.Outcome != fault.NotSent {
+			t.Errorf("a request to %s: %s, want not sent", id, r.Outcome)
+		}
+	}
+	if a.hub.Connected("a") {
+		t.Error("an instance has a link to itself")
+	}
+}
