--- a/internal/peer/beat.go
+++ b/internal/peer/beat.go
@@ -46,16 +46,25 @@
 	l.mu.Lock()
 	l.last = lastBeat{sent: beat.Sent, at: now}
 	l.mu.Unlock()
-	beat.Transit = UnknownTransit
-	switch {
-	case beat.Echo != 0:
-		beat.Transit = max(time.Duration(milliseconds(now)-beat.Echo-beat.EchoAge)*time.Millisecond, 0)
-	case beat.Sent != 0:
+	beat.Transit = transit(milliseconds(now), beat.Echo, beat.EchoAge)
+	if beat.Echo == 0 && beat.Sent != 0 {
 		l.wakeUp()
 	}
 	return beat
 }
 
+// maxClockSkew is how many milliseconds longer the peer may measure the time for which it held an echo.
+const maxClockSkew = 1000
+
+// transit returns how long a heartbeat may have been on its way at most; UnknownTransit if it echoes nothing that this end
+// can have sent. All times are in milliseconds.
+func transit(now, echo, echoAge uint64) time.Duration {
+	if echo == 0 || echo > now || echoAge > now-echo+maxClockSkew {
+		return UnknownTransit
+	}
+	return time.Duration(now-echo-min(echoAge, now-echo)) * time.Millisecond
+}
+
 func (l *link) received() lastBeat {
 	l.mu.Lock()
 	defer l.mu.Unlock()
