--- a/internal/peer/cause_string.go
+++ b/internal/peer/cause_string.go
@@ -16,11 +16,12 @@
 	_ = x[BadMessage-5]
 	_ = x[Closed-6]
 	_ = x[Unlisted-7]
+	_ = x[TooLarge-8]
 }
 
-const _Cause_name = "unreachablesilentunauthorizedwrong-versionwrong-peerbad-messageclosedunlisted"
+const _Cause_name = "unreachablesilentunauthorizedwrong-versionwrong-peerbad-messageclosedunlistedtoo-large"
 
-var _Cause_index = [...]uint8{0, 11, 17, 29, 42, 52, 63, 69, 77}
+var _Cause_index = [...]uint8{0, 11, 17, 29, 42, 52, 63, 69, 77, 86}
 
 func (i Cause) String() string {
 	idx := int(i) - 0
--- a/internal/peer/error.go
+++ b/internal/peer/error.go
@@ -21,6 +21,7 @@
 	BadMessage                // bad-message
 	Closed                    // closed
 	Unlisted                  // unlisted
+	TooLarge                  // too-large
 )
 
 // Error reports a failed link or message.
--- a/internal/peer/frames_test.go
+++ b/internal/peer/frames_test.go
@@ -8,10 +8,12 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/coder/websocket"
+	"github.com/prometheus/client_golang/prometheus"
 	"pgregory.net/rapid"
 
 	"geraniumseam.dev/internal/fault"
@@ -27,6 +29,8 @@
 type rawPeer struct {
 	t      testing.TB
 	socket *websocket.Conn
+	// mute is set to send no more heartbeats.
+	mute atomic.Bool
 	// received are the frames that have arrived and were not taken.
 	received []frame
 }
@@ -78,8 +82,10 @@
 		p.t.Errorf("first frame is of kind %d, want a hello", f.Kind)
 	}
 	go func() {
-		for beat := p.frame(kindHeartbeat, 0, Heartbeat{}); p.socket.Write(context.Background(), websocket.MessageBinary, beat) == nil; {
-			time.Sleep(100 * time.Millisecond)
+		for beat := p.frame(kindHeartbeat, 0, Heartbeat{}); !p.mute.Load(); time.Sleep(100 * time.Millisecond) {
+			if p.socket.Write(context.Background(), websocket.MessageBinary, beat) != nil {
+				return
+			}
 		}
 	}()
 }
@@ -335,3 +341,68 @@
 		t.Error("a query takes the answer to a request")
 	}
 }
+
+// TestLinkEndNamesItsCause: a message that can't be read, is longer than allowed or breaks the protocol ends its link and
+// nothing else, and each shows apart from a link that was lost.
+func TestLinkEndNamesItsCause(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		cause Cause
+		send  func(p *rawPeer)
+	}{
+		{"lost", Closed, func(p *rawPeer) { _ = p.socket.CloseNow() }},
+		{"silent", Silent, func(*rawPeer) {}},
+		{"cut frame", BadMessage, func(p *rawPeer) { p.send([]byte{0xa3, 0x01}) }},
+		{"no frame", BadMessage, func(p *rawPeer) { p.send([]byte("QUERY 1 READ a\r\n")) }},
+		{"body of another kind", BadMessage, func(p *rawPeer) { p.send(p.frame(kindTokensRequest, 2, "text")) }},
+		{"work without a stream", BadMessage, func(p *rawPeer) { p.send(p.frame(kindWork, 0, owner.Work{})) }},
+		{"work over a stream of the other end", BadMessage, func(p *rawPeer) { p.send(p.frame(kindWork, 3, owner.Work{})) }},
+		{"work of another type", BadMessage, func(p *rawPeer) { p.send(p.frame(kindWork, 2, []int{1})) }},
+		{"too large", TooLarge, func(p *rawPeer) { p.send(make([]byte, 1<<20)) }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			registry := prometheus.NewRegistry()
+			a := newTestInstance(t, "a", func(c *Config) {
+				c.MessageLimit, c.Registry, c.Timeout = 1<<18, registry, 300*time.Millisecond
+			})
+			c := newTestInstance(t, "c", nil)
+			a.addresses["c"] = c.address
+			if err := a.hub.Connect(t.Context(), "c"); err != nil {
+				t.Fatal(err)
+			}
+			a.work = func(context.Context, *owner.Work, proto.Sink) owner.Result {
+				t.Error("work of a broken frame ran")
+				return owner.Result{}
+			}
+			p := dialRaw(t, a, "b")
+			if test.cause == Silent {
+				p.mute.Store(true)
+			}
+			waitFor(t, func() bool { return a.hub.Connected("b") })
+			test.send(p)
+			waitFor(t, func() bool { return !a.hub.Connected("b") })
+			ended := map[string]float64{}
+			waitFor(t, func() bool {
+				families, err := registry.Gather()
+				if err != nil {
+					t.Fatal(err)
+				}
+				for _, f := range families {
+					for _, m := range f.GetMetric() {
+						if f.GetName() == "geraniumseam_peer_links_ended_total" {
+							ended[m.GetLabel()[0].GetValue()] = m.GetCounter().GetValue()
+						}
+					}
+				}
+				return len(ended) > 0
+			})
+			if len(ended) != 1 || ended[test.cause.String()] != 1 {
+				t.Errorf("links ended by %v, want one by %s", ended, test.cause)
+			}
+			if !a.hub.Connected("c") {
+				t.Error("the link to another instance has ended")
+			}
+		})
+	}
+}
--- a/internal/peer/hub.go
+++ b/internal/peer/hub.go
@@ -106,6 +106,8 @@
 	bytesIn   prometheus.Counter
 	bytesOut  prometheus.Counter
 	linkCount prometheus.Gauge
+	// linksEnded counts the links that have ended, by cause.
+	linksEnded *prometheus.CounterVec
 	// ignored counts frames that were not acted on, by reason.
 	ignored *prometheus.CounterVec
 
@@ -133,6 +135,9 @@
 		dialing: map[ident.InstanceID]chan struct{}{}, dialFailedAt: map[ident.InstanceID]time.Time{},
 		bytesIn:  prometheus.NewCounter(prometheus.CounterOpts{Name: "geraniumseam_peer_bytes_in_total", Help: "Bytes received from peers."}),
 		bytesOut: prometheus.NewCounter(prometheus.CounterOpts{Name: "geraniumseam_peer_bytes_out_total", Help: "Bytes sent to peers."}),
+		linksEnded: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "geraniumseam_peer_links_ended_total", Help: "Links to peers that have ended, by cause.",
+		}, []string{"cause"}),
 		ignored: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "geraniumseam_peer_frames_ignored_total", Help: "Frames from peers that were not acted on, by reason.",
 		}, []string{"reason"}),
@@ -140,7 +145,7 @@
 	}
 	h.secret.Store(&c.Secret)
 	if c.Registry != nil {
-		c.Registry.MustRegister(h.bytesIn, h.bytesOut, h.linkCount, h.ignored)
+		c.Registry.MustRegister(h.bytesIn, h.bytesOut, h.linkCount, h.linksEnded, h.ignored)
 	}
 	h.client = &http.Client{Transport: &http.Transport{DialContext: c.Dialer.DialContext, TLSClientConfig: c.Client}}
 	h.server = &http.Server{Handler: http.HandlerFunc(h.accept), ReadHeaderTimeout: c.Timeout}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"github.com/coder/websocket"
+	"github.com/juju/errors"
 	"gopkg.in/tomb.v2"
+	"k8s.io/klog/v2"
 
 	"geraniumseam.dev/internal/clock"
 	"geraniumseam.dev/pkg/ident"
@@ -141,13 +143,25 @@
 	return buffer
 }
 
-// read receives messages and dispatches their frames until the link ends.
+// read receives messages until the link ends, and then cleans up.
 func (l *link) read() error {
-	defer l.cleanUp()
+	err := l.receive()
+	if first := l.tomb.Err(); first != nil && !errors.Is(first, tomb.ErrStillAlive) {
+		err = first
+	}
+	l.cleanUp(err)
+	return err
+}
+
+// receive reads messages and dispatches their frames until one of them can't be read.
+func (l *link) receive() error {
 	ctx := l.tomb.Context(context.Background())
 	for {
 		_, data, err := l.socket.Read(ctx)
-		if err != nil {
+		switch {
+		case errors.Is(err, websocket.ErrMessageTooBig):
+			return &Error{Cause: TooLarge, Peer: l.peer, Detail: err.Error()}
+		case err != nil:
 			return &Error{Cause: Closed, Peer: l.peer, Detail: err.Error()}
 		}
 		l.hub.bytesIn.Add(float64(len(data)))
@@ -165,8 +179,13 @@
 	}
 }
 
-// cleanUp fails the requests that wait for the peer and cancels those that run for it.
-func (l *link) cleanUp() {
+// cleanUp fails the requests that wait for the peer and cancels those that run for it, after the link has ended by err.
+func (l *link) cleanUp(err error) {
+	var failed *Error
+	if errors.As(err, &failed) {
+		l.hub.linksEnded.WithLabelValues(failed.Cause.String()).Inc()
+		klog.InfoS("link ended", "peer", l.peer, "cause", failed.Cause.String(), "error", failed.Detail)
+	}
 	l.mu.Lock()
 	streams, serving := l.streams, l.serving
 	l.streams, l.serving = nil, nil
@@ -202,8 +221,8 @@
 		case <-timer.C:
 		}
 		if l.silentFor() > l.hub.conf.Timeout*max(1, min(heartbeatFactor, l.heartbeatFactor())) {
-			_ = l.socket.CloseNow()
-			return &Error{Cause: Silent, Peer: l.peer}
+			l.close(Silent)
+			return nil
 		}
 	}
 }
