Send late exact copies of answers from the PostgreSQL stand-in

Cause: SurplusAnswers sends an answer of its own, at once; no test met a server that answers a request twice, the second time later.

Change: RepeatedAnswers copies whole answers to statements, RepeatedStatus those to control functions, each RepeatDelay after the answer. A connection that is closed meanwhile gets no copy.

--- a/internal/fleet/standin_test.go
+++ b/internal/fleet/standin_test.go
@@ -6,9 +6,11 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/datadriven"
 	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
 
 	"geraniumseam.dev/pkg/ident"
 	"geraniumseam.dev/stand/dbase"
@@ -51,3 +53,45 @@
 		return out.String()
 	})
 }
+
+// TestStandInRepeatsAnswers: the copy of an answer is exact and follows it, at once or later.
+func TestStandInRepeatsAnswers(t *testing.T) {
+	for _, delay := range []time.Duration{0, 40 * time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) {
+			g, err := dbase.Start(dbase.Config{Group: "stock", Servers: []ident.ServerID{"a"}, Slots: 1, Connections: 2, User: "u", Password: "p"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer g.Stop()
+			conn, err := pgconn.Connect(testContext(t), fmt.Sprintf("postgres://u:p@%s/stock?sslmode=disable", g.Primary().Addr()))
+			if err != nil {
+				t.Fatal(err)
+			}
+			hijacked, err := conn.Hijack()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer hijacked.Conn.Close()
+			faults := g.Primary().Faults()
+			faults.RepeatDelay.Store(int64(delay))
+			faults.RepeatedAnswers.Store(1)
+			c := &wireCaller{conn: hijacked.Conn, front: hijacked.Frontend}
+			c.front.Send(&pgproto3.Query{String: "INSERT INTO ledger (id, value) VALUES ('row', '1')"})
+			if err := c.front.Flush(); err != nil {
+				t.Fatal(err)
+			}
+			answer, answered := c.readReply(false), time.Now()
+			repeated := c.readReply(false)
+			if took := time.Since(answered); answer != repeated || took < delay/2 {
+				t.Errorf("got %q, then %q after %v, want a copy after %v", answer, repeated, took, delay)
+			}
+			c.front.Send(&pgproto3.Query{String: "SELECT value FROM ledger WHERE id = 'row'"})
+			if err := c.front.Flush(); err != nil {
+				t.Fatal(err)
+			}
+			if other := c.readReply(false); other == answer {
+				t.Errorf("the next answer is %q again", other)
+			}
+		})
+	}
+}
--- a/stand/dbase/fault.go
+++ b/stand/dbase/fault.go
@@ -25,6 +25,12 @@
 	CloseBeforeWrites trip.Count
 	// SurplusAnswers sends an extra answer after each of that many further statements.
 	SurplusAnswers trip.Count
+	// RepeatedAnswers sends an exact copy of the answer to each of that many further messages that run a
+	// statement, RepeatedStatus to each that runs only control functions. RepeatDelay is the time from an
+	// answer to its copy, in nanoseconds; a connection that is closed meanwhile gets none.
+	RepeatedAnswers trip.Count
+	RepeatedStatus  trip.Count
+	RepeatDelay     atomic.Int64
 	// SplitAnswers sends answers a few bytes at a time.
 	SplitAnswers atomic.Bool
 
--- a/stand/dbase/session.go
+++ b/stand/dbase/session.go
@@ -1,10 +1,12 @@
 package dbase
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"net"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -55,9 +57,11 @@
 	// savepoints are the transaction's open savepoints, oldest first.
 	savepoints []savepoint
 	// loss is the fault of the message that runs.
-	loss       *Loss
-	statements map[string]*prepared
-	portals    map[string]*portal
+	loss *Loss
+	// ranStatement and ranControl are set once the message that runs has run a statement or a control function.
+	ranStatement, ranControl bool
+	statements               map[string]*prepared
+	portals                  map[string]*portal
 }
 
 func newSession(s *Server, id uint64, c net.Conn) *session {
@@ -74,14 +78,34 @@
 	net.Conn
 	faults *Faults
 	cut    Point
+	// repeat sends the next answer twice.
+	repeat bool
+	// mu keeps an answer and the copy of another apart.
+	mu sync.Mutex
 }
 
 // Write implements io.Writer.
 func (w *answerWriter) Write(p []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.repeat {
+		w.repeat = false
+		copied := bytes.Clone(p)
+		// The copy waits for the mutex, and so follows the answer.
+		time.AfterFunc(time.Duration(w.faults.RepeatDelay.Load()), func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			_, _ = w.send(copied)
+		})
+	}
 	if w.cut != "" {
 		_, err := w.Conn.Write(cutAnswer(p, w.cut))
 		return len(p), err
 	}
+	return w.send(p)
+}
+
+func (w *answerWriter) send(p []byte) (int, error) {
 	if !w.faults.SplitAnswers.Load() {
 		return w.Conn.Write(p)
 	}
@@ -200,9 +224,20 @@
 		status = 'E'
 	}
 	s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: status})
+	s.out.repeat = s.takeRepeat()
 	return s.flushAnswer()
 }
 
+// takeRepeat reports whether the answer to the message that has run is to come twice.
+func (s *session) takeRepeat() bool {
+	ranStatement, ranControl := s.ranStatement, s.ranControl
+	s.ranStatement, s.ranControl = false, false
+	if ranStatement {
+		return s.server.faults.RepeatedAnswers.Take()
+	}
+	return ranControl && s.server.faults.RepeatedStatus.Take()
+}
+
 // sendError sends an error and aborts the transaction.
 func (s *session) sendError(err error) {
 	var known *sqlError
@@ -397,6 +432,7 @@
 // runInSlot runs a statement in one of the server's slots; control functions need no slot.
 func (s *session) runInSlot(c command, values []string) (result, error) {
 	control := len(c.columns) > 0 && strings.HasPrefix(c.columns[0], "group_") || len(c.columns) == len(statusColumns)
+	s.ranStatement, s.ranControl = s.ranStatement || !control, s.ranControl || control
 	if !control {
 		s.server.statements.Add(1)
 		s.server.slots <- struct{}{}
