Have the stand-in describe a statement with its declared types

An empty statement is prepared and described in a failed transaction as well, with the parameter types that its Parse gave, and any other one is refused there with 25P02, as PostgreSQL's protocol pages and sources say (read; no PostgreSQL was run). The stand-in gave its own types and prepared everything.

--- a/stand/dbase/session.go
+++ b/stand/dbase/session.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -23,8 +24,11 @@
 	backendVersion = "16.0 (stand-in)"
 )
 
-// prepared is a prepared statement.
-type prepared struct{ command command }
+// prepared is a prepared statement with the parameter types that its Parse gave.
+type prepared struct {
+	command command
+	types   []uint32
+}
 
 // portal is a prepared statement bound to parameter values.
 type portal struct {
@@ -314,12 +318,17 @@
 func (s *session) extended(message pgproto3.FrontendMessage) (bool, error) {
 	switch m := message.(type) {
 	case *pgproto3.Parse:
-		s.server.recordInput(m.Query)
+		if m.Query != "" {
+			s.server.recordInput(m.Query)
+		}
 		c, err := parseStatement(m.Query)
 		if err != nil {
 			return true, err
 		}
-		s.statements[m.Name] = &prepared{command: c}
+		if s.failed && c.run != nil && !c.control {
+			return true, errAborted
+		}
+		s.statements[m.Name] = &prepared{command: c, types: slices.Clone(m.ParameterOIDs)}
 		s.backend.Send(&pgproto3.ParseComplete{})
 	case *pgproto3.Bind:
 		return true, s.bind(m)
@@ -358,9 +367,17 @@
 		if p == nil {
 			return errNoStmt
 		}
-		oids := make([]uint32, p.command.params())
-		for at := range oids {
-			oids[at] = textOID
+		if s.failed && len(p.command.columns) > 0 {
+			return errAborted
+		}
+		oids := slices.Clone(p.types)
+		for at := len(oids); at < p.command.params(); at++ {
+			oids = append(oids, textOID)
+		}
+		for at, oid := range oids {
+			if oid == 0 {
+				oids[at] = textOID
+			}
 		}
 		s.backend.Send(&pgproto3.ParameterDescription{ParameterOIDs: oids})
 		s.sendColumns(p.command)
