Prove on PostgreSQL's wire which answer belongs to a request

Callers saw rows of another, and successes of writes that had not run, from a server that gives an answer twice: the next ReadyForQuery was taken for the end of the current request, and nothing looks at what comes after a connection was taken out, inside a transaction, or on the control connection. Polls stayed one status behind.

Each write to a server now ends with a marker: the Parse of an empty statement whose two parameter types spell a number that the connection uses once, and its Describe, which gives them back. Where the request ends with a Sync and wants no status, the marker goes before that Sync; the status query shares its Sync with it. Each message sent has to get exactly one answer, in order, then the marker's number comes; only then the answer is passed on. Anything else closes the connection: reads run again, writes and commits are in doubt. An error skips the rest of its Sync; if that held the marker, another one is sent alone.

Why this works: a server answers in order, each request at least once, or the connection ends. Before the marker's number there is then the request's own answer; as there is no second one, it is that.

A body is allocated as it arrives, and messages that hold neither data nor texts are bounded: a wrong length allocated up to 1 GiB.

TestSurplusAnswerMakesConnUnclean sends its surplus after the marker now, and a new test sends it before; the fake server answers markers, and its rows have a description, without which no server sends rows to a Query.

--- a/internal/pgcon/conn.go
+++ b/internal/pgcon/conn.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/binary"
 	"io"
+	"slices"
 	"syscall"
 	"time"
 
@@ -36,14 +37,19 @@
 )
 
 const (
-	// headerSize is the size of a message's type and length fields, in bytes.
+	// headerSize is the size of a message's type and length fields, lengthSize that of the latter, in bytes.
 	headerSize = 5
+	lengthSize = 4
 	// readBuffer is the size of a connection's read buffer, in bytes.
 	readBuffer = 8 << 10
 	// maxStatements bounds the prepared statements kept on one connection.
 	maxStatements = 256
-	// maxMessage bounds one message of a server, in bytes.
-	maxMessage = 1 << 30
+	// maxMessage bounds one message of a server that holds data or texts, maxShortMessage any other one and those
+	// during start-up, in bytes.
+	maxMessage      = 1 << 30
+	maxShortMessage = 64 << 10
+	// bodyStep is how much of a body is allocated before its bytes have arrived, in bytes.
+	bodyStep = 64 << 10
 )
 
 // Conn is a connection to a backend server. Except for Interrupt it is not safe for concurrent use.
@@ -54,9 +60,13 @@
 	prepared map[string]bool
 	// settings is the SET statements in effect, or unknownSettings.
 	settings string
-	// out and in are buffers reused between requests.
-	out []byte
-	in  []byte
+	// out and exchange are reused between requests.
+	out      []byte
+	exchange exchange
+	// lastMarker is the number of the last marker that was sent.
+	lastMarker markerID
+	// streamed is set once the beginning of an answer was passed on before its marker.
+	streamed bool
 	// txStatus is the transaction status that the server last reported.
 	txStatus byte
 	// Opened is when the connection was established.
@@ -97,7 +107,7 @@
 		return &proto.DialError{Server: c.link.Server(), Cause: err}
 	}
 	for {
-		kind, body, err := c.readFrame()
+		kind, body, err := c.readShortFrame()
 		if err != nil {
 			return &proto.DialError{Server: c.link.Server(), Cause: err}
 		}
@@ -138,14 +148,16 @@
 	return &proto.DialError{Server: c.link.Server(), Cause: &proto.ProtocolError{What: "unsupported authentication method, want none or a cleartext password"}}
 }
 
-// readFrame reads one whole message.
-func (c *Conn) readFrame() (byte, []byte, error) {
+// readShortFrame reads one whole message of start-up.
+func (c *Conn) readShortFrame() (byte, []byte, error) {
 	kind, size, err := c.readHeader()
 	if err != nil {
 		return 0, nil, err
 	}
-	body := make([]byte, size)
-	_, err = io.ReadFull(c.reader, body)
+	if size > maxShortMessage {
+		return 0, nil, &proto.ProtocolError{What: "message during start-up larger than 64 KiB"}
+	}
+	body, err := c.appendBody(nil, size)
 	return kind, body, err
 }
 
@@ -156,14 +168,37 @@
 		return 0, 0, err
 	}
 	kind := head[0]
-	size := int(binary.BigEndian.Uint32(head[1:])) - 4
-	if size < 0 || size > maxMessage {
-		return 0, 0, &proto.ProtocolError{What: "message length field below 4 or message larger than 1 GiB"}
+	size := int(binary.BigEndian.Uint32(head[1:])) - lengthSize
+	if size < 0 || size > maxSize(kind) {
+		return 0, 0, &proto.ProtocolError{What: "message length field below 4 or too large for the message's type"}
 	}
 	_, err = c.reader.Discard(headerSize)
 	return kind, size, err
 }
 
+// maxSize bounds the body of a message of the given type.
+func maxSize(kind byte) int {
+	switch kind {
+	case 'D', 'T', 't', 'E', 'N', 'A', 'S':
+		return maxMessage
+	}
+	return maxShortMessage
+}
+
+// appendBody reads a message's body and appends it to a buffer, which grows as bytes arrive.
+func (c *Conn) appendBody(to []byte, size int) ([]byte, error) {
+	for size > 0 {
+		step := min(size, bodyStep)
+		at := len(to)
+		to = slices.Grow(to, step)[:at+step]
+		if _, err := io.ReadFull(c.reader, to[at:]); err != nil {
+			return to, err
+		}
+		size -= step
+	}
+	return to, nil
+}
+
 // errorCode returns the SQLSTATE in the body of an ErrorResponse, XX000
 // (internal_error) if the body is malformed.
 func errorCode(body []byte) string {
--- a/internal/pgcon/conn_test.go
+++ b/internal/pgcon/conn_test.go
@@ -17,8 +17,88 @@
 )
 
 // startServer starts a fake backend server, which accepts one connection and answers each
-// request with the given bytes, and returns a connection to it.
+// Query and each Sync after an Execute with the given bytes, and returns a connection to it. It answers markers as
+// PostgreSQL does, unless the bytes are nil or end with the answer to the marker's Sync.
 func startServer(t testing.TB, answers ...[]byte) *Conn {
+	t.Helper()
+	return serveFake(t, func(f *fakeServer) {
+		for _, answer := range answers {
+			if f.answer(answer); answer == nil {
+				return
+			}
+		}
+		f.answerMarkers()
+	})
+}
+
+// fakeServer is the server's end of a connection.
+type fakeServer struct {
+	raw  net.Conn
+	back *pgproto3.Backend
+	// next is a request that was read and is not answered yet.
+	next *fakeRequest
+}
+
+// fakeRequest is what a fake server receives up to a Query or Sync; marker is the answer to a marker in it, and to
+// its Sync.
+type fakeRequest struct {
+	query, executes bool
+	// parses is set if a statement with a name is parsed.
+	parses bool
+	// text is that of the Query, or the value of the Bind.
+	text   string
+	marker []byte
+}
+
+// answer answers the next request, and the markers before and after it.
+func (f *fakeServer) answer(answer []byte) {
+	f.answerMarkers()
+	if f.next == nil {
+		return
+	}
+	_, _ = f.raw.Write(answer)
+	if !f.next.query && answer != nil && !bytes.HasSuffix(answer, []byte{'Z', 0, 0, 0, 5, 'E'}) {
+		_, _ = f.raw.Write(f.next.marker)
+	}
+	f.next = nil
+}
+
+// answerMarkers answers markers until a request comes.
+func (f *fakeServer) answerMarkers() {
+	for f.next = f.receive(); f.next != nil && !f.next.query && !f.next.executes; f.next = f.receive() {
+		_, _ = f.raw.Write(f.next.marker)
+	}
+}
+
+func (f *fakeServer) receive() *fakeRequest {
+	r := &fakeRequest{}
+	for {
+		m, err := f.back.Receive()
+		if err != nil {
+			return nil
+		}
+		switch m := m.(type) {
+		case *pgproto3.Query:
+			r.query, r.text = true, m.String
+			return r
+		case *pgproto3.Bind:
+			if len(m.Parameters) > 0 {
+				r.text = string(m.Parameters[0])
+			}
+		case *pgproto3.Parse:
+			r.parses = r.parses || m.Name != ""
+			r.marker = encode(&pgproto3.ParseComplete{}, &pgproto3.ParameterDescription{ParameterOIDs: m.ParameterOIDs}, &pgproto3.NoData{})
+		case *pgproto3.Execute:
+			r.executes = true
+		case *pgproto3.Sync:
+			r.marker = append(r.marker, encode(&pgproto3.ReadyForQuery{TxStatus: 'I'})...)
+			return r
+		}
+	}
+}
+
+// serveFake starts a server that accepts one connection, and returns a connection to it.
+func serveFake(t testing.TB, serve func(*fakeServer)) *Conn {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -36,14 +116,7 @@
 			return
 		}
 		_, _ = raw.Write(encode(&pgproto3.AuthenticationOk{}, &pgproto3.ReadyForQuery{TxStatus: 'I'}))
-		for _, answer := range answers {
-			if _, err := back.Receive(); err != nil {
-				return
-			}
-			if _, err := raw.Write(answer); err != nil {
-				return
-			}
-		}
+		serve(&fakeServer{raw: raw, back: back})
 		_, _ = io.Copy(io.Discard, raw)
 	}()
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
@@ -65,7 +138,7 @@
 }
 
 func row(text string) []byte {
-	return encode(&pgproto3.DataRow{Values: [][]byte{[]byte(text)}}, &pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")},
+	return encode(&pgproto3.RowDescription{}, &pgproto3.DataRow{Values: [][]byte{[]byte(text)}}, &pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")},
 		&pgproto3.ReadyForQuery{TxStatus: 'I'})
 }
 
@@ -94,7 +167,11 @@
 // TestSurplusAnswerMakesConnUnclean: if a server answers one request twice, the second
 // answer must not be taken for the answer to a later request.
 func TestSurplusAnswerMakesConnUnclean(t *testing.T) {
-	c := startServer(t, append(row("mine"), row("surplus")...))
+	c := serveFake(t, func(f *fakeServer) {
+		f.answer(row("mine"))
+		_, _ = f.raw.Write(f.receive().marker)
+		_, _ = f.raw.Write(row("surplus"))
+	})
 	sink, _, err := run(t, c, 10*time.Second)
 	if err != nil || !bytes.Equal(sink.Bytes(), row("mine")) {
 		t.Fatalf("got %q, %v", sink.Bytes(), err)
@@ -106,6 +183,16 @@
 	}
 }
 
+// TestSurplusAnswerAtOnceIsNotPassedOn: of two answers before the marker nobody can tell which one is the request's.
+func TestSurplusAnswerAtOnceIsNotPassedOn(t *testing.T) {
+	c := startServer(t, append(row("mine"), row("surplus")...))
+	sink, _, err := run(t, c, 10*time.Second)
+	var failed *proto.RunError
+	if !errors.As(err, &failed) || failed.Stage != proto.Answering || sink.Len() > 0 || c.Condition() != proto.Broken {
+		t.Fatalf("got %q, %v, condition %v; want a *RunError at stage answering and a closed connection", sink.Bytes(), err, c.Condition())
+	}
+}
+
 // TestTimedOutConnIsNotReused: after a request has timed out, its connection must not
 // be reused, or its answer would go to a later request.
 func TestTimedOutConnIsNotReused(t *testing.T) {
@@ -156,9 +243,9 @@
 // TestStatusInSameRoundTrip: the server's status is queried in the same round trip
 // as the request.
 func TestStatusInSameRoundTrip(t *testing.T) {
-	status := encode(&pgproto3.DataRow{Values: [][]byte{
+	status := encode(&pgproto3.ParseComplete{}, &pgproto3.BindComplete{}, &pgproto3.DataRow{Values: [][]byte{
 		[]byte("s"), []byte("primary"), []byte("3"), []byte("3"), []byte("3"), []byte("0/2A"), []byte("0/2A"), []byte("0"),
-	}}, &pgproto3.ReadyForQuery{TxStatus: 'I'})
+	}}, &pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")})
 	c := startServer(t, row("x"), status)
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
@@ -194,7 +281,7 @@
 	failure := func(code string) []byte {
 		return encode(&pgproto3.ErrorResponse{Severity: "ERROR", Code: code}, &pgproto3.ReadyForQuery{TxStatus: 'E'})
 	}
-	c := startServer(t, append(failure("23505"), failure("25P02")...))
+	c := startServer(t, failure("23505"), failure("25P02"))
 	query := encodeQuery("INSERT INTO ledger VALUES (1)")
 	answer, err := c.Run(context.Background(), &proto.Request{Messages: query, WantStatus: true}, discardSink{})
 	if err != nil || answer.ErrorCode != "23505" || answer.TxStatus != 'E' || answer.HasStatus {
