Replay a setting as one statement, whatever its name and value

A caller's SET is remembered and sent again on each connection that its session uses. The name went there as it was read: that of a custom setting in quotes (servers before PostgreSQL 14 take any that has a dot) could end the SET, and its rest ran as a statement that nobody had sent, unclassified, on any server. So could a value of a start-up parameter with a backslash, where the server's standard_conforming_strings is off.

Names are written as quoted identifiers, part by part, and a value with a backslash as an escape string, which means the same whatever the setting is. Both are quoted alike, so two different sets of settings never give the same text.

Read and tested on the text; no PostgreSQL server was run.

--- a/internal/pgcon/settings.go
+++ b/internal/pgcon/settings.go
@@ -41,7 +41,7 @@
 	var text strings.Builder
 	for _, s := range settings {
 		text.WriteString("SET ")
-		text.WriteString(s.Name)
+		writeName(&text, s.Name)
 		text.WriteString(" = ")
 		writeString(&text, s.Value)
 		for _, element := range s.More {
@@ -53,8 +53,19 @@
 	return text.String()
 }
 
-// writeString writes a string literal.
+// writeName writes the name of a setting as quoted identifiers.
+func writeName(text *strings.Builder, name string) {
+	text.WriteString(`"`)
+	text.WriteString(strings.ReplaceAll(strings.ReplaceAll(name, `"`, `""`), ".", `"."`))
+	text.WriteString(`"`)
+}
+
+// writeString writes a string literal; one with a backslash means the same whatever standard_conforming_strings is.
 func writeString(text *strings.Builder, value string) {
+	if strings.Contains(value, `\`) {
+		text.WriteString("E")
+		value = strings.ReplaceAll(value, `\`, `\\`)
+	}
 	text.WriteString("'")
 	text.WriteString(strings.ReplaceAll(value, "'", "''"))
 	text.WriteString("'")
