--- a/internal/owner/roster_test.go
+++ b/internal/owner/roster_test.go
@@ -99,12 +99,19 @@
 func (c *fakeConn) Seal(context.Context, ident.Term, group.Claimant) (bool, error) { return true, nil }
 func (c *fakeConn) Follow(context.Context, ident.Term, ident.ServerID) error       { return nil }
 func (c *fakeConn) Release(context.Context) error                                  { return nil }
-func (c *fakeConn) Clean() bool                                                    { return !c.closed }
 
-func (c *fakeConn) TooManyStatements() bool { return false }
-func (c *fakeConn) InvalidateSettings()     {}
-func (c *fakeConn) Interrupt()              {}
-func (c *fakeConn) Close()                  { c.closed = true }
+func (c *fakeConn) Condition() proto.Condition {
+	if c.closed {
+		return proto.Broken
+	}
+	return proto.Usable
+}
+
+func (c *fakeConn) Exhausted() bool     { return false }
+func (c *fakeConn) Distrust()           {}
+func (c *fakeConn) InvalidateSettings() {}
+func (c *fakeConn) Interrupt()          {}
+func (c *fakeConn) Close()              { c.closed = true }
 
 // claimStore holds the record of a group whose members are a, b and c. It counts the claims and fails them,
 // and all calls while it is down.
--- a/internal/peer/hub.go
+++ b/internal/peer/hub.go
@@ -85,6 +85,16 @@
 	redialDelay = 200 * time.Millisecond
 )
 
+// The reasons why a frame is ignored.
+const (
+	// repeatedRequest: the request came before.
+	repeatedRequest = "repeated-request"
+	// lateResponse: nothing waits for the response, which has ended or has been given up.
+	lateResponse = "late-response"
+	// brokenResponse: the response is not whole, or could not be passed on.
+	brokenResponse = "broken-response"
+)
+
 // Hub manages the links to other instances. It is safe for concurrent use.
 type Hub struct {
 	conf Config
@@ -96,6 +106,10 @@
 	bytesIn   prometheus.Counter
 	bytesOut  prometheus.Counter
 	linkCount prometheus.Gauge
+	// linksEnded counts the links that have ended, by cause.
+	linksEnded *prometheus.CounterVec
+	// ignored counts frames that were not acted on, by reason.
+	ignored *prometheus.CounterVec
 
 	mu sync.Mutex
 	// links has the link used for sending to each peer; allLinks also has older links that
@@ -119,13 +133,19 @@
 	h := &Hub{
 		conf: c, listener: l, links: map[ident.InstanceID]*link{}, allLinks: map[*link]bool{}, retiring: map[*link]time.Time{},
 		dialing: map[ident.InstanceID]chan struct{}{}, dialFailedAt: map[ident.InstanceID]time.Time{},
-		bytesIn:   prometheus.NewCounter(prometheus.CounterOpts{Name: "geraniumseam_peer_bytes_in_total", Help: "Bytes received from peers."}),
-		bytesOut:  prometheus.NewCounter(prometheus.CounterOpts{Name: "geraniumseam_peer_bytes_out_total", Help: "Bytes sent to peers."}),
+		bytesIn:  prometheus.NewCounter(prometheus.CounterOpts{Name: "geraniumseam_peer_bytes_in_total", Help: "Bytes received from peers."}),
+		bytesOut: prometheus.NewCounter(prometheus.CounterOpts{Name: "geraniumseam_peer_bytes_out_total", Help: "Bytes sent to peers."}),
+		linksEnded: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "geraniumseam_peer_links_ended_total", Help: "Links to peers that have ended, by cause.",
+		}, []string{"cause"}),
+		ignored: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "geraniumseam_peer_frames_ignored_total", Help: "Frames from peers that were not acted on, by reason.",
+		}, []string{"reason"}),
 		linkCount: prometheus.NewGauge(prometheus.GaugeOpts{Name: "geraniumseam_peer_links", Help: "Open links to peers."}),
 	}
 	h.secret.Store(&c.Secret)
 	if c.Registry != nil {
-		c.Registry.MustRegister(h.bytesIn, h.bytesOut, h.linkCount)
+		c.Registry.MustRegister(h.bytesIn, h.bytesOut, h.linkCount, h.linksEnded, h.ignored)
 	}
 	h.client = &http.Client{Transport: &http.Transport{DialContext: c.Dialer.DialContext, TLSClientConfig: c.Client}}
 	h.server = &http.Server{Handler: http.HandlerFunc(h.accept), ReadHeaderTimeout: c.Timeout}
@@ -165,7 +185,7 @@
 func (h *Hub) accept(w http.ResponseWriter, r *http.Request) {
 	peer := ident.InstanceID(r.Header.Get(instanceHeader))
 	secret := r.Header.Get(secretHeader)
-	if subtle.ConstantTimeCompare([]byte(secret), []byte(*h.secret.Load())) != 1 || peer == "" {
+	if subtle.ConstantTimeCompare([]byte(secret), []byte(*h.secret.Load())) != 1 || peer == "" || peer == h.conf.Self {
 		http.Error(w, "", http.StatusForbidden)
 		return
 	}
--- a/stand/dbase/session.go
+++ b/stand/dbase/session.go
@@ -1,10 +1,13 @@
 package dbase
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -21,8 +24,11 @@
 	backendVersion = "16.0 (stand-in)"
 )
 
-// prepared is a prepared statement.
-type prepared struct{ command command }
+// prepared is a prepared statement with the parameter types that its Parse gave.
+type prepared struct {
+	command command
+	types   []uint32
+}
 
 // portal is a prepared statement bound to parameter values.
 type portal struct {
@@ -55,9 +61,11 @@
 	// savepoints are the transaction's open savepoints, oldest first.
 	savepoints []savepoint
 	// loss is the fault of the message that runs.
-	loss       *Loss
-	statements map[string]*prepared
-	portals    map[string]*portal
+	loss *Loss
+	// ranStatement and ranControl are set once the message that runs has run a statement or a control function.
+	ranStatement, ranControl bool
+	statements               map[string]*prepared
+	portals                  map[string]*portal
 }
 
 func newSession(s *Server, id uint64, c net.Conn) *session {
@@ -74,14 +82,34 @@
 	net.Conn
 	faults *Faults
 	cut    Point
+	// repeat sends the next answer twice.
+	repeat bool
+	// mu keeps an answer and the copy of another apart.
+	mu sync.Mutex
 }
 
 // Write implements io.Writer.
 func (w *answerWriter) Write(p []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.repeat {
+		w.repeat = false
+		copied := bytes.Clone(p)
+		// The copy waits for the mutex, and so follows the answer.
+		time.AfterFunc(time.Duration(w.faults.RepeatDelay.Load()), func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			_, _ = w.send(copied)
+		})
+	}
 	if w.cut != "" {
 		_, err := w.Conn.Write(cutAnswer(p, w.cut))
 		return len(p), err
 	}
+	return w.send(p)
+}
+
+func (w *answerWriter) send(p []byte) (int, error) {
 	if !w.faults.SplitAnswers.Load() {
 		return w.Conn.Write(p)
 	}
@@ -200,9 +228,20 @@
 		status = 'E'
 	}
 	s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: status})
+	s.out.repeat = s.takeRepeat()
 	return s.flushAnswer()
 }
 
+// takeRepeat reports whether the answer to the message that has run is to come twice.
+func (s *session) takeRepeat() bool {
+	ranStatement, ranControl := s.ranStatement, s.ranControl
+	s.ranStatement, s.ranControl = false, false
+	if ranStatement {
+		return s.server.faults.RepeatedAnswers.Take()
+	}
+	return ranControl && s.server.faults.RepeatedStatus.Take()
+}
+
 // sendError sends an error and aborts the transaction.
 func (s *session) sendError(err error) {
 	var known *sqlError
@@ -279,12 +318,17 @@
 func (s *session) extended(message pgproto3.FrontendMessage) (bool, error) {
 	switch m := message.(type) {
 	case *pgproto3.Parse:
-		s.server.recordInput(m.Query)
+		if m.Query != "" {
+			s.server.recordInput(m.Query)
+		}
 		c, err := parseStatement(m.Query)
 		if err != nil {
 			return true, err
 		}
-		s.statements[m.Name] = &prepared{command: c}
+		if s.failed && c.run != nil && !c.control {
+			return true, errAborted
+		}
+		s.statements[m.Name] = &prepared{command: c, types: slices.Clone(m.ParameterOIDs)}
 		s.backend.Send(&pgproto3.ParseComplete{})
 	case *pgproto3.Bind:
 		return true, s.bind(m)
@@ -323,9 +367,17 @@
 		if p == nil {
 			return errNoStmt
 		}
-		oids := make([]uint32, p.command.params())
-		for at := range oids {
-			oids[at] = textOID
+		if s.failed && len(p.command.columns) > 0 {
+			return errAborted
+		}
+		oids := slices.Clone(p.types)
+		for at := len(oids); at < p.command.params(); at++ {
+			oids = append(oids, textOID)
+		}
+		for at, oid := range oids {
+			if oid == 0 {
+				oids[at] = textOID
+			}
 		}
 		s.backend.Send(&pgproto3.ParameterDescription{ParameterOIDs: oids})
 		s.sendColumns(p.command)
@@ -397,6 +449,7 @@
 // runInSlot runs a statement in one of the server's slots; control functions need no slot.
 func (s *session) runInSlot(c command, values []string) (result, error) {
 	control := len(c.columns) > 0 && strings.HasPrefix(c.columns[0], "group_") || len(c.columns) == len(statusColumns)
+	s.ranStatement, s.ranControl = s.ranStatement || !control, s.ranControl || control
 	if !control {
 		s.server.statements.Add(1)
 		s.server.slots <- struct{}{}
