--- a/internal/plat/client.go
+++ b/internal/plat/client.go
@@ -66,18 +66,24 @@
 // Get implements Store.
 func (c *Client) Get(ctx context.Context, kind objs.Kind, name string) (objs.Object, error) {
 	var found objs.Object
-	err := c.retry(ctx, "get", func(ctx context.Context) error {
-		return c.call(ctx, http.MethodGet, path(kind, name), nil, &found)
-	})
+	target, err := objectPath(kind, name)
+	if err == nil {
+		err = c.retry(ctx, "get", func(ctx context.Context) error {
+			return c.call(ctx, http.MethodGet, target, nil, &found)
+		})
+	}
 	return found, withObject(err, kind, name)
 }
 
 // List implements Store.
 func (c *Client) List(ctx context.Context, kind objs.Kind) (objs.List, error) {
 	var found objs.List
-	err := c.retry(ctx, "list", func(ctx context.Context) error {
-		return c.call(ctx, http.MethodGet, path(kind, ""), nil, &found)
-	})
+	target, err := objectPath(kind)
+	if err == nil {
+		err = c.retry(ctx, "list", func(ctx context.Context) error {
+			return c.call(ctx, http.MethodGet, target, nil, &found)
+		})
+	}
 	return found, withObject(err, kind, "")
 }
 
@@ -87,10 +93,14 @@
 	operationID := c.operationID()
 	tagged := o
 	tagged.Metadata.Annotations = map[string]string{objs.OperationKey: operationID}
+	target, err := objectPath(o.Kind, o.Metadata.Name)
+	if err != nil {
+		return objs.Object{}, withObject(err, o.Kind, o.Metadata.Name)
+	}
 	var stored objs.Object
 	lost := false
-	err := c.retry(ctx, "put", func(ctx context.Context) error {
-		err := c.call(ctx, http.MethodPut, path(o.Kind, o.Metadata.Name), tagged, &stored)
+	err = c.retry(ctx, "put", func(ctx context.Context) error {
+		err := c.call(ctx, http.MethodPut, target, tagged, &stored)
 		var failed *Error
 		if !errors.As(err, &failed) {
 			return err
@@ -108,8 +118,12 @@
 
 // Delete implements Store. An object that does not exist counts as deleted.
 func (c *Client) Delete(ctx context.Context, kind objs.Kind, name string, version ident.Version) error {
-	err := c.retry(ctx, "delete", func(ctx context.Context) error {
-		err := c.call(ctx, http.MethodDelete, path(kind, name)+"?resourceVersion="+strconv.FormatUint(uint64(version), 10), nil, nil)
+	target, err := objectPath(kind, name)
+	if err != nil {
+		return withObject(err, kind, name)
+	}
+	err = c.retry(ctx, "delete", func(ctx context.Context) error {
+		err := c.call(ctx, http.MethodDelete, target+"?resourceVersion="+strconv.FormatUint(uint64(version), 10), nil, nil)
 		if HasCause(err, NotFound) {
 			return nil
 		}
@@ -120,10 +134,14 @@
 
 // Watch implements Store.
 func (c *Client) Watch(ctx context.Context, kind objs.Kind, after ident.Version, wait time.Duration, f func(objs.Event)) (ident.Version, error) {
+	target, err := objectPath(kind)
+	if err != nil {
+		return after, withObject(err, kind, "")
+	}
 	query := fmt.Sprintf("?watch=1&resourceVersion=%d&timeoutSeconds=%g", after, wait.Seconds())
 	ctx, cancel := context.WithTimeout(ctx, wait+c.conf.CallTimeout)
 	defer cancel()
-	request, err := newRequest(ctx, http.MethodGet, c.conf.URL+path(kind, "")+query, nil)
+	request, err := newRequest(ctx, http.MethodGet, c.conf.URL+target+query, nil)
 	if err != nil {
 		return after, err
 	}
@@ -279,9 +297,7 @@
 	return err
 }
 
-func path(kind objs.Kind, name string) string {
-	if name == "" {
-		return objs.BasePath + string(kind)
-	}
-	return objs.BasePath + string(kind) + "/" + name
+// objectPath returns the path of a kind or of the object that is named.
+func objectPath(kind objs.Kind, name ...string) (string, error) {
+	return Path(objs.BasePath, append([]string{string(kind)}, name...)...)
 }
