--- a/internal/plat/client.go
+++ b/internal/plat/client.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -51,7 +52,7 @@
 		c.Transport = &http.Transport{DisableKeepAlives: true}
 	}
 	client := &Client{
-		conf: c, http: &http.Client{Transport: c.Transport}, rng: make(chan *rand.Rand, 1),
+		conf: c, http: &http.Client{Transport: c.Transport, CheckRedirect: StayHere}, rng: make(chan *rand.Rand, 1),
 		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "geraniumseam_platform_calls_total", Help: "Calls to the platform, by verb and end.",
 		}, []string{"verb", "end"}),
@@ -63,13 +64,17 @@
 	return client
 }
 
+// StayHere makes an http.Client return an answer that points elsewhere, and not follow it.
+func StayHere(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // Get implements Store.
 func (c *Client) Get(ctx context.Context, kind objs.Kind, name string) (objs.Object, error) {
 	var found objs.Object
 	target, err := objectPath(kind, name)
 	if err == nil {
 		err = c.retry(ctx, "get", func(ctx context.Context) error {
-			return c.call(ctx, http.MethodGet, target, nil, &found)
+			found = objs.Object{}
+			return c.call(ctx, http.MethodGet, target, nil, &answeredObject{Object: &found, kind: kind, name: name})
 		})
 	}
 	return found, withObject(err, kind, name)
@@ -81,7 +86,8 @@
 	target, err := objectPath(kind)
 	if err == nil {
 		err = c.retry(ctx, "list", func(ctx context.Context) error {
-			return c.call(ctx, http.MethodGet, target, nil, &found)
+			found = objs.List{}
+			return c.call(ctx, http.MethodGet, target, nil, &answeredList{List: &found, kind: kind})
 		})
 	}
 	return found, withObject(err, kind, "")
@@ -100,11 +106,15 @@
 	var stored objs.Object
 	lost := false
 	err = c.retry(ctx, "put", func(ctx context.Context) error {
-		err := c.call(ctx, http.MethodPut, target, tagged, &stored)
+		stored = objs.Object{}
+		err := c.call(ctx, http.MethodPut, target, tagged, &answeredObject{Object: &stored, kind: o.Kind, name: o.Metadata.Name, atLeast: o.Version()})
 		var failed *Error
 		if !errors.As(err, &failed) {
 			return err
 		}
+		if failed.Cause == Conflict && failed.Stored.Version() != 0 && (failed.Stored.Kind != o.Kind || failed.Stored.Metadata.Name != o.Metadata.Name) {
+			failed.Cause = Unreachable
+		}
 		if failed.Cause == Conflict && failed.Stored.Operation() == operationID {
 			stored = failed.Stored
 			return nil
@@ -157,17 +167,20 @@
 		return after, withObject(failed, kind, "")
 	}
 	c.count("watch", "ok")
-	return readEvents(response.Body, after, f)
+	return readEvents(io.LimitReader(response.Body, maxResponse), kind, after, f)
 }
 
 // readEvents reads the events of a watch up to the bookmark that ends it; a stream that ends
 // without one is an error.
-func readEvents(body io.Reader, after ident.Version, f func(objs.Event)) (ident.Version, error) {
+func readEvents(body io.Reader, kind objs.Kind, after ident.Version, f func(objs.Event)) (ident.Version, error) {
 	decoder := json.NewDecoder(body)
 	for {
 		var e objs.Event
 		if err := decoder.Decode(&e); err != nil {
-			return after, &Error{Cause: Unreachable, Kind: e.Object.Kind}
+			return after, &Error{Cause: Unreachable, Kind: kind, Detail: err.Error()}
+		}
+		if e.Object.Kind != kind || e.Type == objs.Unknown {
+			return after, &Error{Cause: Unreachable, Kind: kind, Detail: "an event of another kind"}
 		}
 		after = max(after, e.Object.Version())
 		if e.Type == objs.Bookmark {
@@ -178,7 +191,7 @@
 }
 
 // call sends one request and decodes the response into a value, if one is given.
-func (c *Client) call(ctx context.Context, method, target string, body, result any) error {
+func (c *Client) call(ctx context.Context, method, target string, body any, result answer) error {
 	ctx, cancel := context.WithTimeout(ctx, c.conf.CallTimeout)
 	defer cancel()
 	var content io.Reader
@@ -204,12 +217,46 @@
 	if result == nil {
 		return nil
 	}
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxResponse)).Decode(result); err != nil {
-		return &Error{Cause: Unreachable, Status: response.StatusCode}
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxResponse))
+	if err == nil {
+		err = json.Unmarshal(text, result)
+	}
+	if err != nil {
+		return &Error{Cause: Unreachable, Status: response.StatusCode, Detail: err.Error()}
+	}
+	if !result.fits() {
+		return &Error{Cause: Unreachable, Status: response.StatusCode, Detail: "the answer to another call"}
 	}
 	return nil
 }
 
+// answer is a decoded answer, which reports whether it can be the one to its call.
+type answer interface{ fits() bool }
+
+// answeredObject is an answer that has to be an object, at a version of at least the given one.
+type answeredObject struct {
+	*objs.Object
+	kind    objs.Kind
+	name    string
+	atLeast ident.Version
+}
+
+func (a *answeredObject) fits() bool {
+	return a.Kind == a.kind && a.Metadata.Name == a.name && a.Version() >= max(a.atLeast, 1)
+}
+
+// answeredList is an answer that has to be a list of objects of a kind.
+type answeredList struct {
+	*objs.List
+	// Single is the kind that an object has in place of a list.
+	Single objs.Kind `json:"kind"`
+	kind   objs.Kind
+}
+
+func (a *answeredList) fits() bool {
+	return a.Single == "" && !slices.ContainsFunc(a.Items, func(o objs.Object) bool { return o.Kind != a.kind })
+}
+
 // newRequest returns a request that has a connection to itself: an answer doesn't say which call it is
 // for, only the connection that it came on does.
 func newRequest(ctx context.Context, method, target string, content io.Reader) (*http.Request, error) {
@@ -229,14 +276,20 @@
 		failed.Cause = NotFound
 	case http.StatusConflict:
 		failed.Cause = Conflict
-		_ = json.NewDecoder(io.LimitReader(response.Body, maxResponse)).Decode(&failed.Stored)
+		if json.NewDecoder(io.LimitReader(response.Body, maxResponse)).Decode(&failed.Stored) != nil {
+			failed.Cause = Unreachable
+		}
 	case http.StatusGone:
 		failed.Cause = Gone
 	case http.StatusServiceUnavailable, http.StatusBadGateway, http.StatusGatewayTimeout,
 		http.StatusTooManyRequests, http.StatusInternalServerError:
 		failed.Cause = Unreachable
 	default:
-		failed.Cause = Rejected
+		// An answer of another kind than an error refuses nothing.
+		failed.Cause = Unreachable
+		if response.StatusCode >= http.StatusBadRequest {
+			failed.Cause = Rejected
+		}
 	}
 	return failed
 }
