--- a/internal/confs/confs_test.go
+++ b/internal/confs/confs_test.go
@@ -339,6 +339,62 @@
 	}
 }
 
+// eventStore is a platform whose watches deliver the given events.
+type eventStore struct {
+	copyStore
+	events [][]objs.Event
+}
+
+func (s *eventStore) Watch(_ context.Context, _ objs.Kind, after ident.Version, _ time.Duration, f func(objs.Event)) (ident.Version, error) {
+	next := s.events[0]
+	s.events = s.events[1:]
+	for _, e := range next {
+		f(e)
+		after = max(after, e.Object.Version())
+	}
+	return after, nil
+}
+
+// TestRepeatedEventBringsNoServerBack guards against work for a server that leaves, or has left, as an event of before that
+// comes again.
+func TestRepeatedEventBringsNoServerBack(t *testing.T) {
+	event := func(kind objs.EventType, id string, state objs.LifecycleState, revision ident.Revision) objs.Event {
+		spec, err := json.Marshal(objs.Server{Group: "g", Address: "10.0.0.1:1", State: state, Incarnation: 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		version := strconv.FormatUint(uint64(ident.NewVersion(1, revision)), 10)
+		return objs.Event{Type: kind, Object: objs.Object{Kind: objs.Servers, Metadata: objs.Metadata{Name: id, ResourceVersion: version}, Spec: spec}}
+	}
+	first := []objs.Event{event(objs.Modified, "a", objs.Live, 11), event(objs.Modified, "b", objs.Live, 12)}
+	leaving := []objs.Event{event(objs.Modified, "a", objs.Leaving, 13), event(objs.Modified, "b", objs.Leaving, 14), event(objs.Deleted, "b", objs.Leaving, 14)}
+	for name, second := range map[string][][]objs.Event{
+		"later":                    {leaving, first},
+		"in the same answer":       {slices.Concat(leaving, first)},
+		"between":                  {slices.Concat(first, leaving[:1], first, leaving[1:], first)},
+		"with a change of its own": {leaving, append(slices.Clone(first), event(objs.Modified, "c", objs.Live, 15))},
+	} {
+		store := &eventStore{events: append([][]objs.Event{first}, second...)}
+		store.show(ident.NewVersion(1, 10))
+		cache := NewCache(jrnl.New(jrnl.Config{Capacity: 10, Now: time.Now}), time.Now)
+		w := &ServerWatcher{Store: store, Cache: cache}
+		for range len(store.events) + 1 {
+			if err := w.Step(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		var got []string
+		for _, s := range cache.Listing().Servers["g"] {
+			if s.ID != "c" {
+				got = append(got, fmt.Sprintf("%s leaving %t", s.ID, s.Leaving))
+			}
+		}
+		if want := []string{"a leaving true"}; !slices.Equal(got, want) {
+			t.Errorf("events that come again %s: servers %q, want %q", name, got, want)
+		}
+	}
+}
+
 // headStore is a platform with one configuration that never changes.
 type headStore struct {
 	plat.Store
--- a/internal/confs/servers.go
+++ b/internal/confs/servers.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"geraniumseam.dev/internal/clock"
 	"geraniumseam.dev/internal/plat"
 	"geraniumseam.dev/internal/rule/conf"
@@ -60,7 +62,15 @@
 		defer cancel()
 	}
 	delivered := false
-	after, err := w.Store.Watch(watchCtx, objs.Servers, w.position.after, serverWatchTime, func(e objs.Event) { delivered = true; w.apply(e, false) })
+	seen := eventFilter{after: w.position.after, newest: map[string]ident.Version{}}
+	after, err := w.Store.Watch(watchCtx, objs.Servers, w.position.after, serverWatchTime, func(e objs.Event) {
+		if !seen.isNew(e) {
+			klog.InfoS("repeated event of a server ignored", "server", e.Object.Metadata.Name, "version", e.Object.Version().String(), "after", seen.after.String())
+			return
+		}
+		delivered = true
+		w.apply(e, false)
+	})
 	if watchCtx.Err() != nil && ctx.Err() == nil {
 		err = nil
 	}
@@ -69,6 +79,29 @@
 	return err
 }
 
+// eventFilter tells the events of a watch from those that come again.
+type eventFilter struct {
+	// after is the version that the watch starts after.
+	after ident.Version
+	// newest has the version of the last event of each object.
+	newest map[string]ident.Version
+}
+
+// isNew reports whether an event is of a change that has not been delivered. The event of a removal may carry the version of
+// the object's last change.
+func (f *eventFilter) isNew(e objs.Event) bool {
+	name, v := e.Object.Metadata.Name, e.Object.Version()
+	known, seen := f.newest[name]
+	if !seen {
+		known = f.after
+	}
+	if e.Type == objs.Deleted && v < known && seen || e.Type != objs.Deleted && v <= known && v != 0 {
+		return false
+	}
+	f.newest[name] = v
+	return true
+}
+
 func (w *ServerWatcher) load(ctx context.Context) error {
 	list, err := w.Store.List(ctx, objs.Servers)
 	if err != nil {
