--- a/internal/inifl/config.go
+++ b/internal/inifl/config.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode"
 
 	"geraniumseam.dev/internal/rule/conf"
 	"geraniumseam.dev/pkg/ident"
@@ -160,15 +161,33 @@
 	if w.Len() > 0 {
 		w.WriteByte('\n')
 	}
-	fmt.Fprintf(w, "[%s]\n", name)
+	fmt.Fprintf(w, "[%s]\n", oneLine(name))
 }
 
 func (w *writer) key(name, value string) {
-	if value != "" {
-		fmt.Fprintf(w, "%s = %s\n", name, value)
+	if value = strings.TrimSpace(oneLine(value)); value != "" {
+		fmt.Fprintf(w, "%s = %s\n", name, quote(value))
 	}
 }
 
+// oneLine returns a text with blanks in place of line ends and other control characters, which would end a line.
+func oneLine(text string) string {
+	return strings.Map(func(r rune) rune {
+		if unicode.IsControl(r) {
+			return ' '
+		}
+		return r
+	}, text)
+}
+
+// quote quotes a value of which a part would be read as a quote or a comment.
+func quote(value string) string {
+	if strings.ContainsAny(value[:1], "`\"'#;") || strings.Contains(value, " #") || strings.Contains(value, " ;") {
+		return "`" + value + "`"
+	}
+	return value
+}
+
 func (w *writer) route(id ident.ServiceID, v conf.Route) {
 	w.section("route " + string(id))
 	w.key("service", string(v.Service))
--- a/internal/inifl/file.go
+++ b/internal/inifl/file.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -53,19 +54,26 @@
 }
 
 // Open reads a file from disk.
-func Open(name string) (*File, error) { return load(name, name) }
+func Open(name string) (*File, error) {
+	content, err := os.ReadFile(name)
+	if err != nil {
+		return nil, Mistakes{{File: name, Want: "a readable INI file: " + err.Error()}}
+	}
+	return Parse(name, content)
+}
 
 // Parse reads a file from memory; mistakes give name as its file name.
-func Parse(name string, content []byte) (*File, error) { return load(name, content) }
-
-func load(name string, source any) (*File, error) {
+func Parse(name string, content []byte) (*File, error) {
 	parsed, err := ini.LoadSources(ini.LoadOptions{
-		AllowShadows: true, AllowNonUniqueSections: true, SpaceBeforeInlineComment: true, AllowDuplicateShadowValues: true,
-	}, source)
+		IgnoreContinuation: true, AllowShadows: true, AllowNonUniqueSections: true, SpaceBeforeInlineComment: true, AllowDuplicateShadowValues: true,
+	}, content)
 	if err != nil {
 		return nil, Mistakes{{File: name, Want: "a readable INI file: " + err.Error()}}
 	}
 	f := &File{name: name, parsed: parsed, usedKeys: map[string]bool{}, usedSections: map[string]bool{}}
+	if len(content) > 0 && content[len(content)-1] != '\n' {
+		f.AddMistake("", "", "a line end after the last line, which may be cut")
+	}
 	seen := map[string]bool{}
 	for _, s := range parsed.Sections() {
 		if s.Name() == ini.DefaultSection {
