Keep the term lease with servers that repeat answers

A distrusted server was polled on a new connection each time, for its statuses looked alike.

A doubtful status now stays, as no news: it counts as asked for when the last confirmed one was, and is confirmed by the look before the next poll. One that looks like an older one than the last is asked again.

--- a/internal/owner/watch.go
+++ b/internal/owner/watch.go
@@ -43,8 +43,8 @@
 	group  *Group
 	server *server
 	conn   proto.Conn
-	// last is the last status on conn; its server is empty if there was none.
-	last group.Status
+	// history is what conn has reported so far.
+	history history
 	// reportedAt is when the peers were last told whether the server answers, reachable
 	// what they were told.
 	reportedAt time.Time
@@ -131,7 +131,7 @@
 	now := clock.Now()
 	w.group.tracker.observe(w.server.at, group.Poll{Status: status, Asked: asked, Answered: now, Conn: w.server.conns.Load()})
 	w.group.noteStatus(status)
-	w.server.pool.recordRoundTrip(now.Sub(asked))
+	w.server.pool.recordRoundTrip(now.Sub(w.history.lastAsked))
 	w.group.postEvent(group.Polled{Status: status, Asked: asked})
 	w.reportToPeers(true)
 }
@@ -162,15 +162,19 @@
 	if err := w.connect(ctx); err != nil {
 		return time.Time{}, group.Status{}, err
 	}
-	reused := w.last.Server != ""
 	asked := clock.Now()
 	status, err := w.conn.Status(ctx)
-	if err == nil && reused && fallsBehind(status, w.last) {
-		evidence := fmt.Sprintf("a status of term %d at position %v came after one of term %d at position %v", status.Term, status.Received, w.last.Term, w.last.Received)
+	doubtful := isDoubtful(err)
+	if doubtful && status.Server != "" {
+		err = nil
+	}
+	if err == nil && w.history.fallsBehind(status) {
+		evidence := fmt.Sprintf("a status of term %d at position %v came after one of term %d at position %v", status.Term, status.Received, w.history.last.Term, w.history.last.Received)
 		w.group.recordFinding(w.server, connUse{}, proto.Finding{Violation: proto.Repeated, Evidence: evidence})
+		doubtful = true
 		err = &proto.DoubtError{What: evidence}
 	}
-	if reused && isDoubtful(err) {
+	if doubtful && (err != nil || w.history.isOld(status)) && len(w.history.seen) > 0 {
 		// The first answer on a connection is no copy of another.
 		w.closeConn()
 		return w.queryStatus(ctx)
@@ -179,7 +183,7 @@
 		w.closeConn()
 		return asked, status, errors.Trace(err)
 	}
-	w.last = status
+	asked = w.history.add(status, asked, clock.Now(), doubtful)
 	if status.Server != w.server.ID {
 		w.closeConn()
 		return asked, status, &proto.ProtocolError{What: "the server at the address of " + string(w.server.ID) + " identifies itself as " + string(status.Server)}
@@ -192,14 +196,6 @@
 	return errors.As(err, &doubt)
 }
 
-// fallsBehind reports whether a status shows less than one that was given before on the same connection.
-func fallsBehind(s, before group.Status) bool {
-	if s.Term != before.Term {
-		return s.Term < before.Term
-	}
-	return s.LogTerm < before.LogTerm || s.LogTerm == before.LogTerm && s.Received < before.Received
-}
-
 // connect opens the control connection if there is none that can be used.
 func (w *watcher) connect(ctx context.Context) error {
 	if w.conn != nil && w.reusable() {
@@ -210,7 +206,7 @@
 	if err != nil {
 		return err
 	}
-	w.conn, w.last = c, group.Status{}
+	w.conn, w.history = c, history{}
 	w.server.conns.Add(1)
 	return nil
 }
@@ -219,6 +215,9 @@
 func (w *watcher) reusable() bool {
 	condition := w.conn.Condition()
 	w.group.recordCondition(w.server, connUse{}, condition)
+	if condition == proto.Usable {
+		w.history.confirm(clock.Now())
+	}
 	if w.server.distrust.repeats() {
 		w.conn.Distrust()
 	}
--- a/internal/proto/conn.go
+++ b/internal/proto/conn.go
@@ -63,7 +63,8 @@
 	// Run sends a request and passes its answer to sink. After a *RunError the
 	// connection is unusable; otherwise it can be reused if Condition returns Usable.
 	Run(ctx context.Context, r *Request, sink Sink) (Answer, error)
-	// Status queries the server's status in its group.
+	// Status queries the server's status in its group. With a *DoubtError the status may be one that the connection
+	// has reported before.
 	Status(ctx context.Context) (group.Status, error)
 	// Seal makes the server refuse every term below the given one; false means that the
 	// server refused the seal.
