Count answers that closed their connection because they may have been copies

A doubtful answer left no trace, so nobody could see what the judgement of answers costs a sound server. The counter of connection faults has the reason doubtful; it isn't logged, for it says nothing against the server.

--- a/internal/owner/faults.go
+++ b/internal/owner/faults.go
@@ -71,7 +71,7 @@
 // is to be used once.
 func (d *distrust) crosses() bool { return d != nil && clock.Now().UnixNano() < d.crossesUntil.Load() }
 
-// violationKinds gives the journal's kind for each violation.
+// violationKinds gives the journal's kind for each violation that is logged.
 var violationKinds = map[proto.Violation]jrnl.Kind{
 	proto.Malformed: jrnl.MalformedAnswer, proto.TooLong: jrnl.MalformedAnswer, proto.Cut: jrnl.MalformedAnswer, proto.Repeated: jrnl.SurplusAnswer, proto.Misfit: jrnl.SurplusAnswer,
 }
@@ -87,7 +87,11 @@
 	if g.conf.faults != nil {
 		g.conf.faults.violations[f.Violation].Inc()
 	}
-	g.recordEvent(jrnl.Event{Kind: violationKinds[f.Violation], Trace: last.trace, Customer: last.customer, Server: s.ID, Reason: f.Violation.String(), Evidence: f.Evidence})
+	kind, logged := violationKinds[f.Violation]
+	if !logged {
+		return
+	}
+	g.recordEvent(jrnl.Event{Kind: kind, Trace: last.trace, Customer: last.customer, Server: s.ID, Reason: f.Violation.String(), Evidence: f.Evidence})
 }
 
 // recordCondition counts a connection that was found ended or with bytes that no request had asked for, and logs
--- a/internal/proto/condition.go
+++ b/internal/proto/condition.go
@@ -36,6 +36,8 @@
 	Repeated // repeated
 	// Misfit: there came an answer that cannot be to any request of the connection.
 	Misfit // misfit
+	// Doubtful: an answer may be a copy of an earlier one, so that its connection was closed. It violates nothing.
+	Doubtful // doubtful
 	violationCount
 )
 
--- a/internal/proto/violation_string.go
+++ b/internal/proto/violation_string.go
@@ -13,12 +13,13 @@
 	_ = x[Cut-2]
 	_ = x[Repeated-3]
 	_ = x[Misfit-4]
-	_ = x[violationCount-5]
+	_ = x[Doubtful-5]
+	_ = x[violationCount-6]
 }
 
-const _Violation_name = "malformedtoo-longcutrepeatedmisfitviolationCount"
+const _Violation_name = "malformedtoo-longcutrepeatedmisfitdoubtfulviolationCount"
 
-var _Violation_index = [...]uint8{0, 9, 17, 20, 28, 34, 48}
+var _Violation_index = [...]uint8{0, 9, 17, 20, 28, 34, 42, 56}
 
 func (i Violation) String() string {
 	idx := int(i) - 0
