Keep idle connections past the deadline of their last request

A link's deadline stays set after a request that was answered in time. Once it had passed, the look at the socket failed, and the idle connection was replaced as if it had been given up: a new one for each request that came later than the last one's deadline, and for each poll that came later than the last one's timeout. TestIdleConnectionOutlivesDeadline failed without the change.

--- a/internal/proto/link.go
+++ b/internal/proto/link.go
@@ -88,6 +88,8 @@
 	if err != nil {
 		return Broken
 	}
+	// Past the deadline of the last request, nothing could be read.
+	_ = l.SetReadDeadline(time.Time{})
 	var unread int
 	var open bool
 	var one [1]byte
