Keep a connection for polls on which nothing but copies came

With one status in five coming twice, a connection for polls lived for five polls, and each new one lost the server's word that it is not sealed. What has come between two polls is now read: if it is all known, the connection stays, the server is distrusted, and the status before is not confirmed by that look. Anything else replaces the connection as before. Doubtful reads that were not sent are no charge to the retry budget, as writes.

--- a/internal/owner/read.go
+++ b/internal/owner/read.go
@@ -283,5 +283,5 @@
 	case isSilent(err):
 		return attempt{result: result(fault.ConnectionSilent), retryable: true}
 	}
-	return attempt{result: result(fault.ConnectionLost), retryable: true}
+	return attempt{result: result(fault.ConnectionLost), retryable: true, uncharged: isDoubtful(err)}
 }
--- a/internal/owner/watch.go
+++ b/internal/owner/watch.go
@@ -213,9 +213,10 @@
 
 // reusable reports whether the control connection can be used again.
 func (w *watcher) reusable() bool {
+	before := w.server.distrust.repeatsUntil.Load()
 	condition := w.conn.Condition()
 	w.group.recordCondition(w.server, connUse{}, condition)
-	if condition == proto.Usable {
+	if nothingCame := w.server.distrust.repeatsUntil.Load() == before; condition == proto.Usable && nothingCame {
 		w.history.confirm(clock.Now())
 	}
 	if w.server.distrust.repeats() {
--- a/internal/rule/match/ledger.go
+++ b/internal/rule/match/ledger.go
@@ -94,12 +94,17 @@
 	return Own
 }
 
-// Unasked decides about an answer that came while no request was outstanding: Earlier or Foreign.
+// Unasked decides about an answer that came while no request was outstanding: Earlier if it is a copy, Likely if it may
+// be the answer to an earlier request, else Foreign.
 func (l *Ledger) Unasked(a Answer) Verdict {
 	known := l.knows(a, true)
 	l.remember(a)
-	if _, signed := a.(Signed); known || l.unsure && !signed {
+	_, signed := a.(Signed)
+	switch {
+	case known:
 		return Earlier
+	case l.unsure && !signed:
+		return Likely
 	}
 	return Foreign
 }
