--- a/internal/peer/frames_test.go
+++ b/internal/peer/frames_test.go
@@ -406,3 +406,44 @@
 		})
 	}
 }
+
+// TestLongMessageEndsNoLink guards against requests that are lost because a message beside them is longer than the other end
+// takes: it fails alone.
+func TestLongMessageEndsNoLink(t *testing.T) {
+	const limit = 1 << 18
+	change := func(c *Config) { c.MessageLimit = limit }
+	a, b := newTestInstance(t, "a", change), newTestInstance(t, "b", change)
+	shareAddresses(map[ident.InstanceID]*testInstance{"a": a, "b": b})
+	release := make(chan struct{})
+	b.work = func(_ context.Context, w *owner.Work, sink proto.Sink) owner.Result {
+		if w.Kind == stmt.Write {
+			<-release
+			return owner.Result{}
+		}
+		for _, size := range w.Request.Messages {
+			if sink.Emit(make([]byte, int(size)*limit)) != nil {
+				return owner.Result{Outcome: fault.Unknown, Reason: fault.PeerLost}
+			}
+		}
+		return owner.Result{}
+	}
+	beside := make(chan owner.Result, 1)
+	go func() { beside <- a.hub.Run(testContext(t), "b", &owner.Work{Kind: stmt.Write}, &countingSink{}) }()
+	waitFor(t, func() bool { return a.hub.Connected("b") })
+	for _, answer := range [][]byte{{2}, {2, 2}, {0, 2, 0}} {
+		ctx, cancel := context.WithTimeout(testContext(t), 2*time.Second)
+		r := a.hub.Run(ctx, "b", &owner.Work{Kind: stmt.Read, Request: proto.Request{Messages: answer}}, &countingSink{})
+		if !r.Outcome.Unknown() || ctx.Err() != nil {
+			t.Errorf("an answer of %v times the limit: %s, want an unknown outcome at once: %v", answer, r.Outcome, ctx.Err())
+		}
+		cancel()
+	}
+	r := a.hub.Run(testContext(t), "b", &owner.Work{Kind: stmt.Read, Request: proto.Request{Messages: make([]byte, 2*limit)}}, &countingSink{})
+	if r.Outcome != fault.NotSent {
+		t.Errorf("a request over the limit: %s, want not sent", r.Outcome)
+	}
+	close(release)
+	if r := <-beside; r.Outcome != fault.Done {
+		t.Errorf("the request beside: %s by %s, want done", r.Outcome, r.Reason)
+	}
+}
--- a/internal/peer/hub.go
+++ b/internal/peer/hub.go
@@ -130,6 +130,7 @@
 	if c.MessageLimit == 0 {
 		c.MessageLimit = defaultMessageLimit
 	}
+	c.MessageLimit = max(c.MessageLimit, minMessageLimit)
 	h := &Hub{
 		conf: c, listener: l, links: map[ident.InstanceID]*link{}, allLinks: map[*link]bool{}, retiring: map[*link]time.Time{},
 		dialing: map[ident.InstanceID]chan struct{}{}, dialFailedAt: map[ident.InstanceID]time.Time{},
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -24,8 +24,9 @@
 	// links.
 	maxBatch      = 64 << 10
 	maxIdleBuffer = 4 << 10
-	// defaultMessageLimit is the default of Config.MessageLimit, in bytes.
+	// defaultMessageLimit is the default of Config.MessageLimit, minMessageLimit its minimum, in bytes.
 	defaultMessageLimit = 64 << 20
+	minMessageLimit     = 4 * maxBatch
 )
 
 // link is one WebSocket connection to another instance.
@@ -91,6 +92,11 @@
 	if err != nil {
 		return err
 	}
+	if int64(len(data)) > l.hub.conf.MessageLimit-maxBatch {
+		// A message holds up to maxBatch of other frames before it.
+		klog.InfoS("frame for a peer is too large", "peer", l.peer, "kind", k, "bytes", len(data), "limit", l.hub.conf.MessageLimit)
+		return &Error{Cause: TooLarge, Peer: l.peer}
+	}
 	select {
 	case <-l.tomb.Dying():
 		return &Error{Cause: Closed, Peer: l.peer}
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -134,7 +134,8 @@
 		if sink.failed && r.Outcome == fault.Done {
 			r.Outcome, r.Reason = fault.Unknown, fault.PeerLost
 		}
-		if err := l.send(l.tomb.Context(context.Background()), kindResult, f.Stream, result{Result: &r, Bytes: sink.bytes, Chunks: sink.chunks}); err != nil && r.Tx != 0 {
+		err := l.sendResult(f.Stream, result{Result: &r, Bytes: sink.bytes, Chunks: sink.chunks})
+		if err != nil && r.Tx != 0 {
 			l.hub.conf.Handler.HandleNotification(l.peer, TxRollback{Group: w.Group, Tx: r.Tx})
 		}
 		return nil
@@ -142,6 +143,17 @@
 	return nil
 }
 
+// sendResult sends the end of a response. If it is too large to be sent, the peer is told that the outcome is unknown.
+func (l *link) sendResult(stream uint64, r result) error {
+	ctx := l.tomb.Context(context.Background())
+	err := l.send(ctx, kindResult, stream, r)
+	var failed *Error
+	if errors.As(err, &failed) && failed.Cause == TooLarge {
+		_ = l.send(ctx, kindResult, stream, result{Result: &owner.Result{Outcome: fault.Unknown, Reason: fault.PeerLost}, Chunks: r.Chunks})
+	}
+	return err
+}
+
 // undeliveredResult returns the result of a request that the peer cancelled and whose connection
 // has been closed: nothing of it is kept if all of it ran in the transaction that it left open.
 func undeliveredResult(w *owner.Work, r owner.Result) owner.Result {
