Tell apart what a PostgreSQL server sends unasked, too long or out of turn

Logs could not tell a surplus answer from other bytes, and a notice that came between two requests closed the connection as if it were one. A server that skipped the authentication, or sent rows during start-up, was taken for one that is ready. A length field alone had its bytes allocated.

What breaks the protocol is reported with its violation: misfit (no answer to what was sent), malformed, too-long, cut. NoticeResponse, ParameterStatus and NotificationResponse between two requests leave a connection usable, a fatal error says that the server ends it, anything else is a surplus answer. Start-up takes only what is due, up to 64 KiB a message, and a refused connection is no violation.

--- a/internal/pgcon/conn.go
+++ b/internal/pgcon/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/binary"
+	"fmt"
 	"io"
 	"slices"
 	"syscall"
@@ -67,6 +68,8 @@
 	lastMarker markerID
 	// streamed is set once the beginning of an answer was passed on before its marker.
 	streamed bool
+	// report receives violations of the protocol; it may be nil.
+	report func(proto.Finding)
 	// txStatus is the transaction status that the server last reported.
 	txStatus byte
 	// Opened is when the connection was established.
@@ -84,11 +87,12 @@
 	}
 	conn := &Conn{
 		link: proto.NewLink(t.Server, raw), reader: bufio.NewReaderSize(raw, readBuffer),
-		prepared: map[string]bool{}, Opened: clock.Now(),
+		prepared: map[string]bool{}, Opened: clock.Now(), report: t.Report,
 	}
 	stop := context.AfterFunc(ctx, func() { _ = raw.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	if err := conn.startUp(d, t); err != nil {
+		conn.find(err)
 		raw.Close()
 		return nil, err
 	}
@@ -106,46 +110,55 @@
 	if err := frontend.Flush(); err != nil {
 		return &proto.DialError{Server: c.link.Server(), Cause: err}
 	}
+	authenticated := false
 	for {
 		kind, body, err := c.readShortFrame()
 		if err != nil {
 			return &proto.DialError{Server: c.link.Server(), Cause: err}
 		}
-		switch kind {
-		case 'R':
-			if err := c.authenticate(frontend, body, d.Password); err != nil {
-				return err
+		switch {
+		case kind == 'R' && !authenticated:
+			if authenticated, err = c.authenticate(frontend, body, d.Password); err != nil {
+				return &proto.DialError{Server: c.link.Server(), Cause: err}
 			}
-		case 'E':
-			return &proto.DialError{Server: c.link.Server(), Code: errorCode(body), NoCapacity: errorCode(body) == codeTooManyConnections, Cause: &proto.ProtocolError{What: "server sent an ErrorResponse during start-up"}}
-		case 'Z':
+		case kind == 'E':
+			code := errorCode(body)
+			return &proto.DialError{Server: c.link.Server(), Code: code, NoCapacity: code == codeTooManyConnections, Cause: &startUpError{code}}
+		case kind == 'Z' && authenticated:
 			return nil
+		case kind == 'N' || kind == 'v' || authenticated && (kind == 'S' || kind == 'K'):
+		default:
+			return &proto.DialError{Server: c.link.Server(), Cause: &proto.ProtocolError{What: fmt.Sprintf("message of type %q is not due during start-up", kind)}}
 		}
 	}
 }
 
+// startUpError reports that a server refused a connection.
+type startUpError struct{ code string }
+
+// Error implements error.
+func (e *startUpError) Error() string { return "server refused the connection with SQLSTATE " + e.code }
+
 // Types of authentication request.
 const (
 	authOK        = 0
 	authCleartext = 3
 )
 
-// authenticate answers an authentication request.
-func (c *Conn) authenticate(frontend *pgproto3.Frontend, body []byte, password string) error {
-	if len(body) < 4 {
-		return &proto.DialError{Server: c.link.Server(), Cause: &proto.ProtocolError{What: "authentication request shorter than 4 bytes"}}
+// authenticate answers an authentication request; it reports whether the server is satisfied.
+func (c *Conn) authenticate(frontend *pgproto3.Frontend, body []byte, password string) (bool, error) {
+	const methodSize = 4
+	if len(body) < methodSize {
+		return false, &proto.ProtocolError{What: "authentication request shorter than 4 bytes"}
 	}
 	switch binary.BigEndian.Uint32(body) {
 	case authOK:
-		return nil
+		return true, nil
 	case authCleartext:
 		frontend.Send(&pgproto3.PasswordMessage{Password: password})
-		if err := frontend.Flush(); err != nil {
-			return &proto.DialError{Server: c.link.Server(), Cause: err}
-		}
-		return nil
+		return false, frontend.Flush()
 	}
-	return &proto.DialError{Server: c.link.Server(), Cause: &proto.ProtocolError{What: "unsupported authentication method, want none or a cleartext password"}}
+	return false, &unsupportedError{"an authentication method other than none or a cleartext password"}
 }
 
 // readShortFrame reads one whole message of start-up.
@@ -155,7 +168,7 @@
 		return 0, nil, err
 	}
 	if size > maxShortMessage {
-		return 0, nil, &proto.ProtocolError{What: "message during start-up larger than 64 KiB"}
+		return 0, nil, &proto.ProtocolError{Violation: proto.TooLong, What: "message during start-up larger than 64 KiB"}
 	}
 	body, err := c.appendBody(nil, size)
 	return kind, body, err
@@ -169,8 +182,11 @@
 	}
 	kind := head[0]
 	size := int(binary.BigEndian.Uint32(head[1:])) - lengthSize
-	if size < 0 || size > maxSize(kind) {
-		return 0, 0, &proto.ProtocolError{What: "message length field below 4 or too large for the message's type"}
+	if size < 0 {
+		return 0, 0, &proto.ProtocolError{What: "message length field below 4"}
+	}
+	if size > maxSize(kind) {
+		return 0, 0, &proto.ProtocolError{Violation: proto.TooLong, What: fmt.Sprintf("message of type %q is %d bytes long", kind, size)}
 	}
 	_, err = c.reader.Discard(headerSize)
 	return kind, size, err
@@ -218,12 +234,3 @@
 // Interrupt aborts the running request because the connection seems dead; unlike the
 // other methods it may be called from another goroutine.
 func (c *Conn) Interrupt() { c.link.Interrupt() }
-
-// Condition implements proto.Conn.
-func (c *Conn) Condition() proto.Condition {
-	condition := c.link.Condition()
-	if condition == proto.Usable && c.reader.Buffered() > 0 {
-		return proto.Surplus
-	}
-	return condition
-}
--- a/internal/pgcon/exchange.go
+++ b/internal/pgcon/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"fmt"
 	"slices"
 	"strings"
 
@@ -61,7 +62,7 @@
 		if n == 0 {
 			x.stage = proto.Unsent
 		}
-		return x.conn.link.Fail(ctx, x.stage, err)
+		return x.conn.fail(ctx, x.stage, err)
 	}
 	err := x.read()
 	if err == nil && !x.matcher.proven {
@@ -70,10 +71,10 @@
 		}
 	}
 	if err == nil && !x.matcher.proven {
-		err = &proto.ProtocolError{What: "server refused a marker"}
+		err = misfit("server refused a marker")
 	}
 	if err != nil {
-		return x.conn.link.Fail(ctx, x.stage, err)
+		return x.conn.fail(ctx, x.stage, err)
 	}
 	return nil
 }
@@ -122,11 +123,11 @@
 		}
 		return from == byCaller, nil
 	case 'G', 'H', 'W':
-		return false, &proto.ProtocolError{What: "server started COPY, which is not supported"}
+		return false, &unsupportedError{"COPY, which the server started,"}
 	}
 	ok, complete := m.match(kind, body)
 	if !ok {
-		return false, &proto.ProtocolError{What: "server sent an answer that does not fit the messages sent"}
+		return false, misfit(fmt.Sprintf("message of type %q does not answer message %d of %d", kind, m.at+1, len(m.slots)))
 	}
 	switch from {
 	case byInjection:
@@ -140,7 +141,7 @@
 		return false, x.handleControl(kind, body)
 	case byMarker:
 		if kind == 'E' {
-			return false, &proto.ProtocolError{What: "server refused a marker"}
+			return false, misfit("server refused a marker")
 		}
 		return false, nil
 	}
--- a/internal/pgcon/run.go
+++ b/internal/pgcon/run.go
@@ -41,10 +41,7 @@
 		err = x.emit()
 	}
 	if err != nil {
-		return x.answer, c.link.Fail(ctx, proto.Answering, err)
-	}
-	if c.reader.Buffered() > 0 {
-		c.link.MarkBroken()
+		return x.answer, c.fail(ctx, proto.Answering, err)
 	}
 	return x.answer, nil
 }
