Keep a statement's parameter types apart from its text in its name

Callers share prepared statements on server connections under a name made from the text and the parameter types.

The text's length goes into the name. TestStatementsWithDifferentTextsHaveDifferentNames failed before. Statements that are prepared on open connections keep their old names until these close.

--- a/internal/entry/pgbatch.go
+++ b/internal/entry/pgbatch.go
@@ -104,6 +104,10 @@
 // text and the parameter types, so that callers share prepared statements.
 func statementName(query string, oids []uint32) string {
 	h := sha256.New()
+	// The length tells where the text ends and the types begin.
+	var length [8]byte
+	binary.BigEndian.PutUint64(length[:], uint64(len(query)))
+	h.Write(length[:])
 	h.Write([]byte(query))
 	var number [4]byte
 	for _, oid := range oids {
--- a/internal/entry/pgbatch_test.go
+++ b/internal/entry/pgbatch_test.go
@@ -24,3 +24,13 @@
 		t.Errorf("Parse, Bind: may write %t, may commit %t; want a batch that may write", s.batch.mayWrite, s.batch.mayCommit)
 	}
 }
+
+// TestStatementsWithDifferentTextsHaveDifferentNames: the types of a statement's parameters were hashed like more of its
+// text, so that a caller could prepare another text under the name of a statement that others use.
+func TestStatementsWithDifferentTextsHaveDifferentNames(t *testing.T) {
+	const spaces = 0x20202020
+	short := statementName("DELETE FROM ledger", []uint32{spaces})
+	if long := statementName("DELETE FROM ledger    ", nil); short == long {
+		t.Errorf("both are named %s", short)
+	}
+}
