Answer each message of a batch that ends a lost transaction

After the proxy had lost a caller's transaction it answers the ROLLBACK itself. A batch got ParseComplete for the Close of a statement, no answer to the Close of a portal, and CommandComplete after the answers to later messages, so a driver that counts answers was out of step from there on.

The replies follow the messages now, one each, the instance's own where they are due. TestRollbackOfLostTransactionAnswersEachMessage failed before with 1112nCZ, want 312nC33Z.

--- a/internal/entry/pgbatch_test.go
+++ b/internal/entry/pgbatch_test.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"bytes"
+	"encoding/binary"
 	"testing"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -34,3 +36,26 @@
 		t.Errorf("both are named %s", short)
 	}
 }
+
+// TestRollbackOfLostTransactionAnswersEachMessage: the batch that ended a transaction which the proxy had lost got
+// ParseComplete for a Close, and CommandComplete after the answers to later messages.
+func TestRollbackOfLostTransactionAnswersEachMessage(t *testing.T) {
+	var out bytes.Buffer
+	s := &pgSession{Session: &Session{status: TxFailed}, wire: pgproto3.NewBackend(nil, &out), txFailed: true}
+	for _, m := range []pgproto3.FrontendMessage{
+		&pgproto3.Close{ObjectType: 'S', Name: "old"}, &pgproto3.Parse{Name: "end", Query: "ROLLBACK"},
+		&pgproto3.Bind{DestinationPortal: "p", PreparedStatement: "end"}, &pgproto3.Describe{ObjectType: 'P', Name: "p"},
+		&pgproto3.Execute{Portal: "p"}, &pgproto3.Close{ObjectType: 'P', Name: "p"}, &pgproto3.Close{ObjectType: 'S', Name: "end"}, &pgproto3.Sync{},
+	} {
+		if !s.handle(m) {
+			t.Fatalf("the session ended at %T", m)
+		}
+	}
+	kinds := ""
+	for data := out.Bytes(); len(data) > 0; data = data[1+binary.BigEndian.Uint32(data[1:]):] {
+		kinds += string(data[0])
+	}
+	if want := "312nC33Z"; kinds != want {
+		t.Errorf("answered with %s, want %s", kinds, want)
+	}
+}
--- a/internal/entry/pgserve.go
+++ b/internal/entry/pgserve.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"encoding/binary"
+
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"geraniumseam.dev/internal/fault"
@@ -141,16 +143,20 @@
 
 // sendInjected sends the replies that the instance gives on behalf of a server, and empties the batch.
 func (s *pgSession) sendInjected() {
-	for _, message := range s.batch.injected {
-		if message.Kind == '3' {
-			s.wire.Send(&pgproto3.CloseComplete{})
-			continue
-		}
-		s.wire.Send(&pgproto3.ParseComplete{})
+	for _, m := range s.batch.injected {
+		s.sendInjectedReply(m)
 	}
 	s.batch.reset()
 }
 
+func (s *pgSession) sendInjectedReply(m proto.InjectedMessage) {
+	if m.Kind == '3' {
+		s.wire.Send(&pgproto3.CloseComplete{})
+		return
+	}
+	s.wire.Send(&pgproto3.ParseComplete{})
+}
+
 // flush runs the batch if it executes no statement; the result is then the same as after a
 // Sync. A batch that executes statements is refused, because running it before the Sync would
 // commit too early.
@@ -273,13 +279,11 @@
 	kind := s.batch.kind
 	if s.batch.executes == 1 && (kind == stmt.Commit || kind == stmt.Rollback) {
 		s.txFailed, s.status = false, TxNone
-		for range s.batch.injected {
-			s.wire.Send(&pgproto3.ParseComplete{})
-		}
-		if !s.batch.simple {
-			s.answerExtended()
+		if s.batch.simple {
+			s.wire.Send(&pgproto3.CommandComplete{CommandTag: []byte("ROLLBACK")})
+		} else {
+			s.answerRollback()
 		}
-		s.wire.Send(&pgproto3.CommandComplete{CommandTag: []byte("ROLLBACK")})
 		return s.ready()
 	}
 	s.wire.Send(&pgproto3.ErrorResponse{
@@ -293,12 +297,15 @@
 	return s.ready()
 }
 
-// answerExtended sends the replies to the Parse, Bind and Describe messages of the batch that a
-// server would send.
-func (s *pgSession) answerExtended() {
-	data := s.batch.messages
-	for len(data) >= 5 {
-		size := int(uint32(data[1])<<24 | uint32(data[2])<<16 | uint32(data[3])<<8 | uint32(data[4]))
+// answerRollback sends the replies to the messages of a batch that ends the transaction, as a server would send them.
+func (s *pgSession) answerRollback() {
+	injected, answered := s.batch.injected, 0
+	for data := s.batch.messages; len(data) >= 5; answered++ {
+		for len(injected) > 0 && injected[0].After <= answered {
+			s.sendInjectedReply(injected[0])
+			injected = injected[1:]
+		}
+		size := int(binary.BigEndian.Uint32(data[1:]))
 		switch data[0] {
 		case 'P':
 			s.wire.Send(&pgproto3.ParseComplete{})
@@ -309,6 +316,10 @@
 				s.wire.Send(&pgproto3.ParameterDescription{})
 			}
 			s.wire.Send(&pgproto3.NoData{})
+		case 'E':
+			s.wire.Send(&pgproto3.CommandComplete{CommandTag: []byte("ROLLBACK")})
+		case 'C':
+			s.wire.Send(&pgproto3.CloseComplete{})
 		}
 		data = data[1+size:]
 	}
