Take one request for each kind of encryption

A caller that went on asking for TLS or GSS got an answer to each request, for up to 10 s, and each one called the start-up again from within, so its stack grew with what it sent. 100,000 requests were answered; now the second one of a kind is refused.

--- a/internal/entry/pgstart.go
+++ b/internal/entry/pgstart.go
@@ -38,7 +38,9 @@
 type pgSession struct {
 	*Session
 	secure bool
-	wire   *pgproto3.Backend
+	// askedTLS and askedGSS are set once the caller has asked for that encryption.
+	askedTLS, askedGSS bool
+	wire               *pgproto3.Backend
 	// txFailed is set from the loss of a transaction until the caller ends the transaction.
 	txFailed   bool
 	statements map[string]*prepared
@@ -86,6 +88,10 @@
 		s.refuseStartup(fault.BadStartup)
 		return false
 	}
+	if !s.mayAsk(message) {
+		s.refuseStartup(fault.BadStartup)
+		return false
+	}
 	switch m := message.(type) {
 	case *pgproto3.SSLRequest:
 		return s.startTLS()
@@ -104,6 +110,18 @@
 	return false
 }
 
+// mayAsk reports whether a message is not another request for the same encryption.
+func (s *pgSession) mayAsk(m pgproto3.FrontendMessage) bool {
+	asked := false
+	switch m.(type) {
+	case *pgproto3.SSLRequest:
+		asked, s.askedTLS = s.askedTLS, true
+	case *pgproto3.GSSEncRequest:
+		asked, s.askedGSS = s.askedGSS, true
+	}
+	return !asked
+}
+
 // handleCancel handles a cancel request, which may be for a session of another instance.
 func (s *pgSession) handleCancel(m *pgproto3.CancelRequest) {
 	if len(m.SecretKey) != 4 {
