Bound a caller's messages on routes without keys

The bound was set as the key was read, so on an open route a length field of up to 4 GiB was believed and as much allocated. It is set for every caller now. TestCallersMessageOnOpenRouteIsBounded failed before: no refusal within 5 s for a Query of 1 GiB.

--- a/internal/entry/pgstart.go
+++ b/internal/entry/pgstart.go
@@ -187,6 +187,7 @@
 			return false
 		}
 	}
+	s.wire.SetMaxBodyLen(maxMessageBytes)
 	access, ok := s.instance.configCache.Current().Authenticate(ident.CustomerID(m.Parameters["user"]), database, conf.HashKey(key))
 	if !ok {
 		s.refuseStartup(fault.KeyRefused)
@@ -216,7 +217,6 @@
 		s.refuseStartup(fault.BadStartup)
 		return "", false
 	}
-	s.wire.SetMaxBodyLen(maxMessageBytes)
 	return password.Password, true
 }
 
--- a/internal/fleet/startup_test.go
+++ b/internal/fleet/startup_test.go
@@ -4,8 +4,13 @@
 	"bytes"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"geraniumseam.dev/internal/rule/conf"
 )
 
 // TestEncryptionIsAskedForOnce: a caller that went on asking for encryption held a stack that grew with each request.
@@ -30,3 +35,27 @@
 		conn.Close()
 	}
 }
+
+// TestCallersMessageOnOpenRouteIsBounded: on a route without keys nothing bounded a caller's messages, and the length
+// field of one had as many bytes allocated.
+func TestCallersMessageOnOpenRouteIsBounded(t *testing.T) {
+	f := start(t, Config{Seed: 46, AdjustConfig: func(c *conf.Config) {
+		c.Routes["board"] = conf.Route{Service: "stock", Open: "dealers-hanoi", Worth: 1}
+	}})
+	c := dialWire(t, f.Members()[0].Instance.Addr())
+	defer c.conn.Close()
+	c.front.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": "visitor", "database": "board"}})
+	if err := c.front.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	if got := c.readReply(false); got != "let in\nready I\n" {
+		t.Fatalf("got %q", got)
+	}
+	_ = c.conn.SetDeadline(time.Now().Add(5 * time.Second))
+	if _, err := c.conn.Write([]byte{'Q', 0x40, 0, 0, 0, 'x'}); err != nil {
+		t.Fatal(err)
+	}
+	if got := c.readReply(false); !strings.Contains(got, "bad-message") {
+		t.Errorf("got %q, want a refusal as bad-message", got)
+	}
+}
