--- a/internal/owner/conns.go
+++ b/internal/owner/conns.go
@@ -33,6 +33,8 @@
 	// inTransaction is set while the connection belongs to an open transaction.
 	inTransaction bool
 	last          connUse
+	// retired is set if the connection is to be closed when its request or transaction has ended.
+	retired bool
 }
 
 // inOpenTx reports whether a transaction was open on the connection at the server's last answer.
@@ -103,7 +105,11 @@
 	if p.conf.found != nil {
 		p.conf.found(c.last, condition)
 	}
-	return condition == proto.Usable
+	if p.conf.distrust.repeats() {
+		c.Distrust()
+	}
+	used := !c.last.ended.IsZero()
+	return condition == proto.Usable && !c.retired && !c.Exhausted() && !(used && p.conf.distrust.crosses())
 }
 
 // popIdle returns the customer's most recently used idle connection, closing those
@@ -215,7 +221,7 @@
 func (p *pool) recycle(c *pooledConn) {
 	delete(p.active, c)
 	c.inTransaction = false
-	if p.closed || p.open > p.limit || !p.usable(c) || c.TooManyStatements() {
+	if p.closed || p.open > p.limit || !p.usable(c) {
 		c.Close()
 		p.open--
 	} else {
@@ -225,6 +231,16 @@
 	p.dispatchWaiting()
 }
 
+// retire closes a connection as soon as it is idle.
+func (p *pool) retire(c *pooledConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.retired = true
+	if slices.Contains(p.idle, c) {
+		p.evict(c)
+	}
+}
+
 // resize sets the limit of open connections. Idle connections above it are closed at
 // once, active ones when they are released.
 func (p *pool) resize(limit int) {
--- a/internal/pgcon/exchange.go
+++ b/internal/pgcon/exchange.go
@@ -71,7 +71,7 @@
 		}
 	}
 	if err == nil && !x.matcher.proven {
-		err = misfit("server refused a marker")
+		err = surplus("server refused a marker")
 	}
 	if err != nil {
 		return x.conn.fail(ctx, x.stage, err)
@@ -127,7 +127,7 @@
 	}
 	ok, complete := m.match(kind, body)
 	if !ok {
-		return false, misfit(fmt.Sprintf("message of type %q does not answer message %d of %d", kind, m.at+1, len(m.slots)))
+		return false, surplus(fmt.Sprintf("message of type %q does not answer message %d of %d", kind, m.at+1, len(m.slots)))
 	}
 	switch from {
 	case byInjection:
@@ -141,7 +141,7 @@
 		return false, x.handleControl(kind, body)
 	case byMarker:
 		if kind == 'E' {
-			return false, misfit("server refused a marker")
+			return false, surplus("server refused a marker")
 		}
 		return false, nil
 	}
--- a/internal/pgcon/finding.go
+++ b/internal/pgcon/finding.go
@@ -14,9 +14,9 @@
 	"geraniumseam.dev/internal/proto"
 )
 
-// misfit returns the error of a message that does not answer what was sent.
-func misfit(what string) error {
-	return &proto.ProtocolError{Violation: proto.Misfit, What: what}
+// surplus returns the error of a message that does not answer what was sent.
+func surplus(what string) error {
+	return &proto.ProtocolError{Violation: proto.Repeated, What: what}
 }
 
 // unsupportedError reports that a server began what the proxy does not support; the server is not at fault.
