Poll on one connection although a server sends what nobody asked for

Each stray message cost a server's connection for polls, and for a minute each poll a new one: no lease, and writes that nobody could prove.

--- a/internal/owner/watch.go
+++ b/internal/owner/watch.go
@@ -222,7 +222,7 @@
 	if w.server.distrust.repeats() {
 		w.conn.Distrust()
 	}
-	return condition == proto.Usable && !w.conn.Exhausted() && !w.server.distrust.crosses()
+	return condition == proto.Usable && !w.conn.Exhausted()
 }
 
 // dialControl opens a connection for polls or orders.
--- a/internal/rule/match/request.go
+++ b/internal/rule/match/request.go
@@ -19,7 +19,7 @@
 	Rollback // rollback
 	// Setting: a statement about the connection itself, whose answer has no signature.
 	Setting // setting
-	// Query: a statement about the server, whose answer has rows and no signature.
+	// Query: a statement about the server, whose answer has one row and no signature.
 	Query // query
 	// Start: the request that begins the session.
 	Start // start
@@ -41,7 +41,7 @@
 	rows, sound := 0, false
 	switch a := a.(type) {
 	case Signed:
-		rows, sound = a.Rows, r.Kind != Start
+		rows, sound = a.Rows, r.Kind != Start && r.Kind != Query
 	case Plain:
 		rows, sound = a.Rows, !r.signed() && r.Kind != Start
 	case Bare:
@@ -56,5 +56,8 @@
 	case Commit, Rollback:
 		want = Idle
 	}
-	return sound && (rows == 0 || r.Kind == Read || r.Kind == Query) && a.state() == want
+	if r.Kind == Query {
+		return sound && rows == 1 && a.state() == want
+	}
+	return sound && (rows == 0 || r.Kind == Read) && a.state() == want
 }
