--- a/internal/peer/hub_test.go
+++ b/internal/peer/hub_test.go
@@ -35,6 +35,8 @@
 	lost, retired atomic.Int32
 	// work replaces the echo if set.
 	work func(ctx context.Context, w *owner.Work, sink proto.Sink) owner.Result
+	// onRetired is called when a link is closed by agreement, if set.
+	onRetired func()
 	// query replaces the answer to requests for tokens if set.
 	query func(m Message) Message
 }
@@ -81,7 +83,12 @@
 
 func (n *testInstance) WantsLink(ident.InstanceID) bool { return n.wants.Load() }
 
-func (n *testInstance) Retired(ident.InstanceID) { n.retired.Add(1) }
+func (n *testInstance) Retired(ident.InstanceID) {
+	n.retired.Add(1)
+	if n.onRetired != nil {
+		n.onRetired()
+	}
+}
 
 func (n *testInstance) AddressOf(id ident.InstanceID) (string, bool) {
 	n.mu.Lock()
--- a/internal/peer/retire.go
+++ b/internal/peer/retire.go
@@ -52,7 +52,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	_, asked := h.retiring[l]
-	if h.closed || asked || asks && now.Before(l.retainedUntil) || !l.retire(now) {
+	// A link that the peer has agreed to close stays out of use until it has ended.
+	agreed := asks && l.isRetired()
+	if h.closed || asked || agreed || asks && now.Before(l.retainedUntil) || !l.retire(now) {
 		return false
 	}
 	if asks {
--- a/internal/peer/retire_test.go
+++ b/internal/peer/retire_test.go
@@ -63,6 +63,31 @@
 	}
 }
 
+// TestAgreedCloseIsNotTakenForLost looks for surplus links between the peer's consent and the end of the link: the link was
+// asked for a second time then, and taken for lost as nobody had agreed to that.
+func TestAgreedCloseIsNotTakenForLost(t *testing.T) {
+	between := netem.New()
+	between.Latency = func(ident.CenterID, ident.CenterID) time.Duration { return 20 * time.Millisecond }
+	change := func(c *Config) {
+		c.SurplusDelay, c.RequestDelay, c.Dialer = time.Millisecond, time.Hour, between.From("here")
+	}
+	a, b := newTestInstance(t, "a", change), newTestInstance(t, "b", change)
+	shareAddresses(map[ident.InstanceID]*testInstance{"a": a, "b": b})
+	closeSurplus := func() { a.hub.CloseSurplus(func(ident.InstanceID) bool { return false }) }
+	a.onRetired = closeSurplus
+	if err := a.hub.Connect(testContext(t), "b"); err != nil {
+		t.Fatal(err)
+	}
+	for b.retired.Load() == 0 {
+		closeSurplus()
+		time.Sleep(time.Millisecond)
+	}
+	waitFor(t, func() bool { return len(a.hub.everyLink()) == 0 && len(b.hub.everyLink()) == 0 })
+	if a.lost.Load()+b.lost.Load() > 0 {
+		t.Error("the link was reported as lost")
+	}
+}
+
 // TestLinkThatOneEndWantsIsKept: the end that does not want a link cannot close it alone.
 func TestLinkThatOneEndWantsIsKept(t *testing.T) {
 	for wanting := range 2 {
