Log the end of a link after it has been taken out, by what was read

TestLinkEndNamesItsCause failed once in 50 runs beside load: a message over the limit closed the link, a heartbeat failed to be written first, and the link counted as closed. What was read goes before that, unless it is only that the link was closed.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -151,16 +151,16 @@
 
 // read receives messages until the link ends, and then cleans up.
 func (l *link) read() error {
-	err := l.receive()
-	if first := l.tomb.Err(); first != nil && !errors.Is(first, tomb.ErrStillAlive) {
-		err = first
+	failed := l.receive()
+	if ended, ok := l.tomb.Err().(*Error); ok && failed.Cause == Closed {
+		failed = ended
 	}
-	l.cleanUp(err)
-	return err
+	l.cleanUp(failed)
+	return failed
 }
 
 // receive reads messages and dispatches their frames until one of them can't be read.
-func (l *link) receive() error {
+func (l *link) receive() *Error {
 	ctx := l.tomb.Context(context.Background())
 	for {
 		_, data, err := l.socket.Read(ctx)
@@ -179,19 +179,18 @@
 				return &Error{Cause: BadMessage, Peer: l.peer, Detail: err.Error()}
 			}
 			if err := l.dispatch(f); err != nil {
-				return err
+				var failed *Error
+				if !errors.As(err, &failed) {
+					failed = &Error{Cause: BadMessage, Peer: l.peer, Detail: err.Error()}
+				}
+				return failed
 			}
 		}
 	}
 }
 
-// cleanUp fails the requests that wait for the peer and cancels those that run for it, after the link has ended by err.
-func (l *link) cleanUp(err error) {
-	var failed *Error
-	if errors.As(err, &failed) {
-		l.hub.linksEnded.WithLabelValues(failed.Cause.String()).Inc()
-		klog.InfoS("link ended", "peer", l.peer, "cause", failed.Cause.String(), "error", failed.Detail)
-	}
+// cleanUp fails the requests that wait for the peer and cancels those that run for it, after the link has ended.
+func (l *link) cleanUp(failed *Error) {
 	l.mu.Lock()
 	streams, serving := l.streams, l.serving
 	l.streams, l.serving = nil, nil
@@ -203,6 +202,8 @@
 		cancel()
 	}
 	l.hub.unregister(l)
+	l.hub.linksEnded.WithLabelValues(failed.Cause.String()).Inc()
+	klog.InfoS("link ended", "peer", l.peer, "cause", failed.Cause.String(), "error", failed.Detail)
 }
 
 // sendHeartbeats sends heartbeats, and closes the link when nothing arrived from the peer
