Settle a doubtful error with a BEGIN that the server must refuse

Seen: TestRepeatedRefusalIsNotTakenForTheNext counted 147 and 286 statements that nobody had sent: the marker was an EXECUTE of a name that no connection has, which looks like a caller's request. Change: the marker is a BEGIN READ after a position that no log has. Servers answer LAGGING, nothing runs, and BEGIN is a statement that the proxy sends by itself anyway. Measured: the scripts of answers out of turn and the property of rule/match pass with the new marker.

--- a/internal/rule/match/answer.go
+++ b/internal/rule/match/answer.go
@@ -44,9 +44,9 @@
 type Refused struct {
 	// Content identifies all messages of the answer, Error the code and text alone.
 	Content, Error Digest
-	// UnknownName is set if the error says that there is no such prepared statement.
-	UnknownName bool
-	State       State
+	// Behind is set if the error says that the server's log lacks the position that was asked for.
+	Behind bool
+	State  State
 }
 
 // Bare is an answer that says neither that its request succeeded nor that it failed.
--- a/internal/rule/match/ledger.go
+++ b/internal/rule/match/ledger.go
@@ -35,8 +35,8 @@
 	unsure bool
 	// foreign is set once there was an answer to none of the connection's requests.
 	foreign bool
-	// unknownName is set once an error has said that there is no such prepared statement.
-	unknownName bool
+	// behind is set once an error has said that the server's log lacks a position.
+	behind bool
 	// without is a check that is left out, to show that it is needed.
 	without check
 }
@@ -130,7 +130,7 @@
 		return
 	case Refused:
 		l.errors[a.Error] = true
-		l.unknownName = l.unknownName || a.UnknownName
+		l.behind = l.behind || a.Behind
 	}
 	l.contents[a.content()] = true
 }
--- a/internal/rule/match/match_test.go
+++ b/internal/rule/match/match_test.go
@@ -31,9 +31,9 @@
 func content(what, state, position int) Digest { return Digest(what*100 + state*10 + position) }
 
 const (
-	completed   = 1
-	firstError  = 2
-	unknownName = 5
+	completed  = 1
+	firstError = 2
+	behind     = 5
 )
 
 // answer answers a request.
@@ -57,7 +57,7 @@
 	g := given{request: m.requests}
 	switch rows := rapid.IntRange(0, 2).Draw(m.rt, "rows"); {
 	case fails:
-		g.answer = refusedWith(rapid.IntRange(firstError, unknownName-1).Draw(m.rt, "error"), next, position)
+		g.answer = refusedWith(rapid.IntRange(firstError, behind-1).Draw(m.rt, "error"), next, position)
 	case r.signed():
 		m.signatures++
 		if r.Kind != Read {
@@ -73,7 +73,7 @@
 }
 
 func refusedWith(code int, s State, position int) Refused {
-	return Refused{Content: content(code, int(s), position), Error: Digest(code), UnknownName: code == unknownName, State: s}
+	return Refused{Content: content(code, int(s), position), Error: Digest(code), Behind: code == behind, State: s}
 }
 
 // read returns the next answer, perhaps a copy of one that has been passed on before; false if there is none.
@@ -100,8 +100,8 @@
 	m := &modelServer{rt: rt, copies: rapid.Bool().Draw(rt, "copies"), strict: rapid.Bool().Draw(rt, "strict")}
 	l := NewLedger(LedgerConfig{MaxAnswers: 1 << 10})
 	l.without = without
-	if rapid.IntRange(0, 9).Draw(rt, "name unknown before") == 0 {
-		m.passed = append(m.passed, given{answer: refusedWith(unknownName, Idle, 0)})
+	if rapid.IntRange(0, 9).Draw(rt, "behind before") == 0 {
+		m.passed = append(m.passed, given{answer: refusedWith(behind, Idle, 0)})
 		l.Judge(Request{Kind: Setting}, m.passed[0].answer, m.strict)
 	}
 	state := Idle
@@ -163,7 +163,7 @@
 	answers := append(append([]given{}, m.passed...), m.unread...)
 	own := answers[len(answers)-1]
 	m.requests++
-	m.unread = append(m.unread, given{answer: refusedWith(unknownName, Idle, 0), request: m.requests})
+	m.unread = append(m.unread, given{answer: refusedWith(behind, Idle, 0), request: m.requests})
 	for {
 		g, ok := m.read()
 		if !ok {
--- a/internal/rule/match/settle.go
+++ b/internal/rule/match/settle.go
@@ -18,8 +18,8 @@
 )
 
 // Settlement finds out whether an error that may be a copy is the answer to its request, which is one whose success
-// is signed. The request is followed by a marker, a statement that names a prepared statement which the connection
-// never had. The request's answer is among those up to the marker's.
+// is signed. The request is followed by a marker, a BEGIN that requires a
+// position which no log has, and which is therefore refused. The request's answer is among those up to the marker's.
 type Settlement struct {
 	ledger  *Ledger
 	request Request
@@ -31,7 +31,7 @@
 
 // Settle begins a settlement; false if the answer to a marker could be a copy as well.
 func (l *Ledger) Settle(r Request, refused Refused, strict bool) (*Settlement, bool) {
-	known := l.unknownName && l.without != checkMarker
+	known := l.behind && l.without != checkMarker
 	return &Settlement{ledger: l, request: r, refused: refused, strict: strict}, r.signed() && !known && !l.foreign
 }
 
@@ -49,9 +49,9 @@
 	}
 	another, failed := a.(Refused)
 	switch {
-	case failed && another.UnknownName && s.others:
+	case failed && another.Behind && s.others:
 		return Unclear
-	case failed && another.UnknownName:
+	case failed && another.Behind:
 		return Confirmed
 	}
 	s.others = s.others || failed && another.Error != s.refused.Error && s.ledger.without != checkOthers
