Play repeated answers and odd values in the PostgreSQL soak

Cause: the soak looked at the last tag of a message only; its values were '1', its selects all alike, and its servers answered once.

Change: each step lets some answers of a server to statements and to control functions come twice, up to 400 ms later, from a random source of its own. Every result must have the tag of its statement; a select returns its request's id; values hold LF and CR; each row of a server must be one that a caller sent, byte for byte (MIXED, UNASKED). Other draws of a seed stay.

--- a/internal/cmds/soak_test.go
+++ b/internal/cmds/soak_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"maps"
 	"math/rand/v2"
@@ -51,12 +52,18 @@
 	stopTimeout = 3 * time.Second
 	// leaveInterval is the mean number of requests between two that their caller leaves.
 	leaveInterval = 15
+	// longestRepeat is the longest time after which an answer comes again.
+	longestRepeat = 400 * time.Millisecond
 	// maxPatience is the longest that a caller waits before it cancels a request; beyond
 	// answerTimeout it cancels none.
 	maxPatience = answerTimeout + time.Second
 )
 
-// soakShapes are the messages of requests; INSERT stands for an insert of the request's own row.
+// oddValues are what a row's value may hold besides a number: what ends a message on other wires.
+var oddValues = []string{"", "", "\n", "\r", "\r\n", "4711\nhall 2", "4711\r\nCOMMIT", "\nROLLBACK\n"}
+
+// soakShapes are the messages of requests; INSERT stands for an insert of the request's own row, SELECT 1 for a
+// select of its id.
 // SET x FROM CURRENT pins the session.
 var soakShapes = [][]string{
 	{"INSERT"},
@@ -77,7 +84,9 @@
 	random *rand.Rand
 	// links decides on faults of links, apart from random, so that the other choices of a seed
 	// stay the same.
-	links     *rand.Rand
+	links *rand.Rand
+	// repeats decides on answers that come twice, apart from random as well.
+	repeats   *rand.Rand
 	binary    string
 	fleet     *fleet.Fleet
 	group     *dbase.Group
@@ -94,7 +103,9 @@
 	// refused are the rows that must not be kept, acknowledged those that must, each with what
 	// its caller was told.
 	refused, acknowledged map[string]string
-	violations            map[string]bool
+	// sent are the values of the rows whose insert was sent.
+	sent       map[string]string
+	violations map[string]bool
 	// errorCounts counts the errors of requests by code and outcome.
 	errorCounts map[string]int
 }
@@ -279,9 +290,10 @@
 		mayCommit = mayCommit || strings.HasSuffix(message, "COMMIT") || !isTx && last
 		ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
 		impatient := time.AfterFunc(patience, func() { s.cancel(conn) })
-		results, err := conn.Exec(ctx, strings.ReplaceAll(message, "INSERT", fmt.Sprintf("INSERT INTO ledger (id, value) VALUES ('%s', '1')", id))).ReadAll()
+		results, err := conn.Exec(ctx, s.statementsOf(id, message)).ReadAll()
 		impatient.Stop()
 		cancel()
+		s.checkAnswer(id, message, results, err)
 		var refusal *pgconn.PgError
 		isRefusal := errors.As(err, &refusal)
 		if isRefusal {
@@ -297,12 +309,78 @@
 			return
 		}
 		told := map[string]map[string]string{"ROLLBACK": s.refused, "COMMIT": s.acknowledged, "INSERT 0 1": s.acknowledged}
-		if tag := results[len(results)-1].CommandTag.String(); last {
+		if tag := results[len(results)-1].CommandTag.String(); last && told[tag] != nil {
 			s.update(func() { told[tag][id] = tag })
 		}
 	}
 }
 
+// statementsOf returns the statements of a message, and records the row that they insert.
+func (s *soak) statementsOf(id, message string) string {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(id))
+	value := "1" + oddValues[rand.New(rand.NewPCG(s.seed, hash.Sum64())).IntN(len(oddValues))]
+	if strings.Contains(message, "INSERT") {
+		s.update(func() { s.sent[id] = value })
+	}
+	insert := fmt.Sprintf("INSERT INTO ledger (id, value) VALUES ('%s', '%s')", id, value)
+	return strings.NewReplacer("INSERT", insert, "SELECT 1", fmt.Sprintf("SELECT '%s'", id)).Replace(message)
+}
+
+// checkAnswer checks that the results of a message are those of its statements, as far as it has any: one each, in
+// order, with the row of the request's own SELECT.
+func (s *soak) checkAnswer(id, message string, results []*pgconn.Result, err error) {
+	statements := strings.Split(message, "; ")
+	for at, result := range results {
+		if result.Err != nil {
+			break
+		}
+		tag, want := result.CommandTag.String(), ""
+		if at < len(statements) {
+			want = map[string]string{"INSERT": "INSERT 0 1", "SET x FROM CURRENT": "SET"}[statements[at]]
+			if want == "" {
+				want = statements[at]
+			}
+		}
+		isOwn := want != "SELECT 1" || len(result.Rows) == 1 && string(result.Rows[0][0]) == id
+		if tag != want || !isOwn {
+			s.addViolation("%s: %q answered with %q %q as result %d, want %q", id, message, tag, result.Rows, at+1, want)
+		}
+	}
+	if err == nil && len(results) != len(statements) {
+		s.addViolation("%s: %q answered with %d results", id, message, len(results))
+	}
+}
+
+// faultRepeats lets some answers of one server come twice, those to statements or to control functions.
+func (s *soak) faultRepeats() {
+	servers := s.group.Servers()
+	server := servers[s.repeats.IntN(len(servers))]
+	if primary := s.group.Primary(); primary != nil && s.repeats.IntN(2) == 0 {
+		server = primary
+	}
+	delay := time.Duration(s.repeats.Int64N(int64(longestRepeat)))
+	if s.repeats.IntN(3) > 0 {
+		delay /= 100
+	}
+	answers, status := s.repeats.Int64N(8), s.repeats.Int64N(4)
+	s.events = append(s.events, fmt.Sprintf("%s %s repeats %d answers and %d of control functions after %v", time.Now().Format("15:04:05.000"), server.ID(), answers, status, delay))
+	server.Faults().RepeatDelay.Store(int64(delay))
+	server.Faults().RepeatedAnswers.Store(answers)
+	server.Faults().RepeatedStatus.Store(status)
+}
+
+// checkSent checks that every row of a server is one that a caller has sent.
+func (s *soak) checkSent(server *dbase.Server) {
+	for id, value := range server.Rows() {
+		s.update(func() {
+			if sent, known := s.sent[id]; sent != value || !known {
+				s.violations[fmt.Sprintf("%s has the row %s with %q, sent was %q", server.ID(), id, value, sent)] = true
+			}
+		})
+	}
+}
+
 // cancel asks the instance to cancel what runs on a connection.
 func (s *soak) cancel(conn *pgconn.PgConn) {
 	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
@@ -450,8 +528,13 @@
 		time.Sleep(time.Duration(100+s.random.IntN(700)) * time.Millisecond)
 		s.injectFault()
 		s.faultLinks()
+		s.faultRepeats()
 	}
 	s.lasting.Wait()
+	for _, server := range s.group.Servers() {
+		server.Faults().RepeatedAnswers.Store(0)
+		server.Faults().RepeatedStatus.Store(0)
+	}
 	for _, p := range s.proxies {
 		p.FaultAnswers(lproxy.AnswerFault{})
 	}
@@ -471,6 +554,9 @@
 	if primary == nil {
 		s.t.Fatal("no primary at the end")
 	}
+	for _, server := range s.group.Servers() {
+		s.checkSent(server)
+	}
 	rows := primary.Rows()
 	for id, told := range s.acknowledged {
 		if rows[id] == "" {
@@ -510,8 +596,8 @@
 
 func newSoak(t *testing.T, binary string, seed uint64) *soak {
 	return &soak{
-		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 0)), links: rand.New(rand.NewPCG(seed, 1<<35)), binary: binary, proxies: map[ident.ServerID]*lproxy.Proxy{},
-		refused: map[string]string{}, acknowledged: map[string]string{}, violations: map[string]bool{}, errorCounts: map[string]int{},
+		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 0)), links: rand.New(rand.NewPCG(seed, 1<<35)), repeats: rand.New(rand.NewPCG(seed, 1<<37)), binary: binary, proxies: map[ident.ServerID]*lproxy.Proxy{},
+		refused: map[string]string{}, acknowledged: map[string]string{}, sent: map[string]string{}, violations: map[string]bool{}, errorCounts: map[string]int{},
 	}
 }
 
