Try a full server again for an order's connection

An order's connection takes the place of the one for polls. A server at its limit refuses it until it has noticed that the other is closed, and a seal would have failed for that. Found by reading; TestOrderWaitsForPlaceOfClosedConnection failed without the retries.

--- a/internal/owner/distrust_test.go
+++ b/internal/owner/distrust_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,6 +20,8 @@
 // doubtfulDriver opens connections whose answers a test decides about, and records them.
 type doubtfulDriver struct {
 	*fakeDriver
+	// full is how many more connections are refused for want of room.
+	full  atomic.Int64
 	mu    sync.Mutex
 	conns []*doubtfulConn
 	// found is reported by the next request of a caller.
@@ -30,6 +33,9 @@
 }
 
 func (d *doubtfulDriver) Dial(ctx context.Context, t proto.Target) (proto.Conn, error) {
+	if d.full.Add(-1) >= 0 {
+		return nil, &proto.DialError{Server: t.Server, NoCapacity: true, Connected: true}
+	}
 	c, err := d.fakeDriver.Dial(ctx, t)
 	if err != nil {
 		return nil, err
@@ -291,6 +297,26 @@
 	}
 }
 
+// TestOrderWaitsForPlaceOfClosedConnection: a server at its limit refuses a connection until it has noticed that the one for
+// polls is closed.
+func TestOrderWaitsForPlaceOfClosedConnection(t *testing.T) {
+	d, g := startDoubtful(t)
+	w := &watcher{group: g, server: g.at("b")}
+	defer w.closeConn()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	for _, full := range []int64{2, 2 * orderDials} {
+		// The watchers of the group's servers may be refused as well.
+		d.full.Store(full)
+		c := &controlCall{ctx: ctx, run: func(context.Context, proto.Conn) error { return nil }, done: make(chan error, 1)}
+		w.call(c)
+		d.full.Store(0)
+		if err := <-c.done; (err != nil) != (full > orderDials) {
+			t.Errorf("after up to %d refusals: %v", full, err)
+		}
+	}
+}
+
 // TestUnconfirmedReadLeavesItsConnection: a read that is run again under its id may get the signature that it had,
 // which would look like a copy there.
 func TestUnconfirmedReadLeavesItsConnection(t *testing.T) {
--- a/internal/owner/watch.go
+++ b/internal/owner/watch.go
@@ -267,7 +267,7 @@
 // answer is taken that could be a copy.
 func (w *watcher) call(c *controlCall) {
 	w.closeConn()
-	if err := w.connect(c.ctx); err != nil {
+	if err := w.connectForOrder(c.ctx); err != nil {
 		c.done <- err
 		return
 	}
@@ -277,6 +277,29 @@
 	c.done <- err
 }
 
+const (
+	// orderDials is how often a server that is full is tried for an order, orderDialPause the time between two tries.
+	orderDials     = 5
+	orderDialPause = 20 * time.Millisecond
+)
+
+// connectForOrder opens a connection for an order. A server that is full may not have noticed yet that the connection
+// for polls, whose place this one takes, is closed.
+func (w *watcher) connectForOrder(ctx context.Context) error {
+	for tries := 1; ; tries++ {
+		err := w.connect(ctx)
+		var dialed *proto.DialError
+		if !errors.As(err, &dialed) || !dialed.NoCapacity || tries == orderDials {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(orderDialPause):
+		}
+	}
+}
+
 // run has the server's watcher run a control function and waits for its result.
 func (s *server) run(ctx context.Context, f func(context.Context, proto.Conn) error) error {
 	c := &controlCall{ctx: ctx, run: f, done: make(chan error, 1)}
