Take BEGIN as certain if the doubtful answers before it left another state

Cause: on a server that has repeated an answer, a BEGIN is sent again on a new connection unless its answer is certain. It was doubtful whenever anything before it on the connection was, and the answers to two SETs (or RESET and SET) at one position look alike. A session with two settings then began no transaction at that server for as long as it was distrusted: each attempt opened a connection, ended unsent in doubt and was retried, uncharged, until the deadline.

Change: the ledger keeps which states successes of the doubtful requests leave (all, once an error was doubtful). An answer without a signature that was not seen before and leaves another one is none of theirs, so it is the request's.

--- a/internal/rule/match/ledger.go
+++ b/internal/rule/match/ledger.go
@@ -33,6 +33,9 @@
 	// unsure is set while a request may have got a copy for its answer, which is then still to come; none of these
 	// requests is one whose answer is signed.
 	unsure bool
+	// unsureStates are the states that successes of these requests leave, as a set of bits; all of them once one of
+	// the requests may have failed.
+	unsureStates stateSet
 	// foreign is set once there was an answer to none of the connection's requests.
 	foreign bool
 	// unknownName is set once an error has said that there is no such prepared statement.
@@ -41,6 +44,13 @@
 	without check
 }
 
+// stateSet is a set of states.
+type stateSet uint8
+
+const allStates stateSet = 1<<Idle | 1<<Open | 1<<Failed
+
+func (s stateSet) has(x State) bool { return s&(1<<x) != 0 }
+
 // check is a check that tests can leave out.
 type check uint8
 
@@ -55,6 +65,7 @@
 	checkOthers
 	checkUnfit
 	checkForeign
+	checkFailed
 )
 
 // NewLedger returns the ledger of a new connection.
@@ -85,15 +96,33 @@
 		return Foreign
 	case signed:
 		// Earlier requests whose answers may still be to come get none with a signature.
-		l.unsure = false
+		l.unsure, l.unsureStates = false, 0
 		return Own
-	case known || l.unsure && l.without != checkUnsure:
+	case known || l.unsure && l.without != checkUnsure && !l.isBeyondUnsure(a):
 		l.unsure = true
+		l.unsureStates |= l.leaves(r, a)
 		return Likely
 	}
+	l.unsure, l.unsureStates = false, 0
 	return Own
 }
 
+// isBeyondUnsure reports whether an answer that was not seen before can be none to the requests whose answers may still
+// be to come, because it leaves another state.
+func (l *Ledger) isBeyondUnsure(a Answer) bool {
+	_, plain := a.(Plain)
+	return plain && !l.unsureStates.has(a.state())
+}
+
+// leaves returns the states that the request and those before it may leave if an answer to it is doubtful.
+func (l *Ledger) leaves(r Request, a Answer) stateSet {
+	if _, failed := a.(Refused); failed && l.without != checkFailed {
+		// What follows may be sent in another state than is believed.
+		return allStates
+	}
+	return 1 << r.next()
+}
+
 // Unasked decides about an answer that came while no request was outstanding: Earlier if it is a copy, Likely if it may
 // be the answer to an earlier request, else Foreign.
 func (l *Ledger) Unasked(a Answer) Verdict {
--- a/internal/rule/match/match_test.go
+++ b/internal/rule/match/match_test.go
@@ -201,6 +201,7 @@
 	for without, name := range map[check]string{
 		checkSignatures: "signatures", checkContents: "contents", checkErrors: "errors of repeating servers", checkShape: "shape",
 		checkUnsure: "answers to come", checkMarker: "marker seen before", checkOthers: "other errors before the marker", checkUnfit: "signatures that do not fit", checkForeign: "signatures that do not fit before the marker",
+		checkFailed: "doubtful errors before a state",
 	} {
 		t.Run(name, func(t *testing.T) {
 			example := rapid.Custom(func(rt *rapid.T) string { return play(rt, without) })
--- a/internal/rule/match/request.go
+++ b/internal/rule/match/request.go
@@ -49,12 +49,16 @@
 	case Refused:
 		return true
 	}
-	want := r.State
+	return sound && (rows == 0 || r.Kind == Read || r.Kind == Query) && a.state() == r.next()
+}
+
+// next returns the state that a success of the request leaves.
+func (r Request) next() State {
 	switch r.Kind {
 	case Begin:
-		want = Open
+		return Open
 	case Commit, Rollback:
-		want = Idle
+		return Idle
 	}
-	return sound && (rows == 0 || r.Kind == Read || r.Kind == Query) && a.state() == want
+	return r.State
 }
