--- a/internal/rule/match/request.go
+++ b/internal/rule/match/request.go
@@ -49,15 +49,19 @@
 	case Refused:
 		return true
 	}
-	want := r.State
+	if r.Kind == Query {
+		return sound && rows == 1 && a.state() == r.next()
+	}
+	return sound && (rows == 0 || r.Kind == Read) && a.state() == r.next()
+}
+
+// next returns the state that a success of the request leaves.
+func (r Request) next() State {
 	switch r.Kind {
 	case Begin:
-		want = Open
+		return Open
 	case Commit, Rollback:
-		want = Idle
-	}
-	if r.Kind == Query {
-		return sound && rows == 1 && a.state() == want
+		return Idle
 	}
-	return sound && (rows == 0 || r.Kind == Read) && a.state() == want
+	return r.State
 }
