--- a/internal/peer/hub.go
+++ b/internal/peer/hub.go
@@ -148,7 +148,10 @@
 	if c.Registry != nil {
 		c.Registry.MustRegister(h.bytesIn, h.bytesOut, h.linkCount, h.linksEnded, h.ignored)
 	}
-	h.client = &http.Client{Transport: &http.Transport{DialContext: c.Dialer.DialContext, TLSClientConfig: c.Client}}
+	h.client = &http.Client{
+		Transport:     &http.Transport{DialContext: c.Dialer.DialContext, TLSClientConfig: c.Client},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
 	h.server = &http.Server{Handler: http.HandlerFunc(h.accept), ReadHeaderTimeout: c.Timeout}
 	return h
 }
--- a/internal/peer/hub_test.go
+++ b/internal/peer/hub_test.go
@@ -4,7 +4,10 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -354,3 +357,21 @@
 		t.Error("an instance has a link to itself")
 	}
 }
+
+// TestSecretIsNotSentElsewhere guards against a link, and the secret with it, that goes where what answers at an instance's
+// address points to.
+func TestSecretIsNotSentElsewhere(t *testing.T) {
+	a := newTestInstance(t, "a", nil)
+	var asked atomic.Int64
+	elsewhere := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { asked.Add(1) }))
+	defer elsewhere.Close()
+	server := httptest.NewServer(http.RedirectHandler(elsewhere.URL+linkPath, http.StatusTemporaryRedirect))
+	defer server.Close()
+	a.addresses["b"] = strings.TrimPrefix(server.URL, "http://")
+	if r := a.hub.Run(testContext(t), "b", &owner.Work{}, &countingSink{}); r.Outcome != fault.NotSent {
+		t.Errorf("a request over no link: %s, want not sent", r.Outcome)
+	}
+	if asked.Load() > 0 {
+		t.Error("the instance called where the answer pointed to")
+	}
+}
