Settle the error of a COMMIT that leaves its transaction failed

In a transaction with a SET the answers to BEGIN and SET look alike, so that the error of the COMMIT is doubtful; a marker in a failed transaction is MALFORMED, and the COMMIT was waited for until its deadline. Change: a ROLLBACK goes before the marker then, which is the one request that a failed transaction allows. Its answer has no signature and can't be the COMMIT's.

--- a/internal/rule/match/match_test.go
+++ b/internal/rule/match/match_test.go
@@ -46,6 +46,8 @@
 	}
 	next := m.state
 	switch {
+	case r.Kind == Commit && fails && m.state != Idle && rapid.Bool().Draw(m.rt, "stays failed"):
+		next = Failed
 	case r.Kind == Commit || r.Kind == Rollback:
 		next = Idle
 	case fails && m.state == Open:
@@ -157,11 +159,14 @@
 func playSettlement(m *modelServer, l *Ledger, r Request, doubtful given) string {
 	refused := doubtful.answer.(Refused)
 	s, ok := l.Settle(r, refused, m.strict)
-	if !ok || m.state != Idle {
+	if !ok || m.state != Idle && !s.NeedsRollback() {
 		return ""
 	}
 	answers := append(append([]given{}, m.passed...), m.unread...)
 	own := answers[len(answers)-1]
+	if s.NeedsRollback() {
+		m.answer(Request{Kind: Rollback})
+	}
 	m.requests++
 	m.unread = append(m.unread, given{answer: refusedWith(behind, Idle, 0), request: m.requests})
 	for {
--- a/internal/rule/match/settle.go
+++ b/internal/rule/match/settle.go
@@ -18,8 +18,8 @@
 )
 
 // Settlement finds out whether an error that may be a copy is the answer to its request, which is one whose success
-// is signed. The request is followed by a marker, a BEGIN that requires a
-// position which no log has, and which is therefore refused. The request's answer is among those up to the marker's.
+// is signed. The request is followed by a marker, a BEGIN that requires a position which no log has, and which is
+// therefore refused. The request's answer is among those up to the marker's.
 type Settlement struct {
 	ledger  *Ledger
 	request Request
@@ -35,8 +35,15 @@
 	return &Settlement{ledger: l, request: r, refused: refused, strict: strict}, r.signed() && !known && !l.foreign
 }
 
+// NeedsRollback reports whether a ROLLBACK has to come before the marker, since every other request is malformed in a
+// transaction that failed.
+func (s *Settlement) NeedsRollback() bool { return s.refused.State != Idle }
+
 // Add adds the next answer.
 func (s *Settlement) Add(a Answer) Outcome {
+	if _, plain := a.(Plain); plain && s.NeedsRollback() {
+		return Pending
+	}
 	switch s.ledger.Judge(s.request, a, s.strict) {
 	case Own:
 		if _, signed := a.(Signed); signed {
