Take an error as certain if it leaves a state that the doubtful answers before it can't

Cause: the answers to two BEGINs at one position look alike, on sound servers as well; until the next signature every error was doubtful. A first WRITE that the server refused was reported as of unknown outcome. TestRefusedRequestIsReportedAsNotRun fails on: up to 6 of 6 of a kind of case told INDOUBT.

Change: a refused BEGIN or SET leaves no transaction, so an error that was not seen before and leaves one is the request's own.

TestRefusedRequestIsReportedAsNotRun still fails, with 8 cases of 1394, where the connection has had the same error at the same position before.

--- a/internal/rule/match/ledger.go
+++ b/internal/rule/match/ledger.go
@@ -33,9 +33,9 @@
 	// unsure is set while a request may have got a copy for its answer, which is then still to come; none of these
 	// requests is one whose answer is signed.
 	unsure bool
-	// unsureStates are the states that successes of these requests leave, as a set of bits; all of them once one of
-	// the requests may have failed.
-	unsureStates stateSet
+	// unsureStates are the states that successes of these requests leave, unsureErrors those that their errors leave;
+	// all of them once an error was doubtful.
+	unsureStates, unsureErrors stateSet
 	// foreign is set once there was an answer to none of the connection's requests.
 	foreign bool
 	// unknownName is set once an error has said that there is no such prepared statement.
@@ -96,31 +96,46 @@
 		return Foreign
 	case signed:
 		// Earlier requests whose answers may still be to come get none with a signature.
-		l.unsure, l.unsureStates = false, 0
+		l.settled()
 		return Own
 	case known || l.unsure && l.without != checkUnsure && !l.isBeyondUnsure(a):
 		l.unsure = true
-		l.unsureStates |= l.leaves(r, a)
+		successes, errors := l.leaves(r, a)
+		l.unsureStates |= successes
+		l.unsureErrors |= errors
 		return Likely
 	}
-	l.unsure, l.unsureStates = false, 0
+	l.settled()
 	return Own
 }
 
+// settled records that all requests up to the current one have their answers.
+func (l *Ledger) settled() { l.unsure, l.unsureStates, l.unsureErrors = false, 0, 0 }
+
 // isBeyondUnsure reports whether an answer that was not seen before can be none to the requests whose answers may still
 // be to come, because it leaves another state.
 func (l *Ledger) isBeyondUnsure(a Answer) bool {
-	_, plain := a.(Plain)
-	return plain && !l.unsureStates.has(a.state())
+	switch a := a.(type) {
+	case Plain:
+		return !l.unsureStates.has(a.State)
+	case Refused:
+		return !l.unsureErrors.has(a.State)
+	}
+	return false
 }
 
-// leaves returns the states that the request and those before it may leave if an answer to it is doubtful.
-func (l *Ledger) leaves(r Request, a Answer) stateSet {
-	if _, failed := a.(Refused); failed && l.without != checkFailed {
+// leaves returns the states that a success of the request leaves, and those that its error leaves, if an answer to it is
+// doubtful.
+func (l *Ledger) leaves(r Request, a Answer) (successes, errors stateSet) {
+	_, failed := a.(Refused)
+	switch {
+	case failed && l.without != checkFailed:
 		// What follows may be sent in another state than is believed.
-		return allStates
+		return allStates, allStates
+	case r.State == Idle:
+		return 1 << r.next(), 1 << Idle
 	}
-	return 1 << r.next()
+	return 1 << r.next(), allStates
 }
 
 // Unasked decides about an answer that came while no request was outstanding: Earlier if it is a copy, Likely if it may
