Recognise a marker's answer in a failed transaction

Cause: a refused COMMIT may leave the transaction failed, where every other request, the marker too, is MALFORMED (PROTOCOL.md); its outcome stayed unknown.

Change: MALFORMED in a failed transaction counts as a marker's answer like NOSUCHNAME, also for whether one came before.

--- a/internal/rule/match/answer.go
+++ b/internal/rule/match/answer.go
@@ -44,7 +44,7 @@
 type Refused struct {
 	// Content identifies all messages of the answer, Error the code and text alone.
 	Content, Error Digest
-	// UnknownName is set if the error says that there is no such prepared statement.
+	// UnknownName is set if the error is the one with which a server refuses a marker in that state.
 	UnknownName bool
 	State       State
 }
