--- a/internal/pgcon/exchange.go
+++ b/internal/pgcon/exchange.go
@@ -41,10 +41,10 @@
 func (c *Conn) begin(sink proto.Sink) *exchange {
 	x := &c.exchange
 	*x = exchange{conn: c, sink: sink, raw: x.raw[:0], held: x.held[:0], matcher: matcher{slots: x.matcher.slots[:0]}}
-	if cap(x.raw) > heldSize {
+	if cap(x.raw) > emitSize {
 		x.raw = nil
 	}
-	if cap(x.held) > heldSize {
+	if cap(x.held) > emitSize {
 		x.held = nil
 	}
 	return x
