--- a/internal/pgcon/exchange.go
+++ b/internal/pgcon/exchange.go
@@ -75,7 +75,7 @@
 		}
 	}
 	if err == nil && !x.matcher.proven {
-		err = surplus("server refused a marker")
+		err = errMarkerRefused
 	}
 	if err != nil {
 		return x.conn.fail(ctx, x.stage, err)
@@ -161,7 +161,7 @@
 		return false, x.handleControl(kind, body)
 	case byMarker:
 		if kind == 'E' {
-			return false, surplus("server refused a marker")
+			return false, errMarkerRefused
 		}
 		return false, nil
 	}
--- a/internal/pgcon/finding.go
+++ b/internal/pgcon/finding.go
@@ -19,6 +19,9 @@
 	return &proto.ProtocolError{Violation: proto.Repeated, What: what}
 }
 
+// errMarkerRefused reports that a server answers markers with an error, so that nothing can be proven.
+var errMarkerRefused = &proto.ProtocolError{What: "server refused a marker"}
+
 // unsupportedError reports that a server began what the proxy does not support; the server is not at fault.
 type unsupportedError struct{ what string }
 
