Report what servers violate in one place for both dialects

Cause: platform/finding.go and internal/pgcon/finding.go each had the report of a finding, the search for a violation in an error, the end of a connection beside it, and the translation of an end inside an answer. Change: proto.Link, which holds the state that every dialect tracks, reports findings too (Find, FindError, Abort), and InsideAnswer is one function. An error of the proxy's own still goes through Fail, unreported. The test of servers that refuse markers hands its report to Dial instead of setting a field; its assertion is as before.

--- a/internal/pgcon/conn.go
+++ b/internal/pgcon/conn.go
@@ -71,8 +71,6 @@
 	// controls is set on a connection for control functions, which stays in use after surplus answers: a new one
 	// doesn't vouch for what the server was told before.
 	controls bool
-	// report receives violations of the protocol; it may be nil.
-	report func(proto.Finding)
 	// txStatus is the transaction status that the server last reported.
 	txStatus byte
 	// Opened is when the connection was established.
@@ -89,13 +87,13 @@
 		_ = raw.SetDeadline(deadline)
 	}
 	conn := &Conn{
-		link: proto.NewLink(t.Server, raw), reader: bufio.NewReaderSize(raw, readBuffer),
-		prepared: map[string]bool{}, Opened: clock.Now(), report: t.Report,
+		link: proto.NewLink(t, raw), reader: bufio.NewReaderSize(raw, readBuffer),
+		prepared: map[string]bool{}, Opened: clock.Now(),
 	}
 	stop := context.AfterFunc(ctx, func() { _ = raw.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	if err := conn.startUp(d, t); err != nil {
-		conn.find(err)
+		conn.link.FindError(err)
 		raw.Close()
 		return nil, err
 	}
--- a/internal/pgcon/conn_test.go
+++ b/internal/pgcon/conn_test.go
@@ -99,6 +99,12 @@
 
 // serveFake starts a server that accepts one connection, and returns a connection to it.
 func serveFake(t testing.TB, serve func(*fakeServer)) *Conn {
+	t.Helper()
+	return serveReported(t, nil, serve)
+}
+
+// serveReported is serveFake for a connection that reports its findings.
+func serveReported(t testing.TB, report func(proto.Finding), serve func(*fakeServer)) *Conn {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -121,7 +127,7 @@
 	}()
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	c, err := (&Driver{Dialer: &net.Dialer{}}).Dial(ctx, proto.Target{Server: "s", Address: l.Addr().String()})
+	c, err := (&Driver{Dialer: &net.Dialer{}}).Dial(ctx, proto.Target{Server: "s", Address: l.Addr().String(), Report: report})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/pgcon/finding.go
+++ b/internal/pgcon/finding.go
@@ -3,12 +3,9 @@
 import (
 	"context"
 	"encoding/binary"
-	"io"
-	"syscall"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
-	"github.com/juju/errors"
 
 	"geraniumseam.dev/internal/clock"
 	"geraniumseam.dev/internal/proto"
@@ -30,19 +27,10 @@
 
 // fail reports an error that is a violation of the protocol and closes the connection.
 func (c *Conn) fail(ctx context.Context, stage proto.Stage, err error) error {
-	if stage == proto.Answering && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)) {
-		err = &proto.ProtocolError{Violation: proto.Cut, What: "the connection ended inside an answer", Cause: err}
-	}
-	c.find(err)
-	return c.link.Fail(ctx, stage, err)
-}
-
-// find reports an error that is a violation of the protocol.
-func (c *Conn) find(err error) {
-	var violation *proto.ProtocolError
-	if c.report != nil && errors.As(err, &violation) {
-		c.report(proto.Finding{Violation: violation.Violation, Evidence: violation.Error()})
+	if stage == proto.Answering {
+		err = proto.InsideAnswer(err)
 	}
+	return c.link.Abort(ctx, stage, err)
 }
 
 // unaskedTimeout bounds the wait for bytes that have arrived.
@@ -55,7 +43,7 @@
 		condition = c.unasked()
 	}
 	if condition == proto.Surplus && c.controls {
-		c.find(surplus("bytes have arrived between two control functions"))
+		c.link.FindError(surplus("bytes have arrived between two control functions"))
 		return proto.Usable
 	}
 	return condition
--- a/internal/pgcon/finding_test.go
+++ b/internal/pgcon/finding_test.go
@@ -136,7 +136,8 @@
 
 // TestServerThatRefusesMarkersIsReported: what it answers can't be proven, so it is not passed on.
 func TestServerThatRefusesMarkersIsReported(t *testing.T) {
-	c := serveFake(t, func(f *fakeServer) {
+	var found []proto.Violation
+	c := serveReported(t, func(f proto.Finding) { found = append(found, f.Violation) }, func(f *fakeServer) {
 		for r := f.receive(); r != nil; r = f.receive() {
 			answer := row("x")
 			if !r.query {
@@ -145,8 +146,6 @@
 			_, _ = f.raw.Write(answer)
 		}
 	})
-	var found []proto.Violation
-	c.report = func(f proto.Finding) { found = append(found, f.Violation) }
 	sink, _, err := run(t, c, 10*time.Second)
 	if err == nil || sink.Len() > 0 || !slices.Equal(found, []proto.Violation{proto.Malformed}) {
 		t.Errorf("got %q, %v, found %v; want an error, found malformed", sink.Bytes(), err, found)
--- a/internal/pgcon/settle.go
+++ b/internal/pgcon/settle.go
@@ -46,7 +46,7 @@
 	if !x.replay(last) {
 		return cause
 	}
-	x.conn.find(cause)
+	x.conn.link.FindError(cause)
 	if !x.conn.controls {
 		x.conn.link.MarkBroken()
 	}
--- a/internal/proto/link.go
+++ b/internal/proto/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync/atomic"
 	"syscall"
@@ -21,10 +22,12 @@
 	broken bool
 	// silent is set once the link was interrupted as dead.
 	silent atomic.Bool
+	// report receives findings; it may be nil.
+	report func(Finding)
 }
 
-// NewLink returns a Link over an established connection to a server.
-func NewLink(server ident.ServerID, c net.Conn) *Link { return &Link{Conn: c, server: server} }
+// NewLink returns a Link over an established connection to the target's server.
+func NewLink(t Target, c net.Conn) *Link { return &Link{Conn: c, server: t.Server, report: t.Report} }
 
 // Server returns the server's ID.
 func (l *Link) Server() ident.ServerID { return l.server }
@@ -71,6 +74,35 @@
 	return &RunError{Server: l.server, Stage: stage, Unresponsive: l.silent.Load(), Cause: err}
 }
 
+// Find reports a finding.
+func (l *Link) Find(v Violation, evidence string) {
+	if l.report != nil {
+		l.report(Finding{Violation: v, Evidence: evidence})
+	}
+}
+
+// FindError reports an error that is a violation of the protocol.
+func (l *Link) FindError(err error) {
+	var violation *ProtocolError
+	if errors.As(err, &violation) {
+		l.Find(violation.Violation, violation.Error())
+	}
+}
+
+// Abort is Fail for an error in what the server has sent, which it reports if it is a violation of the protocol.
+func (l *Link) Abort(ctx context.Context, stage Stage, err error) error {
+	l.FindError(err)
+	return l.Fail(ctx, stage, err)
+}
+
+// InsideAnswer returns the error of a read that has failed inside an answer, where no connection may end.
+func InsideAnswer(err error) error {
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) {
+		return &ProtocolError{Violation: Cut, What: "the connection ended inside an answer", Cause: err}
+	}
+	return err
+}
+
 // Condition returns whether the link is open and no unsolicited data has arrived on it. It
 // peeks at the socket without blocking.
 func (l *Link) Condition() Condition {
