Derive whether earlier answers are to come from the states that they may leave

Cause: the ledger kept a flag beside the set of states; it was set and cleared with the set, which is never empty then. Change: isUnsure asks the set.

--- a/internal/rule/match/ledger.go
+++ b/internal/rule/match/ledger.go
@@ -30,11 +30,9 @@
 	conf LedgerConfig
 	// signed holds the signatures seen, contents identifies the other answers, errors the errors by code and text.
 	signed, contents, errors map[Digest]bool
-	// unsure is set while a request may have got a copy for its answer, which is then still to come; none of these
-	// requests is one whose answer is signed.
-	unsure bool
-	// unsureStates are the states that successes of these requests leave, unsureErrors those that their errors leave;
-	// all of them once an error was doubtful.
+	// Requests may have got copies for their answers, which are then still to come; none of these requests is one whose
+	// answer is signed. unsureStates are the states that successes of them leave, none if there is no such request, and
+	// unsureErrors those that their errors leave; all of them once an error was doubtful.
 	unsureStates, unsureErrors stateSet
 	// foreign is set once there was an answer to none of the connection's requests.
 	foreign bool
@@ -87,9 +85,9 @@
 	switch fits := l.without == checkShape || r.fits(a); {
 	case known && (signed || !fits):
 		return Earlier
-	case !fits && l.unsure && signed && r.signed() && l.without != checkUnfit:
+	case !fits && l.isUnsure() && signed && r.signed() && l.without != checkUnfit:
 		return Unfit
-	case !fits && l.unsure:
+	case !fits && l.isUnsure():
 		return Earlier
 	case !fits:
 		l.foreign = true
@@ -98,8 +96,7 @@
 		// Earlier requests whose answers may still be to come get none with a signature.
 		l.settled()
 		return Own
-	case known || l.unsure && l.without != checkUnsure && !l.isBeyondUnsure(a):
-		l.unsure = true
+	case known || l.isUnsure() && l.without != checkUnsure && !l.isBeyondUnsure(a):
 		successes, errors := l.leaves(r, a)
 		l.unsureStates |= successes
 		l.unsureErrors |= errors
@@ -109,8 +106,11 @@
 	return Own
 }
 
+// isUnsure reports whether the answer to an earlier request may still be to come.
+func (l *Ledger) isUnsure() bool { return l.unsureStates != 0 }
+
 // settled records that all requests up to the current one have their answers.
-func (l *Ledger) settled() { l.unsure, l.unsureStates, l.unsureErrors = false, 0, 0 }
+func (l *Ledger) settled() { l.unsureStates, l.unsureErrors = 0, 0 }
 
 // isBeyondUnsure reports whether an answer that was not seen before can be none to the requests whose answers may still
 // be to come, because it leaves another state.
@@ -147,7 +147,7 @@
 	switch {
 	case known:
 		return Earlier
-	case l.unsure && !signed:
+	case l.isUnsure() && !signed:
 		return Likely
 	}
 	return Foreign
