Connect to the PostgreSQL stand-in in one place in its own tests

Cause: TestStandInRepeatsAnswers wrote again how TestStandInAnswersAsPostgreSQLDoes starts a server and connects to it. Change: connectToStandIn does; server and connection end with the test. Measured: both tests pass.

--- a/internal/fleet/standin_test.go
+++ b/internal/fleet/standin_test.go
@@ -16,26 +16,32 @@
 	"geraniumseam.dev/stand/dbase"
 )
 
+// connectToStandIn starts a stand-in server that is empty and connects to it without a proxy; both end with the test.
+func connectToStandIn(t *testing.T) (*dbase.Group, *wireCaller) {
+	t.Helper()
+	g, err := dbase.Start(dbase.Config{Group: "stock", Servers: []ident.ServerID{"a"}, Slots: 1, Connections: 2, User: "u", Password: "p"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(g.Stop)
+	conn, err := pgconn.Connect(testContext(t), fmt.Sprintf("postgres://u:p@%s/stock?sslmode=disable", g.Primary().Addr()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	hijacked, err := conn.Hijack()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { hijacked.Conn.Close() })
+	return g, &wireCaller{conn: hijacked.Conn, front: hijacked.Frontend}
+}
+
 // TestStandInAnswersAsPostgreSQLDoes plays scripts on a stand-in server without a proxy, each on a new
 // connection to an empty server: what procedures, DO blocks, deferred constraints and COPY answer and
 // keep.
 func TestStandInAnswersAsPostgreSQLDoes(t *testing.T) {
 	datadriven.RunTest(t, "testdata/stand-in", func(t *testing.T, d *datadriven.TestData) string {
-		g, err := dbase.Start(dbase.Config{Group: "stock", Servers: []ident.ServerID{"a"}, Slots: 1, Connections: 2, User: "u", Password: "p"})
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer g.Stop()
-		conn, err := pgconn.Connect(testContext(t), fmt.Sprintf("postgres://u:p@%s/stock?sslmode=disable", g.Primary().Addr()))
-		if err != nil {
-			t.Fatal(err)
-		}
-		hijacked, err := conn.Hijack()
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer hijacked.Conn.Close()
-		c := &wireCaller{conn: hijacked.Conn, front: hijacked.Frontend}
+		g, c := connectToStandIn(t)
 		var out strings.Builder
 		for line := range strings.SplitSeq(d.Input, "\n") {
 			c.front.Send(parseMessage(t, line))
@@ -58,24 +64,10 @@
 func TestStandInRepeatsAnswers(t *testing.T) {
 	for _, delay := range []time.Duration{0, 40 * time.Millisecond} {
 		t.Run(delay.String(), func(t *testing.T) {
-			g, err := dbase.Start(dbase.Config{Group: "stock", Servers: []ident.ServerID{"a"}, Slots: 1, Connections: 2, User: "u", Password: "p"})
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer g.Stop()
-			conn, err := pgconn.Connect(testContext(t), fmt.Sprintf("postgres://u:p@%s/stock?sslmode=disable", g.Primary().Addr()))
-			if err != nil {
-				t.Fatal(err)
-			}
-			hijacked, err := conn.Hijack()
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer hijacked.Conn.Close()
+			g, c := connectToStandIn(t)
 			faults := g.Primary().Faults()
 			faults.RepeatDelay.Store(int64(delay))
 			faults.RepeatedAnswers.Store(1)
-			c := &wireCaller{conn: hijacked.Conn, front: hijacked.Frontend}
 			c.front.Send(&pgproto3.Query{String: "INSERT INTO ledger (id, value) VALUES ('row', '1')"})
 			if err := c.front.Flush(); err != nil {
 				t.Fatal(err)
