quota: keep rates through store outages of 10 s

Leases on the users' platform expired 5 s after the last renewal while the store was unavailable for 6 to 12 s, and holders without a part refused requests as rate-exceeded.

Leases there last 15 s, the reserve of a half until 30 s, and every lease is renewed four times in its duration. If the table writers and the own write fail, up to two other linked instances are tried. A holder that has not been granted its part answers inconclusive, also to other data centres; a round with only such answers is inconclusive. The home data centre counts as having answered only if its holder here has its part.

--- a/internal/entry/gateway.go
+++ b/internal/entry/gateway.go
@@ -106,8 +106,8 @@
 func (m *members) propagatesTo(id ident.InstanceID) bool { return m.linkFactor(id) < idleFactor }
 
 // maxKeptLease is the longest lease of shares of the rates for whose renewals links are kept; for a
-// longer one a link is opened for each renewal.
-const maxKeptLease = 10 * time.Second
+// longer one, which is renewed less often than every 5 s, a link is opened for each renewal.
+const maxKeptLease = 20 * time.Second
 
 // linkWishes returns a function that reports whether this instance wants to keep the link to another
 // one while nothing uses it. Both ends of a link come to the same result from the same view.
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -188,7 +188,7 @@
 	}, c.Peers)
 	i.quota = quota.New(quota.Config{
 		Self: c.Instance, Center: c.Center, Store: c.Store, Epochs: epochs, Journal: i.journal, Request: i.requestTokens,
-		TableWriters: i.members.tableWriters, Submit: i.submitShareRequests, Connected: i.connected, HandOver: i.handOverShards, Holders: i.members.holders, RemoteHolders: i.members.remoteHolders, MemberCount: i.members.centerSize, Snapshot: i.configCache.Current,
+		TableWriters: i.members.tableWriters, Submit: i.submitShareRequests, Connected: i.connected, Linked: i.hub.ConnectedPeers, HandOver: i.handOverShards, Holders: i.members.holders, RemoteHolders: i.members.remoteHolders, MemberCount: i.members.centerSize, Snapshot: i.configCache.Current,
 		Random: i.random.fork(), Registry: c.Registry, Static: c.Baseline.StaticRates,
 	})
 	i.configCache.OnChange(i.onConfigChange)
--- a/internal/quota/gather.go
+++ b/internal/quota/gather.go
@@ -101,7 +101,8 @@
 	missing += roundingMargin
 	shard := share.ShardOf(customer)
 	byDistance, home := q.byDistance(a, customer)
-	got, answered := share.Tokens(0), home == q.conf.Center
+	// Only a holder that has its part gives an answer that counts.
+	got, answered, pending := share.Tokens(0), home == q.conf.Center && q.Part(shard) > 0, false
 	for distance, ids := range byDistance {
 		if distance > 0 && !share.AskOtherCenters(home != "", answered) {
 			break
@@ -110,15 +111,16 @@
 			if missing-got <= 0 || len(ids) == 0 {
 				break
 			}
-			amount, mayHaveMore, anyAnswered := q.requestFromAll(a, customer, ids, missing-got)
-			got, answered, ids = got+amount, answered || anyAnswered, mayHaveMore
+			r := q.requestFromAll(a, customer, ids, missing-got)
+			got, answered, pending, ids = got+r.amount, answered || r.conclusive, pending || r.inconclusive, r.mayHaveMore
 		}
 	}
 	rate := share.Rate(q.conf.Snapshot().Customers[customer].Rate)
 	a.mu.Lock()
 	now := clock.Now()
 	retryAfter := time.Duration(0)
-	inconclusive := got < 1 && (!answered && q.Part(shard) == 0 || q.grantPending(shard, now) || a.bucket.BurstReserved(now))
+	lacking := q.Part(shard) == 0 && (q.shouldHold(shard) || !answered)
+	inconclusive := got < 1 && (lacking || pending && !answered || a.bucket.BurstReserved(now))
 	if a.bucket.Available(now) < 1 {
 		q.counts.emptyRounds.Inc()
 		retryAfter = share.RetryDelay(rate, a.waiting)
@@ -127,15 +129,6 @@
 	q.finishRound(a, inconclusive, got, retryAfter)
 }
 
-// maxGrantTime is how long the grant of a shard takes at most if its previous holder releases it.
-const maxGrantTime = 600 * time.Millisecond
-
-// grantPending reports whether this instance is about to be granted a shard.
-func (q *Quota) grantPending(shard share.Shard, now time.Time) bool {
-	since := q.requestedAt[shard].Load()
-	return q.Part(shard) == 0 && since != 0 && now.UnixNano()-since < int64(maxGrantTime)
-}
-
 // byDistance returns the holders in other data centres in the order in which to ask them: the
 // one in the customer's home data centre, if there is one, those in the same region, the rest.
 // It also returns the home data centre.
@@ -157,14 +150,21 @@
 	return all, home
 }
 
+// responses sums up the responses of several holders.
+type responses struct {
+	amount share.Tokens
+	// mayHaveMore are the holders that lent all that was requested.
+	mayHaveMore []ident.InstanceID
+	// conclusive and inconclusive are set if any response was.
+	conclusive, inconclusive bool
+}
+
 // requestFromAll requests an equal part of the missing tokens from each of several holders at
-// the same time. It returns the number of tokens received, the holders that lent all that was
-// requested and so may have more, and whether any holder responded.
-func (q *Quota) requestFromAll(a *account, customer ident.CustomerID, ids []ident.InstanceID, missing share.Tokens) (share.Tokens, []ident.InstanceID, bool) {
+// the same time.
+func (q *Quota) requestFromAll(a *account, customer ident.CustomerID, ids []ident.InstanceID, missing share.Tokens) responses {
 	w := TokenRequest{Customer: customer, Amount: share.Split(missing, len(ids))}
 	var mu sync.Mutex
-	var mayHaveMore []ident.InstanceID
-	total, answered := share.Tokens(0), false
+	var sum responses
 	var all sync.WaitGroup
 	for _, id := range ids {
 		all.Go(func() {
@@ -175,14 +175,16 @@
 			q.addBorrowed(a, requested, lent)
 			mu.Lock()
 			defer mu.Unlock()
-			total, answered = total+lent.Amount, true
+			sum.amount += lent.Amount
+			sum.conclusive = sum.conclusive || !lent.Inconclusive
+			sum.inconclusive = sum.inconclusive || lent.Inconclusive
 			if lent.Amount >= w.Amount {
-				mayHaveMore = append(mayHaveMore, id)
+				sum.mayHaveMore = append(sum.mayHaveMore, id)
 			}
 		})
 	}
 	all.Wait()
-	return total, mayHaveMore, answered
+	return sum
 }
 
 // requestFrom requests tokens from one instance, unless a request to it failed within
--- a/internal/quota/lease.go
+++ b/internal/quota/lease.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strconv"
 	"time"
 
@@ -14,26 +15,53 @@
 	"geraniumseam.dev/pkg/ident"
 )
 
-// submit sends requests to the first instance in order of preference that writes them to the
-// table. If none does, this instance writes them itself.
+// submit sends requests to the first table writer in order of preference that writes them to the
+// table. If none does, this instance writes them itself; if its write fails too, up to
+// maxLinkedWriters other linked instances are tried, because the store may answer those.
 func (q *Quota) submit(ctx context.Context, all []share.Request) ([]share.Grant, error) {
-	for _, id := range q.conf.TableWriters() {
+	writers := q.conf.TableWriters()
+	for _, id := range writers {
 		if id == q.conf.Self {
 			break
 		}
 		if !q.awaitLink(id) {
 			continue
 		}
-		submitCtx, cancel := context.WithTimeout(ctx, submitTimeout)
-		grants, err := q.conf.Submit(submitCtx, id, all)
-		cancel()
-		if err == nil {
+		if grants, err := q.submitTo(ctx, id, all); err == nil {
 			return grants, nil
 		}
 	}
-	submitCtx, cancel := context.WithTimeout(ctx, ownSubmitTimeout)
+	ownCtx, cancel := context.WithTimeout(ctx, ownSubmitTimeout)
+	grants, err := q.tableWriter.submit(ownCtx, all)
+	cancel()
+	if err == nil {
+		return grants, nil
+	}
+	for _, id := range q.linkedWriters(writers) {
+		if grants, linkedErr := q.submitTo(ctx, id, all); linkedErr == nil {
+			return grants, nil
+		}
+	}
+	return nil, err
+}
+
+// submitTo sends requests to one other instance, which writes them to the table.
+func (q *Quota) submitTo(ctx context.Context, id ident.InstanceID, all []share.Request) ([]share.Grant, error) {
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
-	return q.tableWriter.submit(submitCtx, all)
+	return q.conf.Submit(ctx, id, all)
+}
+
+// linkedWriters returns up to maxLinkedWriters random linked instances that are not among the tried ones.
+func (q *Quota) linkedWriters(tried []ident.InstanceID) []ident.InstanceID {
+	if q.conf.Linked == nil {
+		return nil
+	}
+	others := slices.DeleteFunc(q.conf.Linked(), func(id ident.InstanceID) bool { return slices.Contains(tried, id) })
+	q.mu.Lock()
+	q.random.Shuffle(len(others), func(a, b int) { others[a], others[b] = others[b], others[a] })
+	q.mu.Unlock()
+	return firstN(others, maxLinkedWriters)
 }
 
 // awaitLink waits up to linkTimeout for a link to another instance and reports whether it is
@@ -143,7 +171,6 @@
 		switch {
 		case isHolder:
 			all = append(all, q.holders[shard].Request(now, share.Whole, params, epoch))
-			q.requestedAt[shard].CompareAndSwap(0, now.UnixNano())
 		case mustRelease:
 			all = append(all, q.release(q.holders[shard])...)
 		}
@@ -221,9 +248,6 @@
 		usable := q.holders[shard].Usable(clock.Now())
 		q.mu.Unlock()
 		old := q.parts[shard].Swap(int64(usable))
-		if usable > 0 {
-			q.requestedAt[shard].Store(0)
-		}
 		if old == int64(usable) {
 			continue
 		}
@@ -257,9 +281,11 @@
 }
 
 const (
-	// submitTimeout bounds one submission to another instance, a slow platform included. Two of
-	// them can fail before the lease that they are to renew expires.
+	// submitTimeout bounds one submission to another instance, a slow platform included.
 	submitTimeout = 1200 * time.Millisecond
+	// maxLinkedWriters is how many linked instances are tried after the table writers. All attempts
+	// together end before the lease that they are to renew.
+	maxLinkedWriters = 2
 	// linkTimeout is how long to wait for a link to another instance, and linkPollInterval how
 	// often to check for it.
 	linkTimeout      = 200 * time.Millisecond
@@ -269,8 +295,9 @@
 )
 
 const (
-	// renewalsPerLease is how often a lease is renewed within its duration.
-	renewalsPerLease = 2
+	// renewalsPerLease is how often a lease is renewed within its duration: three quarters of a
+	// lease are left when the store becomes unavailable.
+	renewalsPerLease = 4
 	// clockDrift is the greatest difference in speed between two clocks, in millionths.
 	clockDrift = 10_000
 	// unconfiguredRetryDelay is the interval at which an instance checks whether it has a
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -60,6 +60,8 @@
 	// Connected reports whether a link to an instance is open; if not, it opens one in the
 	// background.
 	Connected func(id ident.InstanceID) bool
+	// Linked returns the instances to which a link is open; nil means that there are none.
+	Linked func() []ident.InstanceID
 	// HandOver hands shards over to their next holder.
 	HandOver func(ctx context.Context, successor ident.InstanceID, e Handover) error
 	// Holders returns the instances that hold or stand in for a shard in this data centre, in
@@ -123,8 +125,6 @@
 	// generation counts changes of the parts held.
 	generation atomic.Uint64
 	parts      [share.Shards]atomic.Int64
-	// requestedAt is when this instance first requested a shard that it does not hold yet.
-	requestedAt [share.Shards]atomic.Int64
 	// asked is set once another instance has requested tokens of a shard that this one neither holds
 	// nor should hold.
 	asked [share.Shards]atomic.Bool
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -38,6 +38,9 @@
 	// silent are instances that do not respond.
 	silent map[ident.InstanceID]bool
 	epochs *plat.Epochs
+	// remote are the holders in another data centre, linked the instances that are linked beside the table writers.
+	remote []RemoteHolder
+	linked []ident.InstanceID
 }
 
 func newTestCenter(t *testing.T) *testCenter {
@@ -74,10 +77,10 @@
 
 func (closedError) Error() string { return "closed" }
 
-func (c *testCenter) submit(_ context.Context, _ ident.InstanceID, requests []share.Request) ([]share.Grant, error) {
+func (c *testCenter) submit(_ context.Context, writer ident.InstanceID, requests []share.Request) ([]share.Grant, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed {
+	if c.closed && !slices.Contains(c.linked, writer) {
 		if slices.ContainsFunc(requests, func(r share.Request) bool { return r.Release }) {
 			c.lostReleases++
 		}
@@ -150,9 +153,9 @@
 	q := New(Config{
 		Self: id, Center: "a", Store: unreachableStore{}, Epochs: c.epochs, Journal: jrnl.New(jrnl.Config{Instance: id, Capacity: 64, Now: time.Now}),
 		Request: c.request, TableWriters: func() []ident.InstanceID { return []ident.InstanceID{"clerk"} }, Submit: c.submit,
-		Connected: c.connected,
-		HandOver:  func(ctx context.Context, to ident.InstanceID, e Handover) error { return c.all[to].TakeOver(ctx, e) },
-		Holders:   c.holders, RemoteHolders: func(share.Shard) []RemoteHolder { return nil }, MemberCount: func() int { return 1 },
+		Connected: c.connected, Linked: func() []ident.InstanceID { return slices.Clone(c.linked) },
+		HandOver: func(ctx context.Context, to ident.InstanceID, e Handover) error { return c.all[to].TakeOver(ctx, e) },
+		Holders:  c.holders, RemoteHolders: func(share.Shard) []RemoteHolder { return c.remote }, MemberCount: func() int { return 1 },
 		Snapshot: func() *conf.Snapshot { return snapshot }, Random: rand.New(rand.NewPCG(1, 1)),
 	})
 	c.mu.Lock()
--- a/internal/quota/take.go
+++ b/internal/quota/take.go
@@ -57,7 +57,8 @@
 		q.counts.lent.Add(float64(lent.Amount))
 		return lent
 	}
-	if shard := share.ShardOf(w.Customer); q.isHolder(shard) {
+	shard := share.ShardOf(w.Customer)
+	if q.isHolder(shard) {
 		wait := min(w.Wait, maxLendWait)
 		_, lent.RetryAfter = q.obtain(ctx, w.Customer, wait, wait, lend)
 	} else {
@@ -70,7 +71,7 @@
 		q.now(a, w.Customer, lend)
 		lent.RetryAfter = q.emptyFor(a)
 	}
-	lent.Inconclusive = lent.Amount == 0 && q.isInconclusive(a)
+	lent.Inconclusive = lent.Amount == 0 && (q.isInconclusive(a) || q.shouldHold(shard) && q.Part(shard) == 0)
 	q.counts.lent.Add(float64(lent.Amount))
 	return lent
 }
@@ -84,7 +85,8 @@
 // maxLendWait is how long a holder may wait for tokens before it responds to another instance.
 const maxLendWait = 500 * time.Millisecond
 
-// spare lends another data centre those tokens that this one can spare.
+// spare lends another data centre those tokens that this one can spare. Without a granted part, or
+// while its room is reserved, that there are none does not mean that the rate is exceeded.
 func (q *Quota) spare(a *account, w TokenRequest) TokenResponse {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -93,7 +95,8 @@
 	spare := share.Spare(a.bucket.Own(now), w.Amount, a.home != "", a.waiting, now.Sub(a.lastUsed))
 	amount := a.bucket.LendOwn(now, spare, loanTTL)
 	q.counts.lent.Add(float64(amount))
-	return TokenResponse{Amount: amount, TTL: loanTTL}
+	pending := q.Part(share.ShardOf(w.Customer)) == 0 || a.bucket.BurstReserved(now)
+	return TokenResponse{Amount: amount, TTL: loanTTL, Inconclusive: amount == 0 && pending}
 }
 
 // now runs take on the account once, without waiting, after resizing its bucket.
