share: continue the tokens of an instance's earlier run, and end leases exactly

After all processes were killed, each holder's tokens accrued only from its grant, although its entry in the table kept the part for it all the time. A process that was paused also went on with the rate of an expired lease until its next check, and tokens of a late handover could be added although another instance had held the shard since.

The table's entries state what no other instance can have held since they were entered (granted) and since they were requested (proven). A grant passes proven on; the first tenure of a process whose part is proven accrues from the start of the process plus loanTTL. Buckets know when their lease and grace end. A part that grows, or that begins without a handover, waits loanTTL for loans of its previous holder, also with a restart allowance. A handover's tokens are taken only if its release freed the whole part.

--- a/internal/quota/gather.go
+++ b/internal/quota/gather.go
@@ -118,9 +118,10 @@
 	rate := share.Rate(q.conf.Snapshot().Customers[customer].Rate)
 	a.mu.Lock()
 	now := clock.Now()
+	q.resize(a, now, customer)
 	retryAfter := time.Duration(0)
 	lacking := q.Part(shard) == 0 && (q.shouldHold(shard) || !answered)
-	inconclusive := got < 1 && (lacking || pending && !answered || a.bucket.BurstReserved(now))
+	inconclusive := got < 1 && (lacking || pending && !answered || a.bucket.Waits(now))
 	if a.bucket.Available(now) < 1 {
 		q.counts.emptyRounds.Inc()
 		retryAfter = share.RetryDelay(rate, a.waiting)
--- a/internal/quota/handover.go
+++ b/internal/quota/handover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 
 	"geraniumseam.dev/internal/clock"
 	"geraniumseam.dev/internal/rule/share"
@@ -26,10 +27,12 @@
 		if !found {
 			continue
 		}
-		states := q.drain(shard)
+		// The part is given up first: after a pause in between, no bucket may be handed over and go on.
 		q.mu.Lock()
 		release := q.release(q.holders[shard])
+		q.parts[shard].Store(&share.Holding{})
 		q.mu.Unlock()
+		states := q.drain(shard)
 		e := handovers[successor]
 		if e == nil {
 			e = &Handover{BucketState: map[ident.CustomerID]share.BucketState{}}
@@ -85,7 +88,6 @@
 		}
 		a := q.account(customer)
 		a.mu.Lock()
-		q.resize(a, now, customer)
 		if s := a.bucket.Drain(now); s.Tokens > 0 || s.Lent > 0 {
 			all[customer] = s
 		}
@@ -95,9 +97,10 @@
 }
 
 // TakeOver takes over shards from their holder: one write releases the holder's leases and
-// grants them to this instance.
+// grants them to this instance. Tokens of a release that arrives too late are lost: another
+// instance may have held the shard since.
 func (q *Quota) TakeOver(ctx context.Context, e Handover) error {
-	requests, params := e.Requests, q.params()
+	requests, params := slices.Clone(e.Requests), q.params()
 	epoch, _, _ := q.conf.Epochs.Current()
 	for _, a := range e.Requests {
 		if !a.Release {
@@ -110,15 +113,20 @@
 		q.mu.Unlock()
 		defer q.endTakeover(shard)
 	}
-	if err := q.submitAndApply(ctx, requests); err != nil {
+	grants, begun, err := q.submitAndApply(ctx, requests)
+	if err != nil {
 		return err
 	}
-	now := clock.Now()
 	for customer, s := range e.BucketState {
+		shard := share.ShardOf(customer)
+		if begun[shard] == 0 || share.ReleasedPart(e.Requests, grants, shard) < q.parts[shard].Load().Part {
+			continue
+		}
 		a := q.account(customer)
 		a.mu.Lock()
+		now := clock.Now()
 		q.resize(a, now, customer)
-		a.bucket.TakeOver(now, s, loanTTL)
+		a.bucket.TakeOver(now, begun[shard], s, loanTTL)
 		a.mu.Unlock()
 	}
 	return nil
--- a/internal/quota/lease.go
+++ b/internal/quota/lease.go
@@ -179,21 +179,27 @@
 	return all
 }
 
-// submitAndApply submits requests and applies the grants for this instance.
-func (q *Quota) submitAndApply(ctx context.Context, requests []share.Request) error {
+// submitAndApply submits requests and applies the grants for this instance. It returns all grants, and the
+// new tenures of shards that were not held before.
+func (q *Quota) submitAndApply(ctx context.Context, requests []share.Request) ([]share.Grant, map[share.Shard]uint64, error) {
 	grants, err := q.submit(ctx, requests)
 	if err != nil {
-		return errors.Trace(err)
+		return nil, nil, errors.Trace(err)
 	}
+	begun := map[share.Shard]uint64{}
 	q.mu.Lock()
 	for _, g := range grants {
-		if g.Instance == q.conf.Self {
-			q.holders[g.Shard%share.Shards].ApplyGrant(g)
+		if g.Instance != q.conf.Self {
+			continue
+		}
+		shard := g.Shard % share.Shards
+		if q.holders[shard].ApplyGrant(g) {
+			begun[shard] = q.holders[shard].Holding().Tenure
 		}
 	}
 	q.mu.Unlock()
 	q.updateParts()
-	return nil
+	return grants, begun, nil
 }
 
 // renewOnce hands over and renews shards once and returns the time until the next renewal.
@@ -211,7 +217,7 @@
 	if len(requests) == 0 {
 		return recheckInterval
 	}
-	if q.submitAndApply(q.tomb.Context(context.Background()), requests) != nil {
+	if _, _, err := q.submitAndApply(q.tomb.Context(context.Background()), requests); err != nil {
 		return failureBackoff + q.jitter(failureBackoff)
 	}
 	interval := params.Lease / renewalsPerLease
@@ -224,8 +230,10 @@
 // setStaticParts gives this instance an equal part of every shard, for the static baseline.
 func (q *Quota) setStaticParts() {
 	center := q.conf.Snapshot().CenterParts()[q.conf.Center]
+	part := share.Part(center*float64(share.Whole)) / share.Part(max(q.conf.MemberCount(), 1))
 	for shard := range q.parts {
-		q.parts[shard].Store(int64(center*float64(share.Whole)) / int64(max(q.conf.MemberCount(), 1)))
+		end := clock.Now().Add(time.Hour)
+		q.parts[shard].Store(&share.Holding{Part: part, LeaseEnd: end, GraceEnd: end, Tenure: 1})
 	}
 	q.generation.Add(1)
 	q.resizeAccounts()
@@ -245,14 +253,16 @@
 	changed := false
 	for shard := range share.Shard(share.Shards) {
 		q.mu.Lock()
-		usable := q.holders[shard].Usable(clock.Now())
+		held := q.holders[shard].Holding()
+		old := q.parts[shard].Swap(&held)
+		usable := held.Usable(clock.Now())
+		noted := q.noted[shard]
+		q.noted[shard] = usable
 		q.mu.Unlock()
-		old := q.parts[shard].Swap(int64(usable))
-		if old == int64(usable) {
-			continue
+		changed = changed || *old != held
+		if noted != usable {
+			q.conf.Journal.Add(jrnl.Event{Kind: jrnl.ShareChanged, Evidence: partChange(shard, noted, usable)})
 		}
-		changed = true
-		q.conf.Journal.Add(jrnl.Event{Kind: jrnl.ShareChanged, Evidence: partChange(shard, share.Part(old), usable)})
 	}
 	if changed {
 		q.generation.Add(1)
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -95,8 +95,6 @@
 	sizedFor uint64
 	// restartAdded is set once the tokens allowed after a restart were added.
 	restartAdded bool
-	// holdsPart is set while this instance holds a part of the rate.
-	holdsPart bool
 	// home is the data centre that holds most of the rate, if one does.
 	home    ident.CenterID
 	waiting int
@@ -124,7 +122,7 @@
 	accounts sync.Map
 	// generation counts changes of the parts held.
 	generation atomic.Uint64
-	parts      [share.Shards]atomic.Int64
+	parts      [share.Shards]atomic.Pointer[share.Holding]
 	// asked is set once another instance has requested tokens of a shard that this one neither holds
 	// nor should hold.
 	asked [share.Shards]atomic.Bool
@@ -138,6 +136,8 @@
 
 	mu      sync.Mutex
 	holders [share.Shards]*share.Holder
+	// noted are the parts that the journal has last.
+	noted [share.Shards]share.Part
 	// takeovers counts the running takeovers of each shard.
 	takeovers [share.Shards]int
 	random    *rand.Rand
@@ -174,7 +174,8 @@
 	q := &Quota{conf: c, renew: make(chan struct{}, 1), random: c.Random, counts: newCounters(c.Registry), started: clock.Now()}
 	first := uint64(clock.TimeOfDay().UnixNano())
 	for shard := range q.holders {
-		q.holders[shard] = share.NewHolder(c.Self, c.Center, share.Shard(shard), first)
+		q.holders[shard] = share.NewHolder(c.Self, c.Center, share.Shard(shard), first, q.started)
+		q.parts[shard].Store(&share.Holding{})
 	}
 	q.tableWriter = &tableWriter{
 		store: c.Store, epochs: c.Epochs, params: q.params, requests: make(chan *submission, maxPending), tomb: &q.tomb,
@@ -209,13 +210,13 @@
 }
 
 // Part returns the part of a shard that this instance may spend.
-func (q *Quota) Part(s share.Shard) share.Part { return share.Part(q.parts[s].Load()) }
+func (q *Quota) Part(s share.Shard) share.Part { return q.parts[s].Load().Usable(clock.Now()) }
 
 // Held returns the number of shards that this instance holds.
 func (q *Quota) Held() int {
 	count := 0
-	for shard := range q.parts {
-		if q.parts[shard].Load() > 0 {
+	for shard := range share.Shard(share.Shards) {
+		if q.Part(shard) > 0 {
 			count++
 		}
 	}
@@ -251,6 +252,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := clock.Now()
+	q.resize(a, now, customer)
 	return fmt.Sprintf("rate %.0f/s, burst %.0f, shard %d held by %v, %d millionths of it here; %.1f tokens here, %d requests waiting, no tokens elsewhere for %v, responses inconclusive %t",
 		c.Rate, c.Burst, shard, first(q.conf.Holders(shard)), q.Part(shard), a.bucket.Available(now), a.waiting,
 		max(0, a.emptyUntil.Sub(now)).Round(time.Millisecond), a.inconclusive)
@@ -293,16 +295,13 @@
 	c := s.Customers[customer]
 	centers := s.CenterParts()
 	a.home, _ = share.HomeCenter(customer, share.Tokens(c.Burst), centers)
-	part := float64(q.Part(share.ShardOf(customer))) / float64(share.Whole)
+	center := 1.0
 	if !q.conf.Static {
-		part *= share.CenterPart(customer, share.Tokens(c.Burst), q.conf.Center, centers)
-	}
-	a.bucket.Resize(now, share.Rate(c.Rate*part), share.Tokens(c.Burst*part))
-	if taken := part > 0 && !a.holdsPart; taken && c.RestartAllowance == 0 {
-		a.bucket.ReserveBurst(now, loanTTL)
+		center = share.CenterPart(customer, share.Tokens(c.Burst), q.conf.Center, centers)
 	}
-	a.holdsPart = part > 0
-	if part > 0 && !a.restartAdded {
+	holding := *q.parts[share.ShardOf(customer)].Load()
+	a.bucket.Hold(now, share.Rate(c.Rate*center), share.Tokens(c.Burst*center), holding, loanTTL)
+	if part := float64(holding.Usable(now)) / float64(share.Whole) * center; part > 0 && !a.restartAdded {
 		a.restartAdded = true
 		a.bucket.Add(now, share.Tokens(c.RestartAllowance*part))
 	}
--- a/internal/quota/take.go
+++ b/internal/quota/take.go
@@ -95,7 +95,7 @@
 	spare := share.Spare(a.bucket.Own(now), w.Amount, a.home != "", a.waiting, now.Sub(a.lastUsed))
 	amount := a.bucket.LendOwn(now, spare, loanTTL)
 	q.counts.lent.Add(float64(amount))
-	pending := q.Part(share.ShardOf(w.Customer)) == 0 || a.bucket.BurstReserved(now)
+	pending := q.Part(share.ShardOf(w.Customer)) == 0 || a.bucket.Waits(now)
 	return TokenResponse{Amount: amount, TTL: loanTTL, Inconclusive: amount == 0 && pending}
 }
 
--- a/internal/rule/share/bucket.go
+++ b/internal/rule/share/bucket.go
@@ -34,10 +34,21 @@
 	tokens  Tokens
 	updated time.Time
 	// lent reserves room in the bucket for tokens that other instances may still spend.
-	lent []reservation
-	// predecessor reserves room for tokens that the previous holder of the part may have lent.
-	predecessor reservation
-	borrowed    []reservation
+	lent     []reservation
+	borrowed []reservation
+	// tenure is that of the holding that the bucket was last sized for, 0 if it has ended.
+	tenure uint64
+	// accruesFrom is from when tokens accrue in this tenure.
+	accruesFrom time.Time
+	// falls are the coming reductions of rate and burst, in order of time.
+	falls []fall
+}
+
+// fall is a reduction of a bucket's rate and burst.
+type fall struct {
+	at    time.Time
+	rate  Rate
+	burst Tokens
 }
 
 // NewBucket returns an empty bucket: a new holder gets tokens only as time passes.
@@ -45,13 +56,6 @@
 	return &Bucket{rate: rate, burst: burst, updated: now}
 }
 
-// Resize changes the bucket's part of the rate and of the burst.
-func (b *Bucket) Resize(now time.Time, rate Rate, burst Tokens) {
-	b.refill(now)
-	b.rate, b.burst = rate, burst
-	b.clip()
-}
-
 // Add puts tokens into the bucket as far as there is room.
 func (b *Bucket) Add(now time.Time, amount Tokens) {
 	b.refill(now)
@@ -59,19 +63,29 @@
 	b.clip()
 }
 
-// refill brings the bucket up to date. It accrues and clips tokens up to each expiry of a
-// reservation before it frees the room, so that no tokens from before the expiry fill it.
+// refill brings the bucket up to date. Each fall takes effect at its time, however late the
+// process notices it.
 func (b *Bucket) refill(now time.Time) {
+	for len(b.falls) > 0 && !now.Before(b.falls[0].at) {
+		b.refillOwn(b.falls[0].at)
+		b.rate, b.burst = b.falls[0].rate, b.falls[0].burst
+		if b.burst == 0 {
+			b.tenure = 0
+		}
+		b.falls = b.falls[1:]
+	}
+	b.refillOwn(now)
+	b.borrowed = unexpired(b.borrowed, now)
+}
+
+// refillOwn accrues and clips tokens up to each expiry of a reservation before it frees the
+// room, so that no tokens from before the expiry fill it.
+func (b *Bucket) refillOwn(now time.Time) {
 	for len(b.lent) > 0 && !now.Before(b.lent[0].expires) {
 		b.accrue(b.lent[0].expires)
 		b.lent = b.lent[1:]
 	}
-	if b.predecessor.amount > 0 && !now.Before(b.predecessor.expires) {
-		b.accrue(b.predecessor.expires)
-		b.predecessor = reservation{}
-	}
 	b.accrue(now)
-	b.borrowed = unexpired(b.borrowed, now)
 }
 
 // accrue adds the tokens that the rate yields until now.
@@ -85,7 +99,7 @@
 
 // clip keeps the tokens in the bucket and the reserved room within the burst.
 func (b *Bucket) clip() {
-	b.tokens = max(0, min(b.tokens, b.burst-total(b.lent)-b.predecessor.amount))
+	b.tokens = max(0, min(b.tokens, b.burst-total(b.lent)))
 }
 
 // Take spends n tokens if the bucket has them; borrowed ones are spent first because they expire.
@@ -139,18 +153,10 @@
 	return lent, ttl
 }
 
-// ReserveBurst reserves the whole burst of a part that was just taken over, until the
-// tokens that its previous holder may have lent have expired.
-func (b *Bucket) ReserveBurst(now time.Time, ttl time.Duration) {
-	b.refill(now)
-	b.predecessor = reservation{amount: b.burst, expires: now.Add(ttl)}
-	b.clip()
-}
-
-// BurstReserved reports whether room is reserved for tokens that the previous holder may have lent.
-func (b *Bucket) BurstReserved(now time.Time) bool {
+// Waits reports whether no tokens accrue yet, because the previous holder may have lent some.
+func (b *Bucket) Waits(now time.Time) bool {
 	b.refill(now)
-	return b.predecessor.amount > 0
+	return b.burst > 0 && now.Before(b.updated)
 }
 
 // BucketState is what the holder of a part hands over to its successor.
@@ -160,20 +166,32 @@
 	Lent Tokens `cbor:"2,keyasint,omitempty"`
 }
 
-// Drain empties the bucket and returns its state for the next holder of the part.
+// Drain ends the tenure and returns the bucket's state for the next holder of the part.
 func (b *Bucket) Drain(now time.Time) BucketState {
 	b.refill(now)
 	state := BucketState{Tokens: b.tokens, Lent: total(b.lent)}
-	b.tokens = 0
+	b.end()
 	return state
 }
 
-// TakeOver adds the state that the previous holder handed over; the tokens that it lent
-// expire after ttl at the latest.
-func (b *Bucket) TakeOver(now time.Time, s BucketState, ttl time.Duration) {
+// end empties the bucket until it is sized for a new tenure.
+func (b *Bucket) end() {
+	b.rate, b.burst, b.tokens, b.tenure, b.falls = 0, 0, 0, 0, nil
+}
+
+// TakeOver adds the state that the previous holder handed over for a tenure, unless that has
+// ended; the tokens that it lent expire after ttl at the latest. Tokens for which one
+// continuous bucket would have no room beside those accrued since then are lost.
+func (b *Bucket) TakeOver(now time.Time, tenure uint64, s BucketState, ttl time.Duration) {
 	b.refill(now)
-	b.predecessor = reservation{}
-	b.tokens += Amount(s.Tokens)
+	if b.tenure == 0 || b.tenure != tenure {
+		return
+	}
+	if now.Before(b.accruesFrom) {
+		b.updated, b.accruesFrom = now, now
+	}
+	accrued := Tokens(float64(b.rate) * now.Sub(b.accruesFrom).Seconds())
+	b.tokens += max(0, min(Amount(s.Tokens), b.burst-accrued))
 	b.reserve(now, Amount(s.Lent), ttl)
 	b.clip()
 }
@@ -207,7 +225,7 @@
 	if b.rate <= 0 {
 		return time.Hour
 	}
-	return time.Duration(float64(missing) / float64(b.rate) * float64(time.Second))
+	return max(0, b.updated.Sub(now)) + time.Duration(float64(missing)/float64(b.rate)*float64(time.Second))
 }
 
 func unexpired(list []reservation, now time.Time) []reservation {
--- a/internal/rule/share/share_test.go
+++ b/internal/rule/share/share_test.go
@@ -55,6 +55,8 @@
 	buckets    []*Bucket
 	inFlight   []loan
 	admissions []admission
+	// tenure is that of the latest handover.
+	tenure uint64
 }
 
 func (m *bucketModel) step() {
@@ -84,13 +86,13 @@
 	if predecessor == successor || successor.burst > 0 {
 		return
 	}
-	state, rate, burst := predecessor.Drain(m.now), predecessor.rate, predecessor.burst
-	predecessor.Resize(m.now, 0, 0)
+	rate, burst := predecessor.rate, predecessor.burst
+	state := predecessor.Drain(m.now)
 	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 300).Draw(m.t, "grant")) * time.Millisecond)
-	successor.Resize(m.now, rate, burst)
-	successor.ReserveBurst(m.now, modelTTL)
+	m.tenure++
+	successor.Hold(m.now, rate, burst, Holding{Part: Whole, LeaseEnd: m.now.Add(time.Hour), GraceEnd: m.now.Add(time.Hour), Tenure: m.tenure}, modelTTL)
 	if rapid.IntRange(0, 4).Draw(m.t, "tokens-lost") > 0 {
-		successor.TakeOver(m.now, state, modelTTL)
+		successor.TakeOver(m.now, m.tenure, state, modelTTL)
 	}
 }
 
@@ -203,6 +205,15 @@
 	epoch    ident.Epoch
 	// epochSince is when the epoch began.
 	epochSince time.Time
+	// granted is called after a grant was applied, if it is set.
+	granted func(*Holder, Grant)
+}
+
+func (m *tableModel) applyGrant(h *Holder, g Grant) {
+	h.ApplyGrant(g)
+	if m.granted != nil {
+		m.granted(h, g)
+	}
 }
 
 var testParams = LeaseParams{Lease: 2 * time.Second, Grace: 6 * time.Second, Reserve: 300_000, Drift: 10_000}
@@ -308,7 +319,7 @@
 	h := m.holders[id]
 	if h == nil {
 		m.firstRenewal += 1000
-		h = NewHolder(id.instance, id.center, id.shard, m.firstRenewal)
+		h = NewHolder(id.instance, id.center, id.shard, m.firstRenewal, m.now)
 		m.holders[id] = h
 	}
 	return h
@@ -316,14 +327,25 @@
 
 // submit lets an allocator read the table now and write it, conditionally, at a later step.
 func (m *tableModel) submit(requests ...Request) {
-	allocator := m.allocators[rapid.IntRange(0, 1).Draw(m.t, "clerk")]
-	version := m.version
-	allocator.SetEpoch(m.epoch, m.epochSince, false)
-	next, grants := allocator.Renew(m.now, m.table, testParams, requests)
 	holders := map[entryKey]*Holder{}
 	for id, h := range m.holders {
 		holders[id] = h
 	}
+	m.submitThen(requests, func(grants []Grant) {
+		for _, g := range grants {
+			if h := holders[entryKey{"c", g.Shard, g.Instance}]; h != nil {
+				m.replies = append(m.replies, func() { m.applyGrant(h, g) })
+			}
+		}
+	})
+}
+
+// submitThen is submit with a function that gets the grants once the table is written.
+func (m *tableModel) submitThen(requests []Request, written func([]Grant)) {
+	allocator := m.allocators[rapid.IntRange(0, 1).Draw(m.t, "clerk")]
+	version := m.version
+	allocator.SetEpoch(m.epoch, m.epochSince, false)
+	next, grants := allocator.Renew(m.now, m.table, testParams, requests)
 	m.writes = append(m.writes, func() {
 		if m.version != version {
 			return
@@ -331,11 +353,7 @@
 		m.version++
 		m.table = next
 		m.copies = append(m.copies, next)
-		for _, g := range grants {
-			if h := holders[entryKey{"c", g.Shard, g.Instance}]; h != nil {
-				m.replies = append(m.replies, func() { h.ApplyGrant(g) })
-			}
-		}
+		written(grants)
 	})
 }
 
@@ -414,7 +432,7 @@
 	allocator, table := NewAllocator(), Table{}
 	var holders []*Holder
 	for at := range 4 {
-		holders = append(holders, NewHolder(ident.InstanceID(fmt.Sprintf("i%d", at)), "c", 0, 0))
+		holders = append(holders, NewHolder(ident.InstanceID(fmt.Sprintf("i%d", at)), "c", 0, 0, time.Time{}))
 		for range 2 {
 			now = now.Add(100 * time.Millisecond)
 			var requests []Request
@@ -447,7 +465,7 @@
 		table = next
 		return grantTo(grants, r.Instance).Part
 	}
-	first, second := NewHolder("i0", "c", 0, 0), NewHolder("i1", "c", 0, 0)
+	first, second := NewHolder("i0", "c", 0, 0, time.Time{}), NewHolder("i1", "c", 0, 0, time.Time{})
 	early := NewAllocator()
 	grant(early, first.Request(now, Whole, testParams, 0))
 	now = now.Add(2100 * time.Millisecond)
@@ -466,7 +484,7 @@
 func TestReserveOutlastsUnansweredRequest(t *testing.T) {
 	now := time.Unix(0, 0)
 	allocator := NewAllocator()
-	first, second := NewHolder("i0", "c", 0, 0), NewHolder("i1", "c", 0, 0)
+	first, second := NewHolder("i0", "c", 0, 0, time.Time{}), NewHolder("i1", "c", 0, 0, time.Time{})
 	a := first.Request(now, Whole, testParams, 0)
 	table, grants := allocator.Renew(now, Table{}, testParams, []Request{a})
 	first.ApplyGrant(grantTo(grants, "i0"))
@@ -503,7 +521,7 @@
 // request that it made before it heard of a restore meets the restored table.
 func TestRequestOfEarlierEpochTakesNothing(t *testing.T) {
 	now := time.Unix(0, 0)
-	h, allocator := NewHolder("i0", "c", 0, 0), NewAllocator()
+	h, allocator := NewHolder("i0", "c", 0, 0, time.Time{}), NewAllocator()
 	allocator.SetEpoch(1, now, false)
 	copied, _ := allocator.Renew(now, Table{}, testParams, nil)
 	r := h.Request(now, Whole, testParams, 1)
@@ -532,7 +550,7 @@
 	copied, _ := NewAllocator().Renew(began, Table{}, testParams, nil)
 	epoch := ident.Epoch(1)
 	copied.Epoch = &epoch
-	h, table, allocator := NewHolder("i0", "c", 0, 0), copied, NewAllocator()
+	h, table, allocator := NewHolder("i0", "c", 0, 0, time.Time{}), copied, NewAllocator()
 	granted := func(now time.Time) Part {
 		allocator.SetEpoch(2, began, true)
 		var grants []Grant
@@ -558,7 +576,7 @@
 		table = next
 		return grantTo(grants, "i1").Part
 	}
-	first, second := NewHolder("i0", "c", 0, 0), NewHolder("i1", "c", 0, 0)
+	first, second := NewHolder("i0", "c", 0, 0, time.Time{}), NewHolder("i1", "c", 0, 0, time.Time{})
 	r := first.Request(now, Whole, testParams, 0)
 	submit(0, r)
 	first.ApplyGrant(Grant{Renewal: r.Renewal, Part: Whole})
@@ -578,7 +596,7 @@
 func TestRestartWithAnEarlierClockGetsAPart(t *testing.T) {
 	params, allocator := LeaseParams{Lease: 5 * time.Second, Grace: 15 * time.Second, Reserve: Whole / 2}, NewAllocator()
 	now := time.Unix(100, 0)
-	before, after := NewHolder("i0", "c", 0, 2400), NewHolder("i0", "c", 0, 10)
+	before, after := NewHolder("i0", "c", 0, 2400, time.Time{}), NewHolder("i0", "c", 0, 10, time.Time{})
 	table, grants := allocator.Renew(now, Table{}, params, []Request{before.Request(now, Whole, params, 0)})
 	before.ApplyGrant(grantTo(grants, "i0"))
 	for range 2 {
--- a/internal/rule/share/table.go
+++ b/internal/rule/share/table.go
@@ -32,6 +32,10 @@
 	// Renewal rises with each renewal; readers time the lease from when they first see a
 	// new number, so clocks need not agree.
 	Renewal uint64 `json:"renewal"`
+	// Granted is the part that no other instance can have held since this renewal was entered.
+	Granted Part `json:"granted,omitempty"`
+	// Proven is the part that no other instance can have held since this renewal was requested.
+	Proven Part `json:"proven,omitempty"`
 }
 
 // Entries are the entries of a shard by instance: those that hold some of it or still may.
@@ -102,6 +106,8 @@
 	// the store that it knows then.
 	Usable Part        `cbor:"8,keyasint,omitempty"`
 	Epoch  ident.Epoch `cbor:"9,keyasint,omitempty"`
+	// Basis is the renewal whose grant the instance holds Usable by.
+	Basis uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Holder tracks the part of a shard that this instance holds; it is not safe for concurrent use.
@@ -118,6 +124,15 @@
 	listing      listing
 	// statement is the request that states what was held before the release.
 	statement Request
+	// tenure numbers the times for which a part was held without interruption; ended is set
+	// while the last one is over.
+	tenure uint64
+	ended  bool
+	// basis is the renewal whose grant is in force.
+	basis uint64
+	// started is when this process started, continued whether it continues an earlier run's tenure.
+	started   time.Time
+	continued bool
 }
 
 //go:generate go tool stringer -type=listing -linecomment -output=listing_string.go
@@ -138,43 +153,70 @@
 
 // NewHolder returns a holder of nothing. Renewal numbers continue from first, which should
 // exceed those of earlier runs of the instance, as the time of day does unless it has jumped back.
-func NewHolder(self ident.InstanceID, center ident.CenterID, shard Shard, first uint64) *Holder {
-	return &Holder{self: self, center: center, shard: shard, pending: Request{Instance: self, Center: center, Shard: shard, Renewal: first}}
+// The process has started by the given time.
+func NewHolder(self ident.InstanceID, center ident.CenterID, shard Shard, first uint64, started time.Time) *Holder {
+	return &Holder{self: self, center: center, shard: shard, started: started, ended: true, pending: Request{Instance: self, Center: center, Shard: shard, Renewal: first}}
 }
 
 // Usable returns the part that may be spent now.
 func (h *Holder) Usable(now time.Time) Part { return h.params.usable(h.held, now.Sub(h.requested)) }
 
+// Holding returns what is held.
+func (h *Holder) Holding() Holding {
+	held := Holding{
+		Part: h.held, Reserve: h.params.reserved(h.held), Tenure: h.tenure,
+		LeaseEnd: h.requested.Add(h.params.Lease), GraceEnd: h.requested.Add(h.params.Grace),
+	}
+	if h.continued {
+		held.Since = h.started
+	}
+	return held
+}
+
 // Request limits the held part to want and returns the request to send in an epoch of the store.
 func (h *Holder) Request(now time.Time, want Part, params LeaseParams, epoch ident.Epoch) Request {
 	if h.Usable(now) == 0 {
-		h.held = 0
+		h.held, h.ended, h.basis = 0, true, 0
 	}
 	h.params = params
 	h.held = min(h.held, want)
 	h.pending = Request{
 		Instance: h.self, Center: h.center, Shard: h.shard, Want: want, Held: h.held, Renewal: h.pending.Renewal + 1,
-		Usable: h.Usable(now), Epoch: epoch,
+		Usable: h.Usable(now), Epoch: epoch, Basis: h.basis,
 	}
 	h.pendingSince, h.listing = now, byRequest
 	return h.pending
 }
 
 // ApplyGrant starts the lease that a grant answers, counted from when its request was made.
-// Grants for any but the latest request are ignored.
-func (h *Holder) ApplyGrant(g Grant) {
+// Grants for any but the latest request are ignored. It reports whether a new tenure begins.
+func (h *Holder) ApplyGrant(g Grant) bool {
 	if g.Listed > h.pending.Renewal {
 		// An earlier run of the instance had a later time of day.
 		h.pending.Renewal = g.Listed
-		return
+		return false
 	}
 	if g.Renewal != h.pending.Renewal {
-		return
+		return false
 	}
+	begins := false
 	h.held, h.requested = min(g.Part, h.pending.Want), h.pendingSince
+	h.continued = false
+	switch {
+	case h.held == 0:
+		h.ended, h.basis = true, 0
+	case h.ended:
+		h.tenure++
+		begins = true
+		h.continued = h.tenure == 1 && g.Proven >= h.held
+		h.ended, h.basis = false, g.Renewal
+	default:
+		h.basis = g.Renewal
+	}
 	if h.pending.Release {
 		h.listing = notListed
 	}
+	return begins
 }
 
 // Release gives up the part at once and returns the requests that free it in the table: one that
@@ -189,7 +231,7 @@
 	case untilReleased:
 		all = append(all, h.statement)
 	}
-	h.held = 0
+	h.held, h.ended, h.basis = 0, true, 0
 	h.pending = Request{Instance: h.self, Center: h.center, Shard: h.shard, Renewal: h.pending.Renewal + 1, Release: true}
 	return append(all, h.pending)
 }
@@ -291,6 +333,8 @@
 		if maxHeld == 0 && (id == lostHolder || since >= params.Lease && !counting) {
 			continue
 		}
+		// What others are granted by this table, its holder can't claim to have kept.
+		entry.Granted, entry.Proven = min(entry.Granted, maxHeld), min(entry.Proven, maxHeld)
 		next[id], bounds[id] = entry, maxHeld
 		total += maxHeld
 	}
@@ -319,10 +363,12 @@
 		}
 		others := total - bounds[r.Instance]
 		entry, part := params.entryFor(r, Whole-others)
+		proven := provenFor(r, old)
+		entry.Granted, entry.Proven = part, min(part, proven)
 		// The entry of a release stays for one lease, so that earlier requests that arrive late are ignored.
 		next[r.Instance] = entry
 		a.lastSeen[entryKey{center, shard, r.Instance}] = lastSeen{renewal: r.Renewal, at: now}
-		grants = append(grants, Grant{Instance: r.Instance, Shard: shard, Renewal: r.Renewal, Part: part})
+		grants = append(grants, Grant{Instance: r.Instance, Shard: shard, Renewal: r.Renewal, Part: part, Proven: proven})
 		bounds[r.Instance] = params.maxHeld(entry, 0)
 		total = others + bounds[r.Instance]
 	}
@@ -338,6 +384,19 @@
 	// Listed is set instead of Renewal and Part if the request was ignored: the table lists this renewal
 	// of the instance, which is not an earlier one.
 	Listed uint64 `cbor:"5,keyasint,omitempty"`
+	// Proven is the part that no other instance can have held since the instance, perhaps in an
+	// earlier run, made the request; for the first grant of a run, since before it started.
+	Proven Part `cbor:"6,keyasint,omitempty"`
+}
+
+// provenFor returns the part that no other instance can have held since a request was made, where old is
+// the entry that it replaces. A grant that the instance had received shows when that was entered: an entry by
+// itself may stem from a request that arrived late, after another instance had held the part.
+func provenFor(r Request, old Entry) Part {
+	if r.Basis != 0 && r.Basis == old.Renewal {
+		return max(old.Proven, min(old.Granted, r.Usable))
+	}
+	return old.Proven
 }
 
 // entryFor returns the entry for a request and the part that it is granted. The holder may
