--- a/internal/rule/share/simulation_test.go
+++ b/internal/rule/share/simulation_test.go
@@ -27,6 +27,7 @@
 	// want is the smallest accepted ratio of admitted requests to those that a single bucket
 	// for all instances would admit.
 	want float64
+	outage
 }
 
 func readFleetLoad(t *testing.T, name string) fleetLoad {
@@ -39,9 +40,10 @@
 	l := fleetLoad{onlyCenter: -1}
 	numbers := map[string]any{
 		"centers": &l.centers, "instances": &l.instances, "customers": &l.customers, "only": &l.onlyCenter,
-		"rate": &l.rate, "burst": &l.burst, "usual": &l.usual, "greedy": &l.greedy, "want": &l.want,
+		"rate": &l.rate, "burst": &l.burst, "usual": &l.usual, "greedy": &l.greedy, "want": &l.want, "allowance": &l.allowance,
 	}
 	durations := map[string]*time.Duration{"near": &l.localDelay, "far": &l.remoteDelay, "length": &l.length}
+	l.outage.addTo(durations)
 	for lines := bufio.NewScanner(file); lines.Scan(); {
 		f := strings.Fields(lines.Text())
 		if len(f) == 0 || f[0] == "#" {
