quota: hand shards over as soon as the next holder is linked

After a restart some holders got their parts 2 s late. Two causes are shown by tests. A holder that started earlier looked for a link to its successor only with its next renewal, up to 1 s later. And a request whose grant got lost was found entered by the next writer, without a grant, so that the holder waited another second after the 1.2 s of the lost answer. A third one was found by reading: a renewal that overtakes the request of a running takeover makes the table ignore the latter.

A holder checks for the link every 100 ms. A request that the table had already is repeated at once, under a new number. A shard that is being taken over is not requested beside that, and again at once if the takeover brings nothing.

--- a/internal/quota/handover.go
+++ b/internal/quota/handover.go
@@ -78,6 +78,19 @@
 	return holders[0], q.conf.Connected(holders[0])
 }
 
+// canHandOver reports whether a shard that another instance is to hold can be handed over now.
+func (q *Quota) canHandOver() bool {
+	if q.conf.Static || q.conf.Snapshot().Version == 0 {
+		return false
+	}
+	for shard := range share.Shard(share.Shards) {
+		if _, found := q.successor(shard); found {
+			return true
+		}
+	}
+	return false
+}
+
 // drain empties the buckets of a shard's customers and returns their states.
 func (q *Quota) drain(shard share.Shard) map[ident.CustomerID]share.BucketState {
 	all := map[ident.CustomerID]share.BucketState{}
@@ -132,8 +145,12 @@
 	return nil
 }
 
+// endTakeover ends a takeover. If it brought no part, the shard is requested again at once.
 func (q *Quota) endTakeover(shard share.Shard) {
 	q.mu.Lock()
 	q.takeovers[shard]--
 	q.mu.Unlock()
+	if q.Part(shard) == 0 {
+		q.CheckShards()
+	}
 }
--- a/internal/quota/lease.go
+++ b/internal/quota/lease.go
@@ -89,6 +89,8 @@
 	defer timer.Stop()
 	check := time.NewTicker(time.Second)
 	defer check.Stop()
+	links := time.NewTicker(handoverPollInterval)
+	defer links.Stop()
 	restored := q.conf.Epochs.Changed()
 	for {
 		select {
@@ -97,6 +99,10 @@
 		case <-check.C:
 			q.updateParts()
 			continue
+		case <-links.C:
+			if !q.canHandOver() {
+				continue
+			}
 		case <-q.renew:
 			if !q.misplaced() {
 				continue
@@ -169,6 +175,8 @@
 		isHolder, mustRelease := q.isHolder(shard), q.mustRelease(shard)
 		q.mu.Lock()
 		switch {
+		case q.takeovers[shard] > 0:
+			// A later request would make the table ignore that of the takeover.
 		case isHolder:
 			all = append(all, q.holders[shard].Request(now, share.Whole, params, epoch))
 		case mustRelease:
@@ -217,9 +225,14 @@
 	if len(requests) == 0 {
 		return recheckInterval
 	}
-	if _, _, err := q.submitAndApply(q.tomb.Context(context.Background()), requests); err != nil {
+	grants, _, err := q.submitAndApply(q.tomb.Context(context.Background()), requests)
+	if err != nil {
 		return failureBackoff + q.jitter(failureBackoff)
 	}
+	if slices.ContainsFunc(grants, func(g share.Grant) bool { return g.Instance == q.conf.Self && g.Listed != 0 }) {
+		// The table had the request already, through a writer whose answer got lost.
+		return q.jitter(batchWindow)
+	}
 	interval := params.Lease / renewalsPerLease
 	if q.misplaced() {
 		interval = min(interval, recheckInterval)
@@ -316,6 +329,8 @@
 	// recheckInterval is how soon an instance renews again while it lacks a shard or holds one
 	// too many, and how often it checks for shards to hold while it has none.
 	recheckInterval = time.Second
+	// handoverPollInterval is how often a holder checks whether a link to the next holder is open.
+	handoverPollInterval = 100 * time.Millisecond
 	// failureBackoff is the shortest delay after a failed submission; jitter adds up to as much.
 	failureBackoff = 500 * time.Millisecond
 )
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -31,6 +31,8 @@
 	closed    bool
 	// loseGrants is set while writes of the table succeed and their grants get lost.
 	loseGrants bool
+	// losses is how many times the grants of a write get lost.
+	losses int
 	// lostReleases counts the submissions with releases that failed.
 	lostReleases int
 	// submitters counts the requests of each instance.
@@ -94,7 +96,8 @@
 	}
 	next, grants := c.allocator.Renew(time.Now(), c.table, params, requests)
 	c.table = next
-	if c.loseGrants {
+	if c.loseGrants || c.losses > 0 {
+		c.losses--
 		return nil, closedError{}
 	}
 	return grants, nil
