quota: count spent and refused tokens, and show the leases' ages

Nothing showed how much of a rate was passed on, nor whether a refusal was due to a lease that was not renewed. Counters for spent tokens and refusals by reason, gauges for the usable part of each shard and the age of its renewal; the evidence of a refusal states the age of the lease here or, as the holder's answer tells it, there.

--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -240,6 +240,7 @@
 // transaction up to the statement deadline. It returns nil if a token was taken.
 func (s *Session) chargeRate(a conf.Access, d conf.Defaults, trace ident.TraceID) *fault.Fault {
 	if s.instance.quota.TryTake(a.Customer) {
+		s.instance.quota.Count(fault.None)
 		return nil
 	}
 	wait := d.RateWait
@@ -249,6 +250,7 @@
 	ctx, done := s.cancellableContext(wait + time.Second)
 	defer done()
 	reason, after := s.instance.quota.Take(ctx, a.Customer, wait)
+	s.instance.quota.Count(reason)
 	if reason == fault.None {
 		return nil
 	}
--- a/internal/quota/gather.go
+++ b/internal/quota/gather.go
@@ -83,6 +83,7 @@
 			w := TokenRequest{Customer: customer, Amount: missing, SameCenter: true, Wait: max(0, left-returnMargin)}
 			if lent, requested, ok := q.requestFrom(id, w, w.Wait+responseMargin); ok {
 				q.addBorrowed(a, requested, lent)
+				a.noteRenewal(requested, lent.Renewed)
 				q.finishRound(a, lent.Inconclusive, lent.Amount, lent.RetryAfter)
 				return
 			}
@@ -91,6 +92,16 @@
 	q.gatherRemote(a, customer, missing)
 }
 
+// noteRenewal records when the holder in this data centre last renewed its lease.
+func (a *account) noteRenewal(requested time.Time, ago time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.holderRenewed = time.Time{}
+	if ago > 0 {
+		a.holderRenewed = requested.Add(-ago)
+	}
+}
+
 func firstN(ids []ident.InstanceID, count int) []ident.InstanceID {
 	return ids[:min(count, len(ids))]
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -40,6 +40,8 @@
 	// Inconclusive is set while the lender waits for its part of the rates: that it lent
 	// nothing does not mean that the rate is exceeded.
 	Inconclusive bool `cbor:"4,keyasint,omitempty"`
+	// Renewed is the age of the last renewal of the lender's lease, 0 if it has none.
+	Renewed time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // Config holds the settings of a Quota and the functions that connect it to other instances.
@@ -111,6 +113,8 @@
 	// its rate without a conclusive response.
 	inconclusive bool
 	rounds       uint64
+	// holderRenewed is when the holder in this data centre last renewed its lease, as it stated.
+	holderRenewed time.Time
 	// wake is closed at the end of each round.
 	wake chan struct{}
 }
@@ -143,29 +147,6 @@
 	random    *rand.Rand
 }
 
-type counters struct {
-	borrowed    prometheus.Counter
-	lent        prometheus.Counter
-	failed      prometheus.Counter
-	emptyRounds prometheus.Counter
-}
-
-func newCounters(registry prometheus.Registerer) counters {
-	counter := func(name, help string) prometheus.Counter {
-		return prometheus.NewCounter(prometheus.CounterOpts{Name: "geraniumseam_" + name + "_total", Help: help})
-	}
-	c := counters{
-		borrowed:    counter("tokens_borrowed", "Tokens received from other instances."),
-		lent:        counter("tokens_given", "Tokens handed to other instances."),
-		failed:      counter("token_asks_failed", "Questions for tokens that were not answered."),
-		emptyRounds: counter("token_rounds_dry", "Rounds through the other data centres that found no token."),
-	}
-	if registry != nil {
-		registry.MustRegister(c.borrowed, c.lent, c.failed, c.emptyRounds)
-	}
-	return c
-}
-
 // New starts a Quota that holds no part of any shard yet.
 func New(c Config) *Quota {
 	if c.Epochs == nil {
@@ -181,6 +162,7 @@
 		store: c.Store, epochs: c.Epochs, params: q.params, requests: make(chan *submission, maxPending), tomb: &q.tomb,
 		allocator: share.NewAllocator(), random: rand.New(rand.NewPCG(c.Random.Uint64(), 1)),
 	}
+	q.registerGauges(c.Registry)
 	q.tomb.Go(q.tableWriter.run)
 	q.tomb.Go(q.renewLoop)
 	return q
@@ -253,8 +235,8 @@
 	defer a.mu.Unlock()
 	now := clock.Now()
 	q.resize(a, now, customer)
-	return fmt.Sprintf("rate %.0f/s, burst %.0f, shard %d held by %v, %d millionths of it here; %.1f tokens here, %d requests waiting, no tokens elsewhere for %v, responses inconclusive %t",
-		c.Rate, c.Burst, shard, first(q.conf.Holders(shard)), q.Part(shard), a.bucket.Available(now), a.waiting,
+	return fmt.Sprintf("rate %.0f/s, burst %.0f, shard %d held by %v, %d millionths of it here, %s; %.1f tokens here, %d requests waiting, no tokens elsewhere for %v, responses inconclusive %t",
+		c.Rate, c.Burst, shard, first(q.conf.Holders(shard)), q.Part(shard), q.renewals(a, shard, now), a.bucket.Available(now), a.waiting,
 		max(0, a.emptyUntil.Sub(now)).Round(time.Millisecond), a.inconclusive)
 }
 
--- a/internal/quota/take.go
+++ b/internal/quota/take.go
@@ -43,7 +43,8 @@
 	if !w.SameCenter {
 		return q.spare(a, w)
 	}
-	lent := TokenResponse{}
+	shard := share.ShardOf(w.Customer)
+	lent := TokenResponse{Renewed: age(*q.parts[shard].Load())}
 	lend := func(a *account, now time.Time) bool {
 		whole := share.Tokens(math.Floor(float64(min(w.Amount, a.bucket.Available(now)))))
 		if whole < 1 {
@@ -57,7 +58,6 @@
 		q.counts.lent.Add(float64(lent.Amount))
 		return lent
 	}
-	shard := share.ShardOf(w.Customer)
 	if q.isHolder(shard) {
 		wait := min(w.Wait, maxLendWait)
 		_, lent.RetryAfter = q.obtain(ctx, w.Customer, wait, wait, lend)
--- a/internal/rule/share/hold.go
+++ b/internal/rule/share/hold.go
@@ -10,6 +10,8 @@
 	// Part may be spent until LeaseEnd, Reserve from then until GraceEnd.
 	Part, Reserve      Part
 	LeaseEnd, GraceEnd time.Time
+	// Requested is when the lease was requested.
+	Requested time.Time
 	// Tenure is the same as long as no other instance can have held the part in between.
 	Tenure uint64
 	// Since is the start of this process if its earlier run held the part until its end, else zero.
