--- a/internal/quota/outage_test.go
+++ b/internal/quota/outage_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"geraniumseam.dev/internal/clock"
 	"geraniumseam.dev/internal/fault"
 	"geraniumseam.dev/internal/rule/share"
 	"geraniumseam.dev/pkg/ident"
@@ -74,3 +75,36 @@
 		t.Errorf("the grant took %v, want less than until the next renewal", took)
 	}
 }
+
+// TestRestartedHolderHasTokensSinceItsStart guards against rates that are lost after a restart while the holder
+// waits for its grant: its entry in the table has kept the part for it all the time.
+func TestRestartedHolderHasTokensSinceItsStart(t *testing.T) {
+	const rate = 100
+	c := newTestCenter(t)
+	c.ranking, c.lease = []ident.InstanceID{"a"}, 2*time.Second
+	killed := c.start("a", true, rate)
+	shard := share.ShardOf("house")
+	c.await("a has renewed its lease", func() bool {
+		return c.met(func() bool { return c.table.Centers["a"][shard]["a"].Proven == share.Whole })
+	})
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	killed.Stop(ended)
+	c.set(func() { c.closed = true })
+	restarted := c.start("a", true, rate)
+	const away = 700 * time.Millisecond
+	time.Sleep(away)
+	c.set(func() { c.closed = false })
+	restarted.CheckShards()
+	c.await("a holds its shards again", func() bool { return restarted.Held() == share.Shards })
+	spent := 0.0
+	for restarted.TryTake("house") {
+		spent++
+	}
+	if least := rate * ((away - loanTTL) / 2).Seconds(); spent < least {
+		t.Errorf("%v tokens at once, want at least %v that accrued since the start", spent, least)
+	}
+	if most := rate * (clock.Since(restarted.started) - loanTTL).Seconds(); spent > most {
+		t.Errorf("%v tokens at once, want at most %v", spent, most)
+	}
+}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math"
@@ -43,6 +44,8 @@
 	// remote are the holders in another data centre, linked the instances that are linked beside the table writers.
 	remote []RemoteHolder
 	linked []ident.InstanceID
+	// lease is the holders' lease, 0 for the default; the table's writer counts a minute.
+	lease time.Duration
 }
 
 func newTestCenter(t *testing.T) *testCenter {
@@ -145,6 +148,7 @@
 func (c *testCenter) start(id ident.InstanceID, configured bool, rate float64) *Quota {
 	config := conf.New()
 	config.Centers["a"] = conf.Center{Part: 1}
+	config.Defaults.ShareLease = cmp.Or(c.lease, config.Defaults.ShareLease)
 	version := ident.Version(0)
 	if configured {
 		version = 1
