quota: retry a conflicting lease request after 0.1 to 0.2 s

After a restart of all, holders without a link to the table writer write the table themselves and lose against each other. After four conflicts they paused for 0.5 to 1 s, or tried yet other writers. A conflict shows that the store answers, so the request is repeated soon, by then usually through the writer.

--- a/internal/quota/lease.go
+++ b/internal/quota/lease.go
@@ -11,13 +11,14 @@
 
 	"geraniumseam.dev/internal/clock"
 	"geraniumseam.dev/internal/jrnl"
+	"geraniumseam.dev/internal/plat"
 	"geraniumseam.dev/internal/rule/share"
 	"geraniumseam.dev/pkg/ident"
 )
 
 // submit sends requests to the first table writer in order of preference that writes them to the
-// table. If none does, this instance writes them itself; if its write fails too, up to
-// maxLinkedWriters other linked instances are tried, because the store may answer those.
+// table. If none does, this instance writes them itself; if the store does not answer it either,
+// up to maxLinkedWriters other linked instances are tried, which it may answer.
 func (q *Quota) submit(ctx context.Context, all []share.Request) ([]share.Grant, error) {
 	writers := q.conf.TableWriters()
 	for _, id := range writers {
@@ -34,8 +35,8 @@
 	ownCtx, cancel := context.WithTimeout(ctx, ownSubmitTimeout)
 	grants, err := q.tableWriter.submit(ownCtx, all)
 	cancel()
-	if err == nil {
-		return grants, nil
+	if err == nil || plat.HasCause(err, plat.Conflict) {
+		return grants, err
 	}
 	for _, id := range q.linkedWriters(writers) {
 		if grants, linkedErr := q.submitTo(ctx, id, all); linkedErr == nil {
@@ -226,6 +227,10 @@
 		return recheckInterval
 	}
 	grants, _, err := q.submitAndApply(q.tomb.Context(context.Background()), requests)
+	if plat.HasCause(err, plat.Conflict) {
+		// Others without a link to a table writer write at the same time, as after a restart of all.
+		return batchWindow + q.jitter(batchWindow)
+	}
 	if err != nil {
 		return failureBackoff + q.jitter(failureBackoff)
 	}
--- a/internal/quota/outage_test.go
+++ b/internal/quota/outage_test.go
@@ -76,6 +76,16 @@
 	}
 }
 
+// TestConflictIsRetriedSoon guards against holders that get their parts a second late after a restart of all
+// because they wrote the table themselves, before a link to its writer was open, and lost against others.
+func TestConflictIsRetriedSoon(t *testing.T) {
+	c := newTestCenter(t)
+	c.ranking, c.closed, c.store = []ident.InstanceID{"a"}, true, contendedStore{}
+	if delay := c.start("a", true, 100).renewOnce(); delay > 2*batchWindow {
+		t.Errorf("next request %v after a conflict, want at most %v", delay, 2*batchWindow)
+	}
+}
+
 // TestRestartedHolderHasTokensSinceItsStart guards against rates that are lost after a restart while the holder
 // waits for its grant: its entry in the table has kept the part for it all the time.
 func TestRestartedHolderHasTokensSinceItsStart(t *testing.T) {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -46,11 +46,12 @@
 	linked []ident.InstanceID
 	// lease is the holders' lease, 0 for the default; the table's writer counts a minute.
 	lease time.Duration
+	store plat.Store
 }
 
 func newTestCenter(t *testing.T) *testCenter {
 	return &testCenter{
-		t: t, all: map[ident.InstanceID]*Quota{}, allocator: share.NewAllocator(), submitters: map[ident.InstanceID]int{}, silent: map[ident.InstanceID]bool{}, epochs: plat.NewEpochs(),
+		store: unreachableStore{}, t: t, all: map[ident.InstanceID]*Quota{}, allocator: share.NewAllocator(), submitters: map[ident.InstanceID]int{}, silent: map[ident.InstanceID]bool{}, epochs: plat.NewEpochs(),
 	}
 }
 
@@ -78,6 +79,17 @@
 	return objs.Object{}, &plat.Error{Cause: plat.Unreachable}
 }
 
+// contendedStore is a platform on which every write loses against another one.
+type contendedStore struct{ plat.Store }
+
+func (contendedStore) Get(context.Context, objs.Kind, string) (objs.Object, error) {
+	return objs.Object{}, &plat.Error{Cause: plat.NotFound}
+}
+
+func (contendedStore) Put(context.Context, objs.Object) (objs.Object, error) {
+	return objs.Object{}, &plat.Error{Cause: plat.Conflict}
+}
+
 type closedError struct{}
 
 func (closedError) Error() string { return "closed" }
@@ -158,7 +170,7 @@
 	}
 	snapshot := conf.NewSnapshot(config, version)
 	q := New(Config{
-		Self: id, Center: "a", Store: unreachableStore{}, Epochs: c.epochs, Journal: jrnl.New(jrnl.Config{Instance: id, Capacity: 64, Now: time.Now}),
+		Self: id, Center: "a", Store: c.store, Epochs: c.epochs, Journal: jrnl.New(jrnl.Config{Instance: id, Capacity: 64, Now: time.Now}),
 		Request: c.request, TableWriters: func() []ident.InstanceID { return []ident.InstanceID{"clerk"} }, Submit: c.submit,
 		Connected: c.connected, Linked: func() []ident.InstanceID { return slices.Clone(c.linked) },
 		HandOver: func(ctx context.Context, to ident.InstanceID, e Handover) error { return c.all[to].TakeOver(ctx, e) },
