--- a/internal/quota/handover.go
+++ b/internal/quota/handover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 
 	"geraniumseam.dev/internal/clock"
 	"geraniumseam.dev/internal/rule/share"
@@ -26,10 +27,12 @@
 		if !found {
 			continue
 		}
-		states := q.drain(shard)
+		// The part is given up first: after a pause in between, no bucket may be handed over and go on.
 		q.mu.Lock()
 		release := q.release(q.holders[shard])
+		q.parts[shard].Store(&share.Holding{})
 		q.mu.Unlock()
+		states := q.drain(shard)
 		e := handovers[successor]
 		if e == nil {
 			e = &Handover{BucketState: map[ident.CustomerID]share.BucketState{}}
@@ -75,6 +78,19 @@
 	return holders[0], q.conf.Connected(holders[0])
 }
 
+// canHandOver reports whether a shard that another instance is to hold can be handed over now.
+func (q *Quota) canHandOver() bool {
+	if q.conf.Static || q.conf.Snapshot().Version == 0 {
+		return false
+	}
+	for shard := range share.Shard(share.Shards) {
+		if _, found := q.successor(shard); found {
+			return true
+		}
+	}
+	return false
+}
+
 // drain empties the buckets of a shard's customers and returns their states.
 func (q *Quota) drain(shard share.Shard) map[ident.CustomerID]share.BucketState {
 	all := map[ident.CustomerID]share.BucketState{}
@@ -85,7 +101,6 @@
 		}
 		a := q.account(customer)
 		a.mu.Lock()
-		q.resize(a, now, customer)
 		if s := a.bucket.Drain(now); s.Tokens > 0 || s.Lent > 0 {
 			all[customer] = s
 		}
@@ -95,9 +110,10 @@
 }
 
 // TakeOver takes over shards from their holder: one write releases the holder's leases and
-// grants them to this instance.
+// grants them to this instance. Tokens of a release that arrives too late are lost: another
+// instance may have held the shard since.
 func (q *Quota) TakeOver(ctx context.Context, e Handover) error {
-	requests, params := e.Requests, q.params()
+	requests, params := slices.Clone(e.Requests), q.params()
 	epoch, _, _ := q.conf.Epochs.Current()
 	for _, a := range e.Requests {
 		if !a.Release {
@@ -110,22 +126,31 @@
 		q.mu.Unlock()
 		defer q.endTakeover(shard)
 	}
-	if err := q.submitAndApply(ctx, requests); err != nil {
+	grants, begun, err := q.submitAndApply(ctx, requests)
+	if err != nil {
 		return err
 	}
-	now := clock.Now()
 	for customer, s := range e.BucketState {
+		shard := share.ShardOf(customer)
+		if begun[shard] == 0 || share.ReleasedPart(e.Requests, grants, shard) < q.parts[shard].Load().Part {
+			continue
+		}
 		a := q.account(customer)
 		a.mu.Lock()
+		now := clock.Now()
 		q.resize(a, now, customer)
-		a.bucket.TakeOver(now, s, loanTTL)
+		a.bucket.TakeOver(now, begun[shard], s, loanTTL)
 		a.mu.Unlock()
 	}
 	return nil
 }
 
+// endTakeover ends a takeover. If it brought no part, the shard is requested again at once.
 func (q *Quota) endTakeover(shard share.Shard) {
 	q.mu.Lock()
 	q.takeovers[shard]--
 	q.mu.Unlock()
+	if q.Part(shard) == 0 {
+		q.CheckShards()
+	}
 }
--- a/internal/quota/lease.go
+++ b/internal/quota/lease.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strconv"
 	"time"
 
@@ -10,30 +11,58 @@
 
 	"geraniumseam.dev/internal/clock"
 	"geraniumseam.dev/internal/jrnl"
+	"geraniumseam.dev/internal/plat"
 	"geraniumseam.dev/internal/rule/share"
 	"geraniumseam.dev/pkg/ident"
 )
 
-// submit sends requests to the first instance in order of preference that writes them to the
-// table. If none does, this instance writes them itself.
+// submit sends requests to the first table writer in order of preference that writes them to the
+// table. If none does, this instance writes them itself; if the store does not answer it either,
+// up to maxLinkedWriters other linked instances are tried, which it may answer.
 func (q *Quota) submit(ctx context.Context, all []share.Request) ([]share.Grant, error) {
-	for _, id := range q.conf.TableWriters() {
+	writers := q.conf.TableWriters()
+	for _, id := range writers {
 		if id == q.conf.Self {
 			break
 		}
 		if !q.awaitLink(id) {
 			continue
 		}
-		submitCtx, cancel := context.WithTimeout(ctx, submitTimeout)
-		grants, err := q.conf.Submit(submitCtx, id, all)
-		cancel()
-		if err == nil {
+		if grants, err := q.submitTo(ctx, id, all); err == nil {
 			return grants, nil
 		}
 	}
-	submitCtx, cancel := context.WithTimeout(ctx, ownSubmitTimeout)
+	ownCtx, cancel := context.WithTimeout(ctx, ownSubmitTimeout)
+	grants, err := q.tableWriter.submit(ownCtx, all)
+	cancel()
+	if err == nil || plat.HasCause(err, plat.Conflict) {
+		return grants, err
+	}
+	for _, id := range q.linkedWriters(writers) {
+		if grants, linkedErr := q.submitTo(ctx, id, all); linkedErr == nil {
+			return grants, nil
+		}
+	}
+	return nil, err
+}
+
+// submitTo sends requests to one other instance, which writes them to the table.
+func (q *Quota) submitTo(ctx context.Context, id ident.InstanceID, all []share.Request) ([]share.Grant, error) {
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
-	return q.tableWriter.submit(submitCtx, all)
+	return q.conf.Submit(ctx, id, all)
+}
+
+// linkedWriters returns up to maxLinkedWriters random linked instances that are not among the tried ones.
+func (q *Quota) linkedWriters(tried []ident.InstanceID) []ident.InstanceID {
+	if q.conf.Linked == nil {
+		return nil
+	}
+	others := slices.DeleteFunc(q.conf.Linked(), func(id ident.InstanceID) bool { return slices.Contains(tried, id) })
+	q.mu.Lock()
+	q.random.Shuffle(len(others), func(a, b int) { others[a], others[b] = others[b], others[a] })
+	q.mu.Unlock()
+	return firstN(others, maxLinkedWriters)
 }
 
 // awaitLink waits up to linkTimeout for a link to another instance and reports whether it is
@@ -61,6 +90,8 @@
 	defer timer.Stop()
 	check := time.NewTicker(time.Second)
 	defer check.Stop()
+	links := time.NewTicker(handoverPollInterval)
+	defer links.Stop()
 	restored := q.conf.Epochs.Changed()
 	for {
 		select {
@@ -69,6 +100,10 @@
 		case <-check.C:
 			q.updateParts()
 			continue
+		case <-links.C:
+			if !q.canHandOver() {
+				continue
+			}
 		case <-q.renew:
 			if !q.misplaced() {
 				continue
@@ -141,9 +176,10 @@
 		isHolder, mustRelease := q.isHolder(shard), q.mustRelease(shard)
 		q.mu.Lock()
 		switch {
+		case q.takeovers[shard] > 0:
+			// A later request would make the table ignore that of the takeover.
 		case isHolder:
 			all = append(all, q.holders[shard].Request(now, share.Whole, params, epoch))
-			q.requestedAt[shard].CompareAndSwap(0, now.UnixNano())
 		case mustRelease:
 			all = append(all, q.release(q.holders[shard])...)
 		}
@@ -152,21 +188,27 @@
 	return all
 }
 
-// submitAndApply submits requests and applies the grants for this instance.
-func (q *Quota) submitAndApply(ctx context.Context, requests []share.Request) error {
+// submitAndApply submits requests and applies the grants for this instance. It returns all grants, and the
+// new tenures of shards that were not held before.
+func (q *Quota) submitAndApply(ctx context.Context, requests []share.Request) ([]share.Grant, map[share.Shard]uint64, error) {
 	grants, err := q.submit(ctx, requests)
 	if err != nil {
-		return errors.Trace(err)
+		return nil, nil, errors.Trace(err)
 	}
+	begun := map[share.Shard]uint64{}
 	q.mu.Lock()
 	for _, g := range grants {
-		if g.Instance == q.conf.Self {
-			q.holders[g.Shard%share.Shards].ApplyGrant(g)
+		if g.Instance != q.conf.Self {
+			continue
+		}
+		shard := g.Shard % share.Shards
+		if q.holders[shard].ApplyGrant(g) {
+			begun[shard] = q.holders[shard].Holding().Tenure
 		}
 	}
 	q.mu.Unlock()
 	q.updateParts()
-	return nil
+	return grants, begun, nil
 }
 
 // renewOnce hands over and renews shards once and returns the time until the next renewal.
@@ -184,9 +226,18 @@
 	if len(requests) == 0 {
 		return recheckInterval
 	}
-	if q.submitAndApply(q.tomb.Context(context.Background()), requests) != nil {
+	grants, _, err := q.submitAndApply(q.tomb.Context(context.Background()), requests)
+	if plat.HasCause(err, plat.Conflict) {
+		// Others without a link to a table writer write at the same time, as after a restart of all.
+		return batchWindow + q.jitter(batchWindow)
+	}
+	if err != nil {
 		return failureBackoff + q.jitter(failureBackoff)
 	}
+	if slices.ContainsFunc(grants, func(g share.Grant) bool { return g.Instance == q.conf.Self && g.Listed != 0 }) {
+		// The table had the request already, through a writer whose answer got lost.
+		return q.jitter(batchWindow)
+	}
 	interval := params.Lease / renewalsPerLease
 	if q.misplaced() {
 		interval = min(interval, recheckInterval)
@@ -197,8 +248,10 @@
 // setStaticParts gives this instance an equal part of every shard, for the static baseline.
 func (q *Quota) setStaticParts() {
 	center := q.conf.Snapshot().CenterParts()[q.conf.Center]
+	part := share.Part(center*float64(share.Whole)) / share.Part(max(q.conf.MemberCount(), 1))
 	for shard := range q.parts {
-		q.parts[shard].Store(int64(center*float64(share.Whole)) / int64(max(q.conf.MemberCount(), 1)))
+		end := clock.Now().Add(time.Hour)
+		q.parts[shard].Store(&share.Holding{Part: part, LeaseEnd: end, GraceEnd: end, Tenure: 1})
 	}
 	q.generation.Add(1)
 	q.resizeAccounts()
@@ -218,17 +271,16 @@
 	changed := false
 	for shard := range share.Shard(share.Shards) {
 		q.mu.Lock()
-		usable := q.holders[shard].Usable(clock.Now())
+		held := q.holders[shard].Holding()
+		old := q.parts[shard].Swap(&held)
+		usable := held.Usable(clock.Now())
+		noted := q.noted[shard]
+		q.noted[shard] = usable
 		q.mu.Unlock()
-		old := q.parts[shard].Swap(int64(usable))
-		if usable > 0 {
-			q.requestedAt[shard].Store(0)
-		}
-		if old == int64(usable) {
-			continue
+		changed = changed || *old != held
+		if noted != usable {
+			q.conf.Journal.Add(jrnl.Event{Kind: jrnl.ShareChanged, Evidence: partChange(shard, noted, usable)})
 		}
-		changed = true
-		q.conf.Journal.Add(jrnl.Event{Kind: jrnl.ShareChanged, Evidence: partChange(shard, share.Part(old), usable)})
 	}
 	if changed {
 		q.generation.Add(1)
@@ -257,9 +309,11 @@
 }
 
 const (
-	// submitTimeout bounds one submission to another instance, a slow platform included. Two of
-	// them can fail before the lease that they are to renew expires.
+	// submitTimeout bounds one submission to another instance, a slow platform included.
 	submitTimeout = 1200 * time.Millisecond
+	// maxLinkedWriters is how many linked instances are tried after the table writers. All attempts
+	// together end before the lease that they are to renew.
+	maxLinkedWriters = 2
 	// linkTimeout is how long to wait for a link to another instance, and linkPollInterval how
 	// often to check for it.
 	linkTimeout      = 200 * time.Millisecond
@@ -269,8 +323,9 @@
 )
 
 const (
-	// renewalsPerLease is how often a lease is renewed within its duration.
-	renewalsPerLease = 2
+	// renewalsPerLease is how often a lease is renewed within its duration: three quarters of a
+	// lease are left when the store becomes unavailable.
+	renewalsPerLease = 4
 	// clockDrift is the greatest difference in speed between two clocks, in millionths.
 	clockDrift = 10_000
 	// unconfiguredRetryDelay is the interval at which an instance checks whether it has a
@@ -279,6 +334,8 @@
 	// recheckInterval is how soon an instance renews again while it lacks a shard or holds one
 	// too many, and how often it checks for shards to hold while it has none.
 	recheckInterval = time.Second
+	// handoverPollInterval is how often a holder checks whether a link to the next holder is open.
+	handoverPollInterval = 100 * time.Millisecond
 	// failureBackoff is the shortest delay after a failed submission; jitter adds up to as much.
 	failureBackoff = 500 * time.Millisecond
 )
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math"
@@ -31,6 +32,8 @@
 	closed    bool
 	// loseGrants is set while writes of the table succeed and their grants get lost.
 	loseGrants bool
+	// losses is how many times the grants of a write get lost.
+	losses int
 	// lostReleases counts the submissions with releases that failed.
 	lostReleases int
 	// submitters counts the requests of each instance.
@@ -38,11 +41,17 @@
 	// silent are instances that do not respond.
 	silent map[ident.InstanceID]bool
 	epochs *plat.Epochs
+	// remote are the holders in another data centre, linked the instances that are linked beside the table writers.
+	remote []RemoteHolder
+	linked []ident.InstanceID
+	// lease is the holders' lease, 0 for the default; the table's writer counts a minute.
+	lease time.Duration
+	store plat.Store
 }
 
 func newTestCenter(t *testing.T) *testCenter {
 	return &testCenter{
-		t: t, all: map[ident.InstanceID]*Quota{}, allocator: share.NewAllocator(), submitters: map[ident.InstanceID]int{}, silent: map[ident.InstanceID]bool{}, epochs: plat.NewEpochs(),
+		store: unreachableStore{}, t: t, all: map[ident.InstanceID]*Quota{}, allocator: share.NewAllocator(), submitters: map[ident.InstanceID]int{}, silent: map[ident.InstanceID]bool{}, epochs: plat.NewEpochs(),
 	}
 }
 
@@ -70,14 +79,25 @@
 	return objs.Object{}, &plat.Error{Cause: plat.Unreachable}
 }
 
+// contendedStore is a platform on which every write loses against another one.
+type contendedStore struct{ plat.Store }
+
+func (contendedStore) Get(context.Context, objs.Kind, string) (objs.Object, error) {
+	return objs.Object{}, &plat.Error{Cause: plat.NotFound}
+}
+
+func (contendedStore) Put(context.Context, objs.Object) (objs.Object, error) {
+	return objs.Object{}, &plat.Error{Cause: plat.Conflict}
+}
+
 type closedError struct{}
 
 func (closedError) Error() string { return "closed" }
 
-func (c *testCenter) submit(_ context.Context, _ ident.InstanceID, requests []share.Request) ([]share.Grant, error) {
+func (c *testCenter) submit(_ context.Context, writer ident.InstanceID, requests []share.Request) ([]share.Grant, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed {
+	if c.closed && !slices.Contains(c.linked, writer) {
 		if slices.ContainsFunc(requests, func(r share.Request) bool { return r.Release }) {
 			c.lostReleases++
 		}
@@ -91,7 +111,8 @@
 	}
 	next, grants := c.allocator.Renew(time.Now(), c.table, params, requests)
 	c.table = next
-	if c.loseGrants {
+	if c.loseGrants || c.losses > 0 {
+		c.losses--
 		return nil, closedError{}
 	}
 	return grants, nil
@@ -139,6 +160,7 @@
 func (c *testCenter) start(id ident.InstanceID, configured bool, rate float64) *Quota {
 	config := conf.New()
 	config.Centers["a"] = conf.Center{Part: 1}
+	config.Defaults.ShareLease = cmp.Or(c.lease, config.Defaults.ShareLease)
 	version := ident.Version(0)
 	if configured {
 		version = 1
@@ -148,11 +170,11 @@
 	}
 	snapshot := conf.NewSnapshot(config, version)
 	q := New(Config{
-		Self: id, Center: "a", Store: unreachableStore{}, Epochs: c.epochs, Journal: jrnl.New(jrnl.Config{Instance: id, Capacity: 64, Now: time.Now}),
+		Self: id, Center: "a", Store: c.store, Epochs: c.epochs, Journal: jrnl.New(jrnl.Config{Instance: id, Capacity: 64, Now: time.Now}),
 		Request: c.request, TableWriters: func() []ident.InstanceID { return []ident.InstanceID{"clerk"} }, Submit: c.submit,
-		Connected: c.connected,
-		HandOver:  func(ctx context.Context, to ident.InstanceID, e Handover) error { return c.all[to].TakeOver(ctx, e) },
-		Holders:   c.holders, RemoteHolders: func(share.Shard) []RemoteHolder { return nil }, MemberCount: func() int { return 1 },
+		Connected: c.connected, Linked: func() []ident.InstanceID { return slices.Clone(c.linked) },
+		HandOver: func(ctx context.Context, to ident.InstanceID, e Handover) error { return c.all[to].TakeOver(ctx, e) },
+		Holders:  c.holders, RemoteHolders: func(share.Shard) []RemoteHolder { return c.remote }, MemberCount: func() int { return 1 },
 		Snapshot: func() *conf.Snapshot { return snapshot }, Random: rand.New(rand.NewPCG(1, 1)),
 	})
 	c.mu.Lock()
--- a/internal/rule/share/table.go
+++ b/internal/rule/share/table.go
@@ -32,6 +32,10 @@
 	// Renewal rises with each renewal; readers time the lease from when they first see a
 	// new number, so clocks need not agree.
 	Renewal uint64 `json:"renewal"`
+	// Granted is the part that no other instance can have held since this renewal was entered.
+	Granted Part `json:"granted,omitempty"`
+	// Proven is the part that no other instance can have held since this renewal was requested.
+	Proven Part `json:"proven,omitempty"`
 }
 
 // Entries are the entries of a shard by instance: those that hold some of it or still may.
@@ -86,120 +90,6 @@
 	}
 }
 
-// Request is an instance's request to renew or release a lease. Before it sends the request, the
-// instance limits itself to spending no more than Want.
-type Request struct {
-	Instance ident.InstanceID `cbor:"1,keyasint"`
-	Center   ident.CenterID   `cbor:"7,keyasint"`
-	Shard    Shard            `cbor:"6,keyasint"`
-	Want     Part             `cbor:"2,keyasint"`
-	// Held is the part that the instance holds until the request is answered.
-	Held    Part   `cbor:"5,keyasint,omitempty"`
-	Renewal uint64 `cbor:"3,keyasint"`
-	// Release gives up the entry.
-	Release bool `cbor:"4,keyasint,omitempty"`
-	// Usable is what the instance may spend when it makes the request, and Epoch the epoch of
-	// the store that it knows then.
-	Usable Part        `cbor:"8,keyasint,omitempty"`
-	Epoch  ident.Epoch `cbor:"9,keyasint,omitempty"`
-}
-
-// Holder tracks the part of a shard that this instance holds; it is not safe for concurrent use.
-type Holder struct {
-	self   ident.InstanceID
-	center ident.CenterID
-	shard  Shard
-	params LeaseParams
-	held   Part
-	// requested is when the request for the current lease was made.
-	requested    time.Time
-	pending      Request
-	pendingSince time.Time
-	listing      listing
-	// statement is the request that states what was held before the release.
-	statement Request
-}
-
-//go:generate go tool stringer -type=listing -linecomment -output=listing_string.go
-
-// listing says why the table may list an instance for a shard.
-type listing int
-
-const (
-	// byEarlierRun: an earlier run of the instance may have been granted a part.
-	byEarlierRun listing = iota // by-earlier-run
-	// byRequest: a request was made, whether or not it was answered.
-	byRequest // by-request
-	// untilReleased: a release was made and not answered.
-	untilReleased // until-released
-	// notListed: the table has confirmed the release.
-	notListed // not-listed
-)
-
-// NewHolder returns a holder of nothing. Renewal numbers continue from first, which should
-// exceed those of earlier runs of the instance, as the time of day does unless it has jumped back.
-func NewHolder(self ident.InstanceID, center ident.CenterID, shard Shard, first uint64) *Holder {
-	return &Holder{self: self, center: center, shard: shard, pending: Request{Instance: self, Center: center, Shard: shard, Renewal: first}}
-}
-
-// Usable returns the part that may be spent now.
-func (h *Holder) Usable(now time.Time) Part { return h.params.usable(h.held, now.Sub(h.requested)) }
-
-// Request limits the held part to want and returns the request to send in an epoch of the store.
-func (h *Holder) Request(now time.Time, want Part, params LeaseParams, epoch ident.Epoch) Request {
-	if h.Usable(now) == 0 {
-		h.held = 0
-	}
-	h.params = params
-	h.held = min(h.held, want)
-	h.pending = Request{
-		Instance: h.self, Center: h.center, Shard: h.shard, Want: want, Held: h.held, Renewal: h.pending.Renewal + 1,
-		Usable: h.Usable(now), Epoch: epoch,
-	}
-	h.pendingSince, h.listing = now, byRequest
-	return h.pending
-}
-
-// ApplyGrant starts the lease that a grant answers, counted from when its request was made.
-// Grants for any but the latest request are ignored.
-func (h *Holder) ApplyGrant(g Grant) {
-	if g.Listed > h.pending.Renewal {
-		// An earlier run of the instance had a later time of day.
-		h.pending.Renewal = g.Listed
-		return
-	}
-	if g.Renewal != h.pending.Renewal {
-		return
-	}
-	h.held, h.requested = min(g.Part, h.pending.Want), h.pendingSince
-	if h.pending.Release {
-		h.listing = notListed
-	}
-}
-
-// Release gives up the part at once and returns the requests that free it in the table: one that
-// states what was held, in case the table has lost that, and the release.
-func (h *Holder) Release(now time.Time, params LeaseParams, epoch ident.Epoch) []Request {
-	var all []Request
-	switch h.listing {
-	case byRequest:
-		h.statement = h.Request(now, Whole, params, epoch)
-		h.listing = untilReleased
-		all = append(all, h.statement)
-	case untilReleased:
-		all = append(all, h.statement)
-	}
-	h.held = 0
-	h.pending = Request{Instance: h.self, Center: h.center, Shard: h.shard, Renewal: h.pending.Renewal + 1, Release: true}
-	return append(all, h.pending)
-}
-
-// Requested reports whether the table may list this instance because of its own requests.
-func (h *Holder) Requested() bool { return h.listing == byRequest || h.listing == untilReleased }
-
-// MayBeListed reports whether the table may list this instance, be it since an earlier run.
-func (h *Holder) MayBeListed() bool { return h.listing != notListed }
-
 // entryKey identifies an entry of the table.
 type entryKey struct {
 	center   ident.CenterID
@@ -291,6 +181,8 @@
 		if maxHeld == 0 && (id == lostHolder || since >= params.Lease && !counting) {
 			continue
 		}
+		// What others are granted by this table, its holder can't claim to have kept.
+		entry.Granted, entry.Proven = min(entry.Granted, maxHeld), min(entry.Proven, maxHeld)
 		next[id], bounds[id] = entry, maxHeld
 		total += maxHeld
 	}
@@ -319,10 +211,12 @@
 		}
 		others := total - bounds[r.Instance]
 		entry, part := params.entryFor(r, Whole-others)
+		proven := provenFor(r, old)
+		entry.Granted, entry.Proven = part, min(part, proven)
 		// The entry of a release stays for one lease, so that earlier requests that arrive late are ignored.
 		next[r.Instance] = entry
 		a.lastSeen[entryKey{center, shard, r.Instance}] = lastSeen{renewal: r.Renewal, at: now}
-		grants = append(grants, Grant{Instance: r.Instance, Shard: shard, Renewal: r.Renewal, Part: part})
+		grants = append(grants, Grant{Instance: r.Instance, Shard: shard, Renewal: r.Renewal, Part: part, Proven: proven})
 		bounds[r.Instance] = params.maxHeld(entry, 0)
 		total = others + bounds[r.Instance]
 	}
@@ -338,6 +232,19 @@
 	// Listed is set instead of Renewal and Part if the request was ignored: the table lists this renewal
 	// of the instance, which is not an earlier one.
 	Listed uint64 `cbor:"5,keyasint,omitempty"`
+	// Proven is the part that no other instance can have held since the instance, perhaps in an
+	// earlier run, made the request; for the first grant of a run, since before it started.
+	Proven Part `cbor:"6,keyasint,omitempty"`
+}
+
+// provenFor returns the part that no other instance can have held since a request was made, where old is
+// the entry that it replaces. A grant that the instance had received shows when that was entered: an entry by
+// itself may stem from a request that arrived late, after another instance had held the part.
+func provenFor(r Request, old Entry) Part {
+	if r.Basis != 0 && r.Basis == old.Renewal {
+		return max(old.Proven, min(old.Granted, r.Usable))
+	}
+	return old.Proven
 }
 
 // entryFor returns the entry for a request and the part that it is granted. The holder may
