Return the tokens of requests of which nothing was sent

A request is charged before it is handed to an owner, and an owner without a primary or a connection refuses it: up to several hundred tokens a second were spent on requests that never ran.

A charge now says which tokens it took, and a charged request that ends as not-sent has them put back. Borrowed tokens keep their expiry, and a bucket that was drained or resized since takes nothing.

A request that a server refused and whose later attempt was not sent no longer ends as not-sent: Result.After keeps the earlier fact. Tests that call Quota.Take and TryTake use their new results.

--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -11,6 +11,7 @@
 	"geraniumseam.dev/internal/jrnl"
 	"geraniumseam.dev/internal/owner"
 	"geraniumseam.dev/internal/proto"
+	"geraniumseam.dev/internal/quota"
 	"geraniumseam.dev/internal/rule/conf"
 	"geraniumseam.dev/pkg/ident"
 	"geraniumseam.dev/pkg/stmt"
@@ -57,13 +58,19 @@
 		}}
 	}
 	limits := s.instance.configCache.Current().DefaultsFor(began, access.Customer, access.Service)
+	var charged *quota.Charge
 	if q.Charged && (limits.RateUnit == conf.PerStatement || !s.InTx()) {
-		if refusal := s.chargeRate(access, limits, trace); refusal != nil {
+		charge, refusal := s.chargeRate(access, limits, trace)
+		if refusal != nil {
 			return Reply{Fault: refusal}
 		}
+		charged = &charge
 	}
 	w := s.newWork(q, access, limits, trace)
 	result, ownerID := s.dispatch(w, sink)
+	if charged != nil && result.Outcome == fault.NotSent {
+		s.instance.quota.Return(*charged)
+	}
 	elapsed := clock.Since(began)
 	s.instance.metrics.observe(w, result, elapsed)
 	s.instance.recordSlow(w, result, ownerID, elapsed)
@@ -237,10 +244,10 @@
 }
 
 // chargeRate takes a token from the customer's rate, waiting up to the rate wait, or inside a
-// transaction up to the statement deadline. It returns nil if a token was taken.
-func (s *Session) chargeRate(a conf.Access, d conf.Defaults, trace ident.TraceID) *fault.Fault {
-	if s.instance.quota.TryTake(a.Customer) {
-		return nil
+// transaction up to the statement deadline. It returns no fault if a token was taken.
+func (s *Session) chargeRate(a conf.Access, d conf.Defaults, trace ident.TraceID) (quota.Charge, *fault.Fault) {
+	if charge, ok := s.instance.quota.TryTake(a.Customer); ok {
+		return charge, nil
 	}
 	wait := d.RateWait
 	if s.tx != 0 {
@@ -248,11 +255,11 @@
 	}
 	ctx, done := s.cancellableContext(wait + time.Second)
 	defer done()
-	reason, after := s.instance.quota.Take(ctx, a.Customer, wait)
+	charge, reason, after := s.instance.quota.Take(ctx, a.Customer, wait)
 	if reason == fault.None {
-		return nil
+		return charge, nil
 	}
-	return &fault.Fault{
+	return charge, &fault.Fault{
 		Reason: reason, Outcome: fault.NotSent, Trace: trace, RetryAfter: after,
 		Evidence: s.instance.quota.Evidence(a.Customer) + fmt.Sprintf("; waited %v", wait),
 	}
--- a/internal/owner/work.go
+++ b/internal/owner/work.go
@@ -121,10 +121,14 @@
 }
 
 // After returns the result of a request that was tried before with another result: what may
-// have run then may have run, whatever became of the later attempt.
+// have run then may have run, whatever became of the later attempt. Nor is a request unsent
+// that was sent then, even if it is known not to have run.
 func (r Result) After(earlier Result) Result {
-	if r.Outcome.NotRun() && earlier.Outcome.Unknown() {
+	switch {
+	case r.Outcome.NotRun() && earlier.Outcome.Unknown():
 		r.Outcome = fault.Unknown
+	case r.Outcome == fault.NotSent && earlier.Outcome.NotRun():
+		r.Outcome = earlier.Outcome
 	}
 	return r
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -148,6 +148,7 @@
 	lent        prometheus.Counter
 	failed      prometheus.Counter
 	emptyRounds prometheus.Counter
+	returned    prometheus.Counter
 }
 
 func newCounters(registry prometheus.Registerer) counters {
@@ -159,9 +160,10 @@
 		lent:        counter("tokens_given", "Tokens handed to other instances."),
 		failed:      counter("token_asks_failed", "Questions for tokens that were not answered."),
 		emptyRounds: counter("token_rounds_dry", "Rounds through the other data centres that found no token."),
+		returned:    counter("tokens_returned", "Tokens of requests of which nothing was sent, put back where they were taken."),
 	}
 	if registry != nil {
-		registry.MustRegister(c.borrowed, c.lent, c.failed, c.emptyRounds)
+		registry.MustRegister(c.borrowed, c.lent, c.failed, c.emptyRounds, c.returned)
 	}
 	return c
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -189,10 +189,16 @@
 
 func take(t *testing.T, q *Quota) fault.Reason {
 	t.Helper()
-	reason, _ := q.Take(context.Background(), "house", callerWait)
+	_, reason, _ := q.Take(context.Background(), "house", callerWait)
 	return reason
 }
 
+// took reports whether a token was to be had without waiting.
+func took(q *Quota) bool {
+	_, ok := q.TryTake("house")
+	return ok
+}
+
 // TestUnconfiguredHolderDoesNotCauseRefusal requests tokens from a holder that has just started
 // and knows no customer yet: its response must not make requests exceed their rate.
 func TestUnconfiguredHolderDoesNotCauseRefusal(t *testing.T) {
@@ -287,7 +293,7 @@
 	second := c.start("b", true, 100)
 	c.start("a", true, 100)
 	for _, customer := range customersOfShards() {
-		go func() { _, _ = second.Take(context.Background(), customer, callerWait) }()
+		go func() { _, _, _ = second.Take(context.Background(), customer, callerWait) }()
 	}
 	c.await("b holds all shards", func() bool { return second.Held() == share.Shards })
 }
@@ -333,7 +339,7 @@
 			c.rank("b", "a")
 		}
 		q := []*Quota{a, b}[at%2]
-		if !q.TryTake("house") {
+		if !took(q) {
 			if reason := take(t, q); reason != fault.None {
 				t.Errorf("request %d refused with %v", at, reason)
 			}
@@ -353,11 +359,11 @@
 	q := c.start("a", true, 2)
 	c.await("all shards are held", func() bool { return q.Held() == share.Shards })
 	time.Sleep(loanTTL)
-	for q.TryTake("house") {
+	for took(q) {
 	}
 	_ = take(t, q)
 	started := time.Now()
-	reason, retryAfter := q.Take(context.Background(), "house", callerWait)
+	_, reason, retryAfter := q.Take(context.Background(), "house", callerWait)
 	if reason != fault.RateExceeded || time.Since(started) > callerWait/2 || retryAfter < 100*time.Millisecond {
 		t.Errorf("got %v after %v, retry after %v; want rate-exceeded at once and a retry after at least 100 ms", reason, time.Since(started), retryAfter)
 	}
@@ -379,7 +385,7 @@
 			t.Fatal(err)
 		}
 		spent := 0
-		for q.TryTake("house") {
+		for took(q) {
 			spent++
 		}
 		if spent > 5 {
--- a/internal/quota/take.go
+++ b/internal/quota/take.go
@@ -15,8 +15,8 @@
 // response, as after the loss of a holder. A request that exceeds its rate waits less.
 const maxUnansweredWait = 500 * time.Millisecond
 
-// TryTake spends one token if this instance has one.
-func (q *Quota) TryTake(customer ident.CustomerID) bool {
+// TryTake spends one token if this instance has one; it reports false if not.
+func (q *Quota) TryTake(customer ident.CustomerID) (Charge, bool) {
 	a := q.account(customer)
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -24,13 +24,21 @@
 	q.resize(a, now, customer)
 	a.demand.Add(now)
 	a.lastUsed = now
-	return a.bucket.Take(now, 1)
+	taken, ok := a.bucket.Charge(now, 1)
+	return Charge{account: a, customer: customer, taken: taken}, ok
 }
 
 // Take waits up to wait for a token and spends it. It returns None if it spent one, otherwise
 // the reason and after how long to retry.
-func (q *Quota) Take(ctx context.Context, customer ident.CustomerID, wait time.Duration) (fault.Reason, time.Duration) {
-	return q.obtain(ctx, customer, wait, max(wait, maxUnansweredWait), func(a *account, now time.Time) bool { return a.bucket.Take(now, 1) })
+func (q *Quota) Take(ctx context.Context, customer ident.CustomerID, wait time.Duration) (Charge, fault.Reason, time.Duration) {
+	charge := Charge{customer: customer}
+	reason, retryAfter := q.obtain(ctx, customer, wait, max(wait, maxUnansweredWait), func(a *account, now time.Time) bool {
+		var ok bool
+		charge.account = a
+		charge.taken, ok = a.bucket.Charge(now, 1)
+		return ok
+	})
+	return charge, reason, retryAfter
 }
 
 // Lend responds to another instance's request for tokens.
--- a/internal/rule/share/bucket.go
+++ b/internal/rule/share/bucket.go
@@ -38,6 +38,10 @@
 	// predecessor reserves room for tokens that the previous holder of the part may have lent.
 	predecessor reservation
 	borrowed    []reservation
+	// charges counts the charges, and resized how often the bucket was resized or drained.
+	charges, resized uint64
+	// peaks are the levels from which the bucket has fallen, for Refund.
+	peaks []peak
 }
 
 // NewBucket returns an empty bucket: a new holder gets tokens only as time passes.
@@ -49,6 +53,7 @@
 func (b *Bucket) Resize(now time.Time, rate Rate, burst Tokens) {
 	b.refill(now)
 	b.rate, b.burst = rate, burst
+	b.forgetCharges()
 	b.clip()
 }
 
@@ -64,10 +69,12 @@
 func (b *Bucket) refill(now time.Time) {
 	for len(b.lent) > 0 && !now.Before(b.lent[0].expires) {
 		b.accrue(b.lent[0].expires)
+		b.recordPeak()
 		b.lent = b.lent[1:]
 	}
 	if b.predecessor.amount > 0 && !now.Before(b.predecessor.expires) {
 		b.accrue(b.predecessor.expires)
+		b.recordPeak()
 		b.predecessor = reservation{}
 	}
 	b.accrue(now)
@@ -90,17 +97,8 @@
 
 // Take spends n tokens if the bucket has them; borrowed ones are spent first because they expire.
 func (b *Bucket) Take(now time.Time, n Tokens) bool {
-	b.refill(now)
-	if b.tokens+total(b.borrowed) < n {
-		return false
-	}
-	for at := range b.borrowed {
-		spent := min(n, b.borrowed[at].amount)
-		b.borrowed[at].amount -= spent
-		n -= spent
-	}
-	b.tokens -= n
-	return true
+	_, ok := b.Charge(now, n)
+	return ok
 }
 
 // Available returns how many tokens can be taken now.
@@ -165,6 +163,7 @@
 	b.refill(now)
 	state := BucketState{Tokens: b.tokens, Lent: total(b.lent)}
 	b.tokens = 0
+	b.forgetCharges()
 	return state
 }
 
@@ -172,6 +171,7 @@
 // expire after ttl at the latest.
 func (b *Bucket) TakeOver(now time.Time, s BucketState, ttl time.Duration) {
 	b.refill(now)
+	b.recordPeak()
 	b.predecessor = reservation{}
 	b.tokens += Amount(s.Tokens)
 	b.reserve(now, Amount(s.Lent), ttl)
--- a/internal/rule/share/share_test.go
+++ b/internal/rule/share/share_test.go
@@ -55,11 +55,15 @@
 	buckets    []*Bucket
 	inFlight   []loan
 	admissions []admission
+	// unsent are the charges that may still be refunded.
+	unsent []unsent
 }
 
 func (m *bucketModel) step() {
 	at := rapid.IntRange(0, len(m.buckets)-1).Draw(m.t, "instance")
-	switch rapid.IntRange(0, 8).Draw(m.t, "what") {
+	switch rapid.IntRange(0, 9).Draw(m.t, "what") {
+	case 9:
+		m.refund()
 	case 8:
 		m.handOver(at)
 	case 0, 7:
@@ -68,8 +72,9 @@
 		m.takeAll()
 	case 1, 2:
 		n := Tokens(rapid.IntRange(1, 30).Draw(m.t, "n"))
-		if m.buckets[at].Take(m.now, n) {
+		if c, ok := m.buckets[at].Charge(m.now, n); ok {
 			m.admissions = append(m.admissions, admission{m.now, n})
+			m.unsent = append(m.unsent, unsent{m.buckets[at], c, len(m.admissions) - 1})
 		}
 	case 3:
 		m.borrow(at)
@@ -94,6 +99,25 @@
 	}
 }
 
+// unsent is a charge that may be refunded, with the index of its admission, which then does not count.
+type unsent struct {
+	bucket    *Bucket
+	charge    Charge
+	admission int
+}
+
+// refund refunds a charge of a request of which nothing was sent.
+func (m *bucketModel) refund() {
+	if len(m.unsent) == 0 {
+		return
+	}
+	at := rapid.IntRange(0, len(m.unsent)-1).Draw(m.t, "unsent")
+	u := m.unsent[at]
+	m.unsent = append(m.unsent[:at], m.unsent[at+1:]...)
+	u.bucket.Refund(m.now, u.charge)
+	m.admissions[u.admission].n = 0
+}
+
 // takeAll spends all tokens of every instance at one time.
 func (m *bucketModel) takeAll() {
 	for _, b := range m.buckets {
