Refuse work before the charge while no primary is expected

The refusal now says when a primary is expected at the earliest, if it was given without a wait. The caller's instance repeats it for at most 100 ms for further work that needs the group's primary, before it takes a token, unless that work may wait until then. Reads that replicas can serve and the later statements of a transaction go to the owner as before. geraniumseam_requests_refused_early_total counts these refusals.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"geraniumseam.dev/internal/clock"
 	"geraniumseam.dev/internal/fault"
 	"geraniumseam.dev/internal/owner"
 	"geraniumseam.dev/internal/proto"
@@ -29,6 +30,7 @@
 		} else {
 			id := owners[attempt%len(owners)]
 			tracker := &trackingSink{sink: sink}
+			asked := clock.Now()
 			result := i.runAt(ctx, id, w, tracker)
 			if result.PrimaryCenter != "" {
 				i.primaryCenters.Store(w.Group, result.PrimaryCenter)
@@ -41,6 +43,7 @@
 				result = redirected.After(result)
 			}
 			last = result.After(last)
+			i.rememberRefusal(w, result, id, asked)
 			if !retriable(w, last, tracker.emitted) {
 				return last, id
 			}
--- a/internal/entry/dispatch_test.go
+++ b/internal/entry/dispatch_test.go
@@ -65,6 +65,9 @@
 	if r.Reason == fault.OtherOwnerPreferred {
 		r.PreferredCenter = ident.CenterID(end[2])
 	}
+	if slices.Contains(end, "none-expected") {
+		r.PrimaryExpected = time.Hour
+	}
 	return r
 }
 
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -30,6 +30,7 @@
 	"geraniumseam.dev/internal/plat"
 	"geraniumseam.dev/internal/proto"
 	"geraniumseam.dev/internal/quota"
+	"geraniumseam.dev/internal/rule/admit"
 	"geraniumseam.dev/internal/rule/conf"
 	"geraniumseam.dev/internal/rule/group"
 	"geraniumseam.dev/internal/rule/share"
@@ -134,6 +135,8 @@
 	tracePrefix string
 	// primaryCenters holds the data centre of each group's primary, as last reported by an owner.
 	primaryCenters sync.Map
+	// primaryRefusals holds each group's last immediate refusal for lack of a primary.
+	primaryRefusals sync.Map
 	// draining is set once shutdown has begun.
 	draining atomic.Bool
 	// txEnded and workEnded are set once a shutdown lets no transaction go on, and runs nothing for other
@@ -436,6 +439,13 @@
 	return rand.New(rand.NewPCG(s.random.Uint64(), s.random.Uint64()))
 }
 
+// jitter lengthens a retry delay at random.
+func (s *source) jitter(retryAfter time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return admit.Jitter(retryAfter, s.random.Float64())
+}
+
 // duration returns a random duration from 0 to limit inclusive.
 func (s *source) duration(limit time.Duration) time.Duration {
 	s.mu.Lock()
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -26,6 +26,8 @@
 	primary [statementKinds]prometheus.Counter
 	replica [statementKinds]prometheus.Counter
 	latency prometheus.Histogram
+	// refusedEarly counts the requests that were refused before they were charged.
+	refusedEarly prometheus.Counter
 }
 
 func newMetrics(r *prometheus.Registry) *metrics {
@@ -38,13 +40,16 @@
 			Name: "geraniumseam_statement_seconds", Help: "Time from a request to its outcome.",
 			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 14),
 		}),
+		refusedEarly: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "geraniumseam_requests_refused_early_total", Help: "Requests refused before a token was taken, because an owner had just refused the like.",
+		}),
 	}
 	for k := range statementKinds {
 		m.primary[k] = statements.WithLabelValues(stmt.Kind(k).String(), byPrimary)
 		m.replica[k] = statements.WithLabelValues(stmt.Kind(k).String(), byReplica)
 	}
 	if r != nil {
-		r.MustRegister(statements, m.callers, m.latency)
+		r.MustRegister(statements, m.callers, m.latency, m.refusedEarly)
 	}
 	return m
 }
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -58,6 +58,10 @@
 		}}
 	}
 	limits := s.instance.configCache.Current().DefaultsFor(began, access.Customer, access.Service)
+	w := s.newWork(q, access, limits, trace)
+	if refusal := s.instance.repeatRefusal(w); refusal != nil {
+		return Reply{Fault: refusal}
+	}
 	var charged *quota.Charge
 	if q.Charged && (limits.RateUnit == conf.PerStatement || !s.InTx()) {
 		charge, refusal := s.chargeRate(access, limits, trace)
@@ -66,7 +70,6 @@
 		}
 		charged = &charge
 	}
-	w := s.newWork(q, access, limits, trace)
 	result, ownerID := s.dispatch(w, sink)
 	if charged != nil && result.Outcome == fault.NotSent {
 		s.instance.quota.Return(*charged)
--- a/internal/entry/unrun_test.go
+++ b/internal/entry/unrun_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -90,3 +91,37 @@
 		}
 	}
 }
+
+// TestRefusalIsRepeatedBeforeTheCharge guards against writes that are charged and sent to an owner that has just
+// refused the like, and against a repeated refusal of a read that a replica can serve, of a transaction's later
+// statement, or of a write after 100 ms.
+func TestRefusalIsRepeatedBeforeTheCharge(t *testing.T) {
+	s, owners := chargedSession(t, "a")
+	owners.ends = map[ident.InstanceID][]string{"a": {"not-sent no-primary none-expected", "done"}}
+	write, read := &Request{Kind: stmt.Write, Charged: true}, &Request{Kind: stmt.Read}
+	step := func(what string, q *Request, want fault.Reason, asked int) {
+		t.Helper()
+		got := fault.None
+		if reply := s.Run(q, anySink{}); reply.Fault != nil {
+			got = reply.Fault.Reason
+			if reply.Fault.Outcome != fault.NotSent || !strings.Contains(reply.Fault.Evidence, "owner a") {
+				t.Errorf("%s: %s, evidence %q", what, reply.Fault.Outcome, reply.Fault.Evidence)
+			}
+		}
+		if got != want || len(owners.asked) != asked {
+			t.Errorf("%s: refused with %s after %d requests to the owner, want %s after %d", what, got, len(owners.asked), want, asked)
+		}
+	}
+	step("write", write, fault.NoPrimary, 1)
+	for range 2 * chargedBurst {
+		step("next write", write, fault.NoPrimary, 1)
+	}
+	step("read", read, fault.None, 2)
+	s.tx, s.txOwner = 7, "a"
+	step("statement of a transaction", &Request{Kind: stmt.Write}, fault.None, 3)
+	time.Sleep(100 * time.Millisecond)
+	step("write after 100 ms", write, fault.None, 4)
+	if left := tokensLeft(s); left != chargedBurst-1 {
+		t.Errorf("%d of %d tokens are left, want all but one", left, chargedBurst)
+	}
+}
--- a/internal/owner/primary.go
+++ b/internal/owner/primary.go
@@ -44,7 +44,8 @@
 	if usable(g.tracker.current.Load()) {
 		return found, Result{}
 	}
-	wait, after := admit.PrimaryWait(g.primaryAbsence(), g.maxQueueWait(ctx, w))
+	since := g.primaryAbsence()
+	wait, after := admit.PrimaryWait(since, g.maxQueueWait(ctx, w))
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	if g.await(ctx, usable) {
@@ -52,6 +53,9 @@
 	}
 	refusal := notSent(fault.NoPrimary)
 	refusal.RetryAfter = admit.Jitter(after, g.random())
+	if admit.IsImmediate(since, wait) {
+		refusal.PrimaryExpected = after
+	}
 	return nil, refusal
 }
 
--- a/internal/owner/work.go
+++ b/internal/owner/work.go
@@ -83,6 +83,9 @@
 	// PreferredCenter is the data centre whose owner should run the work, with reason
 	// OtherOwnerPreferred.
 	PreferredCenter ident.CenterID `cbor:"12,keyasint,omitempty"`
+	// PrimaryExpected is set if work that needs the primary was refused without a wait because none is
+	// expected earlier than that.
+	PrimaryExpected time.Duration `cbor:"13,keyasint,omitempty"`
 }
 
 // NeedsPrimary reports whether only the primary can run the work.
