Move work to an owner that can prove the group's term

An owner whose primary answers, but which has not read the group's record for seconds or since its start, can't prove the term: work waited there and was refused, although another owner may read the record.

Such an owner now refuses at once and says so (Result.Unproven), once its record is older than RecordLifetime, or 300 ms after its start if it has read none; a recent record means that a claim has ended the lease. The caller's instance tries the other owners once each, nearest first, and prefers one that could run the work for a second. Work of which a server has been sent something is not moved, and a final refusal names the owners tried. geraniumseam_requests_moved_total counts the attempts by result. The evidence no longer gives an age to a record that was never read. TestOutcomeOfEarlierOwnerIsKept shares its runner with the new test.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -23,15 +23,17 @@
 func (i *Instance) dispatch(ctx context.Context, s *conf.Snapshot, w *owner.Work, sink proto.Sink) (owner.Result, ident.InstanceID) {
 	serverCenters := s.Groups[w.Group].ServerCenters()
 	var last owner.Result
+	var asked []ident.InstanceID
 	for attempt := 0; ; attempt++ {
-		owners := i.preferPrimaryCenter(w, i.members.owners(w.Group, serverCenters))
+		nearest := i.members.owners(w.Group, serverCenters)
+		owners, sent := i.preferProven(w, i.preferPrimaryCenter(w, nearest))
 		if len(owners) == 0 {
 			last = owner.Result{Outcome: fault.NotSent, Reason: fault.NoOwner}.After(last)
 		} else {
 			id := owners[attempt%len(owners)]
 			tracker := &trackingSink{sink: sink}
-			asked := clock.Now()
-			result := i.runAt(ctx, id, w, tracker)
+			began := clock.Now()
+			result := i.runAt(ctx, id, sent, tracker)
 			if result.PrimaryCenter != "" {
 				i.primaryCenters.Store(w.Group, result.PrimaryCenter)
 			}
@@ -42,8 +44,12 @@
 				}
 				result = redirected.After(result)
 			}
+			i.rememberRefusal(w, result, id, began)
+			asked = append(asked, id)
+			if result.Unproven && result.After(last).Outcome == fault.NotSent {
+				result, id, asked = i.move(ctx, w, result, nearest, asked, tracker)
+			}
 			last = result.After(last)
-			i.rememberRefusal(w, result, id, asked)
 			if !retriable(w, last, tracker.emitted) {
 				return last, id
 			}
@@ -78,16 +84,18 @@
 func (i *Instance) redirect(ctx context.Context, w *owner.Work, preferredCenter ident.CenterID, owners []ident.InstanceID, refusedBy ident.InstanceID, sink proto.Sink) (owner.Result, ident.InstanceID) {
 	redirected := *w
 	redirected.Redirected = true
+	var failed owner.Result
 	view := i.members.current.Load()
 	for _, id := range owners {
 		if id != refusedBy && view.all[id].Center == preferredCenter && view.reachable[id] {
 			r := i.runAt(ctx, id, &redirected, sink)
 			if !r.Outcome.NotRun() || r.Reason != fault.NoOwner && r.Reason != fault.PeerLost {
-				return r, id
+				return r.After(failed), id
 			}
+			failed = r.After(failed)
 		}
 	}
-	return i.runAt(ctx, refusedBy, &redirected, sink), refusedBy
+	return i.runAt(ctx, refusedBy, &redirected, sink).After(failed), refusedBy
 }
 
 // trackingSink records whether any part of an answer has been passed on.
--- a/internal/entry/dispatch_test.go
+++ b/internal/entry/dispatch_test.go
@@ -68,6 +68,7 @@
 	if slices.Contains(end, "none-expected") {
 		r.PrimaryExpected = time.Hour
 	}
+	r.Unproven = slices.Contains(end, "cannot-prove")
 	return r
 }
 
@@ -153,11 +154,20 @@
 // TestOutcomeOfEarlierOwnerIsKept plays testdata/dispatch: requests that are tried at several owners,
 // and how they end at each. What may have run at one of them is not reported as not run, whatever the
 // next one says, and is not run again if it may write.
-func TestOutcomeOfEarlierOwnerIsKept(t *testing.T) {
-	ids := []ident.InstanceID{"a", "b"}
+func TestOutcomeOfEarlierOwnerIsKept(t *testing.T) { playDispatch(t, "testdata/dispatch", "a", "b") }
+
+// TestUnprovenWorkIsMoved plays testdata/moves: an owner that can't prove its group's term refuses work. It guards
+// against work that is moved after it may have been sent, or to an owner twice, against a move that ends at the first
+// owner that fails too, and against a proven owner that is not preferred.
+func TestUnprovenWorkIsMoved(t *testing.T) { playDispatch(t, "testdata/moves", "a", "b", "c") }
+
+// playDispatch plays the requests in a file at some owners, the nearest first. A request with the argument again
+// begins with what the instance has learnt from the one before.
+func playDispatch(t *testing.T, file string, ids ...ident.InstanceID) {
+	t.Helper()
 	journal := jrnl.New(jrnl.Config{Instance: "self", Capacity: 100, Now: time.Now})
 	owners := &scriptedOwners{t: t, addresses: map[ident.InstanceID]string{}}
-	i := &Instance{conf: Config{Instance: "self"}, journal: journal, hub: owners.startHub("self", journal)}
+	i := &Instance{conf: Config{Instance: "self"}, journal: journal, hub: owners.startHub("self", journal), metrics: newMetrics(nil)}
 	i.members = newMembers(i)
 	present := &fleetView{all: map[ident.InstanceID]membr.Member{}, reachable: map[ident.InstanceID]bool{}}
 	for _, id := range ids {
@@ -166,8 +176,11 @@
 	}
 	present.owners.Store(ident.GroupID("g"), ids)
 	owners.leave = func() { i.members.current.Store(&fleetView{}) }
-	datadriven.RunTest(t, "testdata/dispatch", func(t *testing.T, d *datadriven.TestData) string {
+	datadriven.RunTest(t, file, func(t *testing.T, d *datadriven.TestData) string {
 		i.members.current.Store(present)
+		if !d.HasArg("again") {
+			i.provenOwners.Clear()
+		}
 		owners.ends, owners.asked = map[ident.InstanceID][]string{}, nil
 		for line := range strings.SplitSeq(strings.TrimSpace(d.Input), "\n") {
 			id, ends, _ := strings.Cut(line, ": ")
@@ -181,6 +194,9 @@
 		ctx, cancel := context.WithTimeout(context.Background(), dispatchDeadline)
 		defer cancel()
 		r, id := i.dispatch(ctx, &conf.Snapshot{}, &owner.Work{Kind: kind, Group: "g"}, anySink{})
+		if d.HasArg("evidence") {
+			return fmt.Sprintf("%s %s\nresult of %q, evidence %q\n", r.Outcome, r.Reason, id, r.Evidence)
+		}
 		return fmt.Sprintf("%s %s\nresult of %q, asked %s\n", r.Outcome, r.Reason, id, strings.Join(owners.asked, " "))
 	})
 }
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -137,6 +137,8 @@
 	primaryCenters sync.Map
 	// primaryRefusals holds each group's last immediate refusal for lack of a primary.
 	primaryRefusals sync.Map
+	// provenOwners holds the owner of each group that could last prove its term when another could not.
+	provenOwners sync.Map
 	// draining is set once shutdown has begun.
 	draining atomic.Bool
 	// txEnded and workEnded are set once a shutdown lets no transaction go on, and runs nothing for other
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -28,6 +28,8 @@
 	latency prometheus.Histogram
 	// refusedEarly counts the requests that were refused before they were charged.
 	refusedEarly prometheus.Counter
+	// moved counts the attempts at other owners, by the label of their outcome.
+	moved *prometheus.CounterVec
 }
 
 func newMetrics(r *prometheus.Registry) *metrics {
@@ -43,13 +45,20 @@
 		refusedEarly: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "geraniumseam_requests_refused_early_total", Help: "Requests refused before a token was taken, because an owner had just refused the like.",
 		}),
+		moved: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "geraniumseam_requests_moved_total", Help: "Attempts at another owner after one could not prove its group's term, by result.",
+		}, []string{"result"}),
 	}
 	for k := range statementKinds {
 		m.primary[k] = statements.WithLabelValues(stmt.Kind(k).String(), byPrimary)
 		m.replica[k] = statements.WithLabelValues(stmt.Kind(k).String(), byReplica)
 	}
+	for _, o := range []fault.Outcome{fault.Done, fault.Unknown} {
+		m.moved.WithLabelValues(o.Label())
+	}
+	m.moved.WithLabelValues(fault.NotRunLabel)
 	if r != nil {
-		r.MustRegister(statements, m.callers, m.latency, m.refusedEarly)
+		r.MustRegister(statements, m.callers, m.latency, m.refusedEarly, m.moved)
 	}
 	return m
 }
--- a/internal/owner/primary.go
+++ b/internal/owner/primary.go
@@ -28,7 +28,7 @@
 
 // awaitUsablePrimary waits for a usable primary and a view that accept reports true for. If no
 // primary is to be expected within the maximum queue wait, the work is refused early,
-// with the time after which to retry.
+// with the time after which to retry. It is refused at once if another owner may be able to run it.
 func (g *Group) awaitUsablePrimary(ctx context.Context, w *Work, accept func(*view) bool) (*server, Result) {
 	var found *server
 	usable := func(v *view) bool {
@@ -48,17 +48,27 @@
 	wait, after := admit.PrimaryWait(since, g.maxQueueWait(ctx, w))
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	if g.await(ctx, usable) {
+	if g.await(ctx, func(v *view) bool { return usable(v) || g.isUnproven(v) }) && found != nil {
 		return found, Result{}
 	}
 	refusal := notSent(fault.NoPrimary)
-	refusal.RetryAfter = admit.Jitter(after, g.random())
-	if admit.IsImmediate(since, wait) {
+	switch {
+	case g.isUnproven(g.tracker.current.Load()):
+		refusal.Unproven, after = true, admit.UnprovenRetryDelay
+	case admit.IsImmediate(since, wait):
 		refusal.PrimaryExpected = after
 	}
+	refusal.RetryAfter = admit.Jitter(after, g.random())
 	return nil, refusal
 }
 
+// isUnproven reports whether the primary might get new work but for the term lease, which has ended because this
+// instance has not read the group's record.
+func (g *Group) isUnproven(v *view) bool {
+	return v.lease != nil && v.primary != noPrimary && v.lease.Unproven(clock.Now(), g.started) &&
+		g.isAnswering(v, &v.servers[v.primary]) && !g.isRetired(g.allServers()[v.primary])
+}
+
 // primaryAbsence returns how long there has been no usable primary, 0 if there is one.
 func (g *Group) primaryAbsence() time.Duration {
 	v := g.tracker.current.Load()
@@ -81,13 +91,18 @@
 // isRetired reports whether a server has been leaving for so long that it gets no new work.
 func (g *Group) isRetired(s *server) bool { return g.conf.leavers.done(s.ID) }
 
-// canWrite reports whether a primary answered its last poll, within the silence limit,
-// and is not sealed for a later term. In a synchronous group its term must also be leased, since its
+// canWrite reports whether a primary is answering. In a synchronous group its term must also be leased, since its
 // writes could not be acknowledged otherwise.
 func (g *Group) canWrite(v *view, r *report) bool {
 	if v.lease != nil && (v.lease.Term != v.term || !v.lease.Valid(clock.Now())) {
 		return false
 	}
+	return g.isAnswering(v, r)
+}
+
+// isAnswering reports whether a primary answered its last poll, within the silence limit, and is not sealed for a
+// later term.
+func (g *Group) isAnswering(v *view, r *report) bool {
 	return !r.missed && r.status.Sealed <= v.term && clock.Since(r.answered) < g.defaults.Load().Silence
 }
 
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -57,6 +57,9 @@
 	if l.Valid(now) {
 		state = "is valid"
 	}
+	if l.RecordAsked.IsZero() {
+		return fmt.Sprintf("the lease of term %d %s, its record was never read", l.Term, state)
+	}
 	return fmt.Sprintf("the lease of term %d %s, its record was read %v ago", l.Term, state, now.Sub(l.RecordAsked).Round(time.Millisecond))
 }
 
--- a/internal/owner/unproven_test.go
+++ b/internal/owner/unproven_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"testing"
+	"time"
 
+	"geraniumseam.dev/internal/clock"
 	"geraniumseam.dev/internal/fault"
 	"geraniumseam.dev/pkg/stmt"
 )
@@ -22,3 +24,30 @@
 		}
 	}
 }
+
+// TestUnprovenOwnerSaysSo guards against work that waits at an owner that can't read the group's record although
+// another one may run it, against one that sends it away while its first read is under way, and against one that does
+// so although the primary is sealed, which another owner would find too.
+func TestUnprovenOwnerSaysSo(t *testing.T) {
+	t.Parallel()
+	d, store := newProofDriver(), &claimStore{}
+	store.setDown(true)
+	g := startGroup(t, d, store)
+	r, _ := runProven(t, g, Work{Kind: stmt.Write}, false, func() {})
+	if sinceStart := clock.Since(g.started); !r.Unproven || sinceStart < 300*time.Millisecond {
+		t.Errorf("%s, unproven %t, %v after the start; want unproven, not within 300 ms", r.Reason, r.Unproven, sinceStart)
+	}
+	asked := clock.Now()
+	r, _ = runProven(t, g, Work{Kind: stmt.Write}, false, func() {})
+	if took := clock.Since(asked); !r.Unproven || r.Outcome != fault.NotSent || r.RetryAfter < 100*time.Millisecond || r.RetryAfter > 150*time.Millisecond || took > proofWait/2 {
+		t.Errorf("%s, unproven %t, retry after %v, in %v; want unproven at once and a retry after 100 to 150 ms", r.Outcome, r.Unproven, r.RetryAfter, took)
+	}
+	d.change(func() { d.states["a"].Sealed = 2 })
+	eventually(t, "the primary is seen to be sealed", func() bool { return !g.isUnproven(g.tracker.current.Load()) })
+	if r, _ = runProven(t, g, Work{Kind: stmt.Write}, false, func() {}); r.Unproven || r.Reason != fault.NoPrimary {
+		t.Errorf("%s, unproven %t; want no-primary, not unproven", r.Reason, r.Unproven)
+	}
+	if d.writeCount() != 0 {
+		t.Errorf("%d requests at the primary, want none", d.writeCount())
+	}
+}
--- a/internal/owner/work.go
+++ b/internal/owner/work.go
@@ -86,6 +86,9 @@
 	// PrimaryExpected is set if work that needs the primary was refused without a wait because none is
 	// expected earlier than that.
 	PrimaryExpected time.Duration `cbor:"13,keyasint,omitempty"`
+	// Unproven is set if work that needs the primary was refused without a wait because the owner could not
+	// read the group's record, without which it can't prove the term. Another owner may be able to.
+	Unproven bool `cbor:"14,keyasint,omitempty"`
 }
 
 // NeedsPrimary reports whether only the primary can run the work.
