--- a/internal/rule/share/simulation_test.go
+++ b/internal/rule/share/simulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -24,6 +25,9 @@
 	// data centre.
 	localDelay, remoteDelay time.Duration
 	length                  time.Duration
+	// unsent is the fraction of requests of which nothing is sent, which is known refusedAfter after the charge.
+	unsent       float64
+	refusedAfter time.Duration
 	// want is the smallest accepted ratio of admitted requests to those that a single bucket
 	// for all instances would admit.
 	want float64
@@ -39,9 +43,9 @@
 	l := fleetLoad{onlyCenter: -1}
 	numbers := map[string]any{
 		"centers": &l.centers, "instances": &l.instances, "customers": &l.customers, "only": &l.onlyCenter,
-		"rate": &l.rate, "burst": &l.burst, "usual": &l.usual, "greedy": &l.greedy, "want": &l.want,
+		"rate": &l.rate, "burst": &l.burst, "usual": &l.usual, "greedy": &l.greedy, "unsent": &l.unsent, "want": &l.want,
 	}
-	durations := map[string]*time.Duration{"near": &l.localDelay, "far": &l.remoteDelay, "length": &l.length}
+	durations := map[string]*time.Duration{"near": &l.localDelay, "far": &l.remoteDelay, "length": &l.length, "refused-after": &l.refusedAfter}
 	for lines := bufio.NewScanner(file); lines.Scan(); {
 		f := strings.Fields(lines.Text())
 		if len(f) == 0 || f[0] == "#" {
@@ -111,8 +115,13 @@
 	}
 	lastUsed := make([]time.Time, l.centers)
 	var r outcome
-	for _, a := range l.arrivals(random) {
+	var refunds []refund
+	for index, a := range l.arrivals(random) {
 		now := start.Add(a.at + l.localDelay)
+		for len(refunds) > 0 && !now.Before(refunds[0].at) {
+			refunds[0].bucket.Refund(now, refunds[0].charge)
+			refunds = refunds[1:]
+		}
 		r.requested++
 		own := holders[a.center]
 		borrow := func(requested func(at int) bool) {
@@ -138,7 +147,10 @@
 			borrow(func(int) bool { return true })
 		}
 		lastUsed[a.center] = now
-		if own.Take(now, 1) {
+		switch charge, ok := own.Charge(now, 1); {
+		case ok && l.isUnsent(index):
+			refunds = append(refunds, refund{now.Add(l.refusedAfter), own, charge})
+		case ok:
 			r.served++
 			r.admissions = append(r.admissions, admission{now, 1})
 		}
@@ -146,13 +158,25 @@
 	return r
 }
 
-// singleBucket returns how many requests one bucket for all instances would admit.
+// refund is a charge that is to be refunded at a time.
+type refund struct {
+	at     time.Time
+	bucket *Bucket
+	charge Charge
+}
+
+// isUnsent reports whether nothing of a request is sent; such requests are spread evenly.
+func (l fleetLoad) isUnsent(index int) bool {
+	return math.Floor(float64(index+1)*l.unsent) > math.Floor(float64(index)*l.unsent)
+}
+
+// singleBucket returns how many requests one bucket for all instances would admit if it knew which are not sent.
 func (l fleetLoad) singleBucket(random *rand.Rand) int {
 	b := NewBucket(time.Unix(0, 0), Rate(l.rate), Tokens(l.burst))
 	b.Add(time.Unix(0, 0), Tokens(l.burst))
 	served := 0
-	for _, a := range l.arrivals(random) {
-		if b.Take(time.Unix(0, 0).Add(a.at), 1) {
+	for index, a := range l.arrivals(random) {
+		if !l.isUnsent(index) && b.Take(time.Unix(0, 0).Add(a.at), 1) {
 			served++
 		}
 	}
