--- a/internal/owner/work.go
+++ b/internal/owner/work.go
@@ -83,6 +83,12 @@
 	// PreferredCenter is the data centre whose owner should run the work, with reason
 	// OtherOwnerPreferred.
 	PreferredCenter ident.CenterID `cbor:"12,keyasint,omitempty"`
+	// PrimaryExpected is set if work that needs the primary was refused without a wait because none is
+	// expected earlier than that.
+	PrimaryExpected time.Duration `cbor:"13,keyasint,omitempty"`
+	// Unproven is set if work that needs the primary was refused without a wait because the owner could not
+	// read the group's record, without which it can't prove the term. Another owner may be able to.
+	Unproven bool `cbor:"14,keyasint,omitempty"`
 }
 
 // NeedsPrimary reports whether only the primary can run the work.
@@ -121,10 +127,14 @@
 }
 
 // After returns the result of a request that was tried before with another result: what may
-// have run then may have run, whatever became of the later attempt.
+// have run then may have run, whatever became of the later attempt. Nor is a request unsent
+// that was sent then, even if it is known not to have run.
 func (r Result) After(earlier Result) Result {
-	if r.Outcome.NotRun() && earlier.Outcome.Unknown() {
+	switch {
+	case r.Outcome.NotRun() && earlier.Outcome.Unknown():
 		r.Outcome = fault.Unknown
+	case r.Outcome == fault.NotSent && earlier.Outcome.NotRun():
+		r.Outcome = earlier.Outcome
 	}
 	return r
 }
--- a/internal/quota/metrics.go
+++ b/internal/quota/metrics.go
@@ -19,6 +19,7 @@
 	emptyRounds prometheus.Counter
 	spent       prometheus.Counter
 	refused     *prometheus.CounterVec
+	returned    prometheus.Counter
 }
 
 func newCounters(registry prometheus.Registerer) counters {
@@ -31,12 +32,13 @@
 		failed:      counter("token_asks_failed", "Questions for tokens that were not answered."),
 		emptyRounds: counter("token_rounds_dry", "Rounds through the other data centres that found no token."),
 		spent:       counter("tokens_spent", "Tokens spent on callers' requests."),
+		returned:    counter("tokens_returned", "Tokens of requests of which nothing was sent, put back where they were taken."),
 		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "geraniumseam_token_refusals_total", Help: "Requests that got no token, by reason.",
 		}, []string{"reason"}),
 	}
 	if registry != nil {
-		registry.MustRegister(c.borrowed, c.lent, c.failed, c.emptyRounds, c.spent, c.refused)
+		registry.MustRegister(c.borrowed, c.lent, c.failed, c.emptyRounds, c.spent, c.refused, c.returned)
 	}
 	return c
 }
--- a/internal/quota/outage_test.go
+++ b/internal/quota/outage_test.go
@@ -108,7 +108,7 @@
 	restarted.CheckShards()
 	c.await("a holds its shards again", func() bool { return restarted.Held() == share.Shards })
 	spent := 0.0
-	for restarted.TryTake("house") {
+	for took(restarted) {
 		spent++
 	}
 	if least := rate * ((away - loanTTL) / 2).Seconds(); spent < least {
--- a/internal/rule/share/bucket.go
+++ b/internal/rule/share/bucket.go
@@ -42,6 +42,10 @@
 	accruesFrom time.Time
 	// falls are the coming reductions of rate and burst, in order of time.
 	falls []fall
+	// charges counts the charges, and resized how often the bucket was resized or drained.
+	charges, resized uint64
+	// peaks are the levels from which the bucket has fallen, for Refund.
+	peaks []peak
 }
 
 // fall is a reduction of a bucket's rate and burst.
@@ -69,6 +73,7 @@
 	for len(b.falls) > 0 && !now.Before(b.falls[0].at) {
 		b.refillOwn(b.falls[0].at)
 		b.rate, b.burst = b.falls[0].rate, b.falls[0].burst
+		b.forgetCharges()
 		if b.burst == 0 {
 			b.tenure = 0
 		}
@@ -83,6 +88,7 @@
 func (b *Bucket) refillOwn(now time.Time) {
 	for len(b.lent) > 0 && !now.Before(b.lent[0].expires) {
 		b.accrue(b.lent[0].expires)
+		b.recordPeak()
 		b.lent = b.lent[1:]
 	}
 	b.accrue(now)
@@ -104,17 +110,8 @@
 
 // Take spends n tokens if the bucket has them; borrowed ones are spent first because they expire.
 func (b *Bucket) Take(now time.Time, n Tokens) bool {
-	b.refill(now)
-	if b.tokens+total(b.borrowed) < n {
-		return false
-	}
-	for at := range b.borrowed {
-		spent := min(n, b.borrowed[at].amount)
-		b.borrowed[at].amount -= spent
-		n -= spent
-	}
-	b.tokens -= n
-	return true
+	_, ok := b.Charge(now, n)
+	return ok
 }
 
 // Available returns how many tokens can be taken now.
@@ -177,6 +174,7 @@
 // end empties the bucket until it is sized for a new tenure.
 func (b *Bucket) end() {
 	b.rate, b.burst, b.tokens, b.tenure, b.falls = 0, 0, 0, 0, nil
+	b.forgetCharges()
 }
 
 // TakeOver adds the state that the previous holder handed over for a tenure, unless that has
--- a/internal/rule/share/hold.go
+++ b/internal/rule/share/hold.go
@@ -47,6 +47,9 @@
 	grown := -b.burst
 	b.rate, b.burst = sized(usable)
 	grown += b.burst
+	if grown != 0 || h.Tenure != b.tenure {
+		b.forgetCharges()
+	}
 	b.falls = nil
 	reserveRate, reserveBurst := sized(h.Reserve)
 	if now.Before(h.LeaseEnd) {
