Model records that instances learn from each other

Instances will learn a group's record from each other, as old as the copy of the instance that answers. A record that counts as younger than it is would keep a removed member's word alive and lose acknowledged writes.

The model of lists learns records this way, with questions, answers and instances that are held up for seconds and a slow clock, under the plans of removed members, random faults with servers that join and leave, seals that end, and restores.

--- a/internal/rule/group/lists_broken_test.go
+++ b/internal/rule/group/lists_broken_test.go
@@ -79,6 +79,7 @@
 		}
 		return &brokenAcks{proven: proven{lease: NewTermLease()}, name: name}
 	})
+	m.ageNotCounted = name == "age-not-counted"
 	m.alter = func(_ int, e Event) Event { return breakEvent(name, e) }
 	if name == "lost-seal-not-seen" {
 		m.synchModel.mayOrder = nil
@@ -116,7 +117,7 @@
 }
 
 // listsPlans are the plans by the names in the list of broken mechanisms.
-var listsPlans = map[string]listsPlan{"A": planA, "B": planB, "C": planC, "D": planD, "E": planE, "F": planF, "R": planR, "S": planS, "T": planT, "U": planU, "V": planV, "W": planW}
+var listsPlans = map[string]listsPlan{"A": planA, "B": planB, "C": planC, "D": planD, "E": planE, "F": planF, "G": planG, "R": planR, "S": planS, "T": planT, "U": planU, "V": planV, "W": planW}
 
 // listsDetectionSchedules is the most schedules of a plan that may pass before a broken mechanism shows.
 const listsDetectionSchedules = 600
--- a/internal/rule/group/lists_callers_test.go
+++ b/internal/rule/group/lists_callers_test.go
@@ -101,6 +101,8 @@
 	listRead  time.Time
 	refreshAt time.Time
 	acks      acknowledger
+	// copy is the record that the instance answers others with.
+	copy RecordCopy
 	// waiting are successes that are not passed on yet.
 	waiting []modelAnswer
 }
--- a/internal/rule/group/lists_model_test.go
+++ b/internal/rule/group/lists_model_test.go
@@ -22,6 +22,8 @@
 	requests   []modelWrite
 	promotions int
 	plan       listsPlan
+	// ageNotCounted is set if records that are learnt from another instance count as read on the question.
+	ageNotCounted bool
 }
 
 // listsPlan directs the schedules of a test.
@@ -32,6 +34,8 @@
 	ordered func(m *listsModel, effect time.Duration)
 	// faultEvery is the mean number of steps between random faults; 0 means none.
 	faultEvery int
+	// peers is set if instances learn the record from each other as well.
+	peers bool
 }
 
 func newListsModel(seed uint64, plan listsPlan, acks func(*listsModel, *listsInstance) acknowledger) *listsModel {
@@ -104,20 +108,29 @@
 
 // takeRecord gives an instance the record that it has read or written.
 func (m *listsModel) takeRecord(i *listsInstance, r Record, v ident.Version, asked time.Time) {
+	i.copy = i.copy.Merge(RecordCopy{Record: r, Version: v, Asked: asked})
 	i.acks.recorded(r, v, asked, m.now)
 	m.step(i.at, Recorded{Record: r, Version: v})
 	m.passOn(i)
 }
 
-// readRecord reads the group's record for an instance; a read may fail after a while.
-func (m *listsModel) readRecord(i *listsInstance) {
+// readRecord reads the group's record for an instance.
+func (m *listsModel) readRecord(i *listsInstance) { m.readRecordFor(i, func(RecordCopy) {}) }
+
+// readRecordFor reads the group's record for an instance and passes it to use; a read may fail after a while.
+func (m *listsModel) readRecordFor(i *listsInstance, use func(RecordCopy)) {
 	asked := m.now
 	m.schedule(m.randomMillis(1, 30), func() {
 		if m.storeDown || !m.reaches(i.name(), "store") || m.oneIn(20) {
 			return
 		}
 		r, v := m.record, ident.NewVersion(m.epoch, m.revision)
-		m.schedule(m.randomMillis(1, 30), func() { m.whenRunning(i, func() { m.takeRecord(i, r, v, asked) }) })
+		m.schedule(m.randomMillis(1, 30), func() {
+			m.whenRunning(i, func() {
+				m.takeRecord(i, r, v, asked)
+				use(RecordCopy{Record: r, Version: v, Asked: asked})
+			})
+		})
 	})
 }
 
@@ -277,6 +290,9 @@
 			if m.oneIn(10) {
 				m.readRecord(i)
 			}
+			if m.plan.peers && m.oneIn(2) {
+				m.askForRecord(i)
+			}
 			if m.oneIn(3) {
 				m.send(i)
 			}
