Let owners learn the group's record from each other

Each of up to six owners of a synchronous group read its record from the store every 2.25 s, most of all calls, and one that the store did not answer waited a second before it asked a peer, whose answer had no age.

An owner that renews its lease asks the first owner for a record that is at most 1.5 s old; that answers from its copy or reads the store once for all that ask. What has not answered within 150 ms is joined by the next source: the store, the other owners, three other linked instances. Answers state how old the record was when the question arrived. A record that is needed fresh is read as before.

Requests without an age, as earlier releases send them, are answered with a read that is begun after their arrival only. A missing record has the epoch that the answer names, so that no record from before a restore passes for a later one.

--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -109,8 +109,9 @@
 	case peer.MembersRequest:
 		return h.members.stateMessage()
 	case peer.RecordRequest:
-		if r, v, ok := h.host.ReadRecord(ctx, m.Group); ok {
-			return peer.RecordResponse{Record: r, Version: v}
+		arrival := clock.Now()
+		if c, ok := h.host.ReadRecord(ctx, m.Group, m.MaxAge); ok {
+			return peer.RecordResponse{Record: c.Record, Version: c.Version, Age: c.AgeOn(arrival)}
 		}
 		return nil
 	case peer.JournalRequest:
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -179,7 +179,7 @@
 	i.host = owner.NewHost(owner.HostConfig{
 		Self: c.Instance, Center: c.Center, Claimant: group.Claimant(string(c.Instance) + "-" + i.bootID), Driver: c.Backends,
 		Store: c.Store, Epochs: epochs, Journal: i.journal, Random: i.random.fork(),
-		Now: clock.Now, ReportServer: i.broadcastReachability, ReadRecord: i.readRecordThroughPeer, Registry: c.Registry, Baseline: c.Baseline.Baseline,
+		Now: clock.Now, ReportServer: i.broadcastReachability, ReadRecord: i.readRecordOf, LinkedPeers: i.linkedPeers, Registry: c.Registry, Baseline: c.Baseline.Baseline,
 	})
 	i.hub = peer.NewHub(peer.Config{
 		Self: c.Instance, Center: c.Center, Secret: c.PeerSecret, Server: c.PeerServer, Client: c.PeerClient,
@@ -360,33 +360,21 @@
 	i.hub.NotifyAll(i.tomb.Context(context.Background()), peer.ServerReport{Group: g, Server: s, Answers: answers})
 }
 
-// recordReaders is how many peers are asked at once to read a group's record.
-const recordReaders = 2
+// readRecordOf asks another instance for a group's record.
+func (i *Instance) readRecordOf(ctx context.Context, id ident.InstanceID, g ident.GroupID, maxAge time.Duration) (group.RecordCopy, bool) {
+	sent := clock.Now()
+	r, err := peer.QueryFor[peer.RecordResponse](ctx, i.hub, id, peer.RecordRequest{Group: g, MaxAge: maxAge})
+	if err != nil {
+		return group.RecordCopy{}, false
+	}
+	return group.RecordCopy{Record: r.Record, Version: r.Version, Asked: group.PeerReadTime(sent, r.Age)}, true
+}
 
-// readRecordThroughPeer reads a group's record through peers that may reach the platform's store.
-func (i *Instance) readRecordThroughPeer(ctx context.Context, g ident.GroupID) (group.Record, ident.Version, bool) {
+// linkedPeers returns the instances with an open link in random order.
+func (i *Instance) linkedPeers() []ident.InstanceID {
 	peers := i.hub.ConnectedPeers()
 	i.random.fork().Shuffle(len(peers), func(a, b int) { peers[a], peers[b] = peers[b], peers[a] })
-	peers = peers[:min(recordReaders, len(peers))]
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	answers := make(chan peer.Message, len(peers))
-	for _, id := range peers {
-		go func() {
-			r, err := peer.QueryFor[peer.RecordResponse](ctx, i.hub, id, peer.RecordRequest{Group: g})
-			if err != nil {
-				answers <- nil
-				return
-			}
-			answers <- r
-		}()
-	}
-	for range peers {
-		if r, ok := (<-answers).(peer.RecordResponse); ok {
-			return r.Record, r.Version, true
-		}
-	}
-	return group.Record{}, 0, false
+	return peers
 }
 
 // Gather returns the journal events of the whole fleet since a time, sorted by time, and the
--- a/internal/owner/coordinate.go
+++ b/internal/owner/coordinate.go
@@ -127,7 +127,8 @@
 		}
 	}
 	if err == nil {
-		g.tracker.applyRecord(r, v, asked, clock.Now())
+		g.tracker.applyRecord(group.RecordCopy{Record: r, Version: v, Asked: asked}, clock.Now())
+		g.conf.copies.note(g.conf.ID, group.RecordCopy{Record: r, Version: v, Asked: asked})
 	}
 	g.postEvent(result)
 }
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -41,8 +41,9 @@
 	Now     func() time.Time
 	// ReportServer tells the peers whether a server answers this instance; it may be nil.
 	ReportServer func(g ident.GroupID, s ident.ServerID, answers bool)
-	// ReadRecord reads a group's record through a peer; it may be nil.
-	ReadRecord ReadRecord
+	// ReadRecord asks a peer for a group's record, LinkedPeers returns those with an open link; both may be nil.
+	ReadRecord  ReadRecord
+	LinkedPeers func() []ident.InstanceID
 	// Baseline switches mechanisms off for comparative measurements.
 	Baseline Baseline
 	// lost counts lost answers; nil counts none.
@@ -53,17 +54,20 @@
 	leavers *leavers
 	// changes counts answers of superseded primaries; nil counts none.
 	changes *changes
+	// copies holds the copies of groups' records; nil keeps one for this group alone.
+	copies *recordCopies
 }
 
-// ReadRecord reads a group's record from the platform's store; false if that does not answer.
-type ReadRecord func(context.Context, ident.GroupID) (group.Record, ident.Version, bool)
+// ReadRecord asks an instance for a group's record that is at most maxAge old; false if it does not answer.
+type ReadRecord func(ctx context.Context, from ident.InstanceID, g ident.GroupID, maxAge time.Duration) (group.RecordCopy, bool)
 
 // Place is an owner's position among the owners of its group.
 type Place struct {
 	// Rank is the owner's index in the order of owners, from 0; negative if this instance is not one of them.
 	Rank int
-	// Centers lists the data centre of each owner, in the order of owners.
+	// Centers lists the data centre of each owner, Owners the owners, in an order that all instances share.
 	Centers []ident.CenterID
+	Owners  []ident.InstanceID
 }
 
 // Baseline selects simple policies to measure against; the zero value selects none.
@@ -150,6 +154,9 @@
 	if c.leavers == nil {
 		c.leavers = &leavers{}
 	}
+	if c.copies == nil {
+		c.copies = newRecordCopies(c.Store, c.Epochs, nil)
+	}
 	g := &Group{
 		conf: c, tracker: newTracker(c.Group.Synchronous > 0),
 		events: make(chan group.Event, eventQueueSize), txs: map[TxID]*transaction{},
--- a/internal/owner/host.go
+++ b/internal/owner/host.go
@@ -10,6 +10,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"geraniumseam.dev/internal/clock"
 	"geraniumseam.dev/internal/fault"
 	"geraniumseam.dev/internal/jrnl"
 	"geraniumseam.dev/internal/plat"
@@ -34,10 +35,11 @@
 	Now      func() time.Time
 	// ReportServer tells the peers whether a server answers this instance; it may be nil.
 	ReportServer func(g ident.GroupID, s ident.ServerID, answers bool)
-	// ReadRecord reads a group's record through a peer; it may be nil.
-	ReadRecord ReadRecord
-	Registry   prometheus.Registerer
-	Baseline   Baseline
+	// ReadRecord asks a peer for a group's record, LinkedPeers returns those with an open link; both may be nil.
+	ReadRecord  ReadRecord
+	LinkedPeers func() []ident.InstanceID
+	Registry    prometheus.Registerer
+	Baseline    Baseline
 }
 
 // lostGroupRetention is the shortest time for which a group is kept after this instance lost
@@ -63,6 +65,7 @@
 	faults     *connFaults
 	leavers    *leavers
 	changes    *changes
+	copies     *recordCopies
 }
 
 // retryBudgetCeiling is the largest number of retries that the retry budget accumulates.
@@ -70,12 +73,16 @@
 
 // NewHost returns a host without groups.
 func NewHost(c HostConfig) *Host {
+	if c.Epochs == nil {
+		c.Epochs = plat.NewEpochs()
+	}
 	h := &Host{
 		conf:       c,
 		lost:       newLostAnswers(c.Registry),
 		faults:     newConnFaults(c.Registry),
 		leavers:    &leavers{now: c.Now},
 		changes:    newChanges(c.Registry),
+		copies:     newRecordCopies(c.Store, c.Epochs, c.Registry),
 		budget:     retry.NewBudget(conf.DefaultValues().RetryRatio, retryBudgetCeiling),
 		ownedGauge: prometheus.NewGauge(prometheus.GaugeOpts{Name: "geraniumseam_groups_owned", Help: "Database groups owned by this instance."}),
 	}
@@ -122,7 +129,7 @@
 func ownerPlace(owners []membr.Member, rank int) Place {
 	p := Place{Rank: rank}
 	for _, m := range owners {
-		p.Centers = append(p.Centers, m.Center)
+		p.Centers, p.Owners = append(p.Centers, m.Center), append(p.Owners, m.ID)
 	}
 	return p
 }
@@ -143,7 +150,8 @@
 		ID: id, Group: g, Defaults: d, Self: h.conf.Self, Center: h.conf.Center, Claimant: h.conf.Claimant, Place: p,
 		Driver: h.conf.Driver, Store: h.conf.Store, Epochs: h.conf.Epochs, Journal: h.conf.Journal,
 		Budget: h.budget, Random: rand.New(rand.NewPCG(h.conf.Random.Uint64(), h.conf.Random.Uint64())),
-		Now: h.conf.Now, ReportServer: h.conf.ReportServer, ReadRecord: h.conf.ReadRecord, Baseline: h.conf.Baseline, lost: h.lost, faults: h.faults, leavers: h.leavers, changes: h.changes,
+		Now: h.conf.Now, ReportServer: h.conf.ReportServer, ReadRecord: h.conf.ReadRecord, LinkedPeers: h.conf.LinkedPeers, Baseline: h.conf.Baseline,
+		lost: h.lost, faults: h.faults, leavers: h.leavers, changes: h.changes, copies: h.copies,
 	})
 	h.conf.Journal.Add(jrnl.Event{Kind: jrnl.OwnerChanged, Group: id, Evidence: "this instance now owns the group"})
 	if current != nil {
@@ -185,10 +193,20 @@
 	return ids
 }
 
-// ReadRecord reads a group's record for a peer.
-func (h *Host) ReadRecord(ctx context.Context, id ident.GroupID) (group.Record, ident.Version, bool) {
-	kept, err := readRecord(ctx, h.conf.Store, h.conf.Epochs, id)
-	return kept.Record, kept.version, err == nil
+// ReadRecord returns a group's record for a peer: this instance's copy if that is at most maxAge old, otherwise a new
+// one, which it reads once for all peers that ask at the same time.
+func (h *Host) ReadRecord(ctx context.Context, id ident.GroupID, maxAge time.Duration) (group.RecordCopy, bool) {
+	if c := h.copies.known(id); c.MayAnswer(clock.Now(), maxAge) {
+		return c, true
+	}
+	c, err := h.copies.read(ctx, id, maxAge)
+	if err != nil {
+		return group.RecordCopy{}, false
+	}
+	if g := h.Group(id); h.copies.note(id, c) && g != nil {
+		g.applyRecord(c, fromStore)
+	}
+	return c, true
 }
 
 // Run runs work on its group, and refuses it if the group does not run on this instance.
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -96,7 +96,7 @@
 			asked := clock.Now()
 			r, v, _, err := g.updateRecord(ctx, settle)
 			if err == nil {
-				g.applyRecord(r, v, asked)
+				g.applyRecord(group.RecordCopy{Record: r, Version: v, Asked: asked}, fromStore)
 				return nil
 			}
 			select {
--- a/internal/owner/record.go
+++ b/internal/owner/record.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"sync"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -31,8 +31,6 @@
 	interval time.Duration
 	// term is the term of the lease for which the record was last needed.
 	term ident.Term
-	// storeFailed is set if the last read from the store by this instance itself failed.
-	storeFailed atomic.Bool
 }
 
 // readRecordIfNeeded starts a read of the group's record if the term lease needs it.
@@ -45,8 +43,9 @@
 	if term := g.tracker.current.Load().lease.Term; term != r.term {
 		r.term, r.next, r.interval = term, time.Time{}, 0
 	}
+	maxAge, needed := g.tracker.needsRecord(now)
 	switch {
-	case !g.tracker.needsRecord(now):
+	case !needed:
 		r.interval = 0
 		return
 	case now.Before(r.next):
@@ -57,43 +56,11 @@
 	r.running.Store(true)
 	g.tomb.Go(func() error {
 		defer r.running.Store(false)
-		g.refreshRecord()
+		g.refreshRecord(maxAge)
 		return nil
 	})
 }
 
-// refreshRecord reads the group's record for the term lease and the state machine. If the store did not answer
-// this instance the last time, a peer is asked as well, since the store may answer that.
-func (g *Group) refreshRecord() {
-	ctx, cancel := context.WithTimeout(g.tomb.Context(context.Background()), recordTimeout)
-	defer cancel()
-	throughPeer := g.records.storeFailed.Load() && g.conf.ReadRecord != nil
-	asked := clock.Now()
-	var sources sync.WaitGroup
-	sources.Go(func() {
-		kept, err := readRecord(ctx, g.conf.Store, g.conf.Epochs, g.conf.ID)
-		g.records.storeFailed.Store(err != nil)
-		if err == nil {
-			g.applyRecord(kept.Record, kept.version, asked)
-		}
-	})
-	if throughPeer {
-		sources.Go(func() {
-			if r, v, ok := g.conf.ReadRecord(ctx, g.conf.ID); ok {
-				g.applyRecord(r, v, asked)
-			}
-		})
-	}
-	sources.Wait()
-}
-
-// applyRecord passes the group's record, which was read since asked, to the term lease and to the state
-// machine.
-func (g *Group) applyRecord(r group.Record, v ident.Version, asked time.Time) {
-	g.tracker.applyRecord(r, v, asked, clock.Now())
-	g.postEvent(group.Recorded{Record: r, Version: v})
-}
-
 // changeMembers changes the members in the group's record.
 func (g *Group) changeMembers(a group.ChangeMembers) {
 	if g.relinquished.Load() {
@@ -106,7 +73,7 @@
 	if err != nil {
 		return
 	}
-	g.applyRecord(r, v, asked)
+	g.applyRecord(group.RecordCopy{Record: r, Version: v, Asked: asked}, fromStore)
 	if written {
 		g.recordMembers(a, r)
 	}
@@ -143,6 +110,11 @@
 	epoch, _, _ := epochs.Current()
 	object, err := store.Get(ctx, objs.Groups, string(id))
 	if plat.HasCause(err, plat.NotFound) {
+		var failed *plat.Error
+		if errors.As(err, &failed) {
+			// A version of an earlier epoch would make a record that was read before the restore the later one.
+			epoch = max(epoch, failed.Epoch)
+		}
 		missing := objs.Object{Kind: objs.Groups, Metadata: objs.Metadata{Name: string(id)}}
 		return keptRecord{object: missing, version: ident.NewVersion(epoch, 0)}, nil
 	}
@@ -206,13 +178,16 @@
 	})
 }
 
-func (t *tracker) applyRecord(r group.Record, v ident.Version, asked, answered time.Time) {
-	t.updateLease(func(l *group.TermLease) { l.Record(r, v, asked, answered) })
+func (t *tracker) applyRecord(c group.RecordCopy, answered time.Time) {
+	t.updateLease(func(l *group.TermLease) { l.Record(c.Record, c.Version, c.Asked, answered) })
 }
 
-// needsRecord reports whether the term lease needs the group's record.
-func (t *tracker) needsRecord(now time.Time) bool {
+// needsRecord reports whether the term lease needs the group's record, and how old a copy may be.
+func (t *tracker) needsRecord(now time.Time) (time.Duration, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.lease != nil && t.lease.NeedsRecord(now)
+	if t.lease == nil {
+		return 0, false
+	}
+	return t.lease.NeedsRecord(now)
 }
--- /dev/null
+++ b/internal/owner/refresh_test.go
@@ -0,0 +1,169 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"geraniumseam.dev/internal/clock"
+	"geraniumseam.dev/internal/plat"
+	"geraniumseam.dev/internal/rule/conf"
+	"geraniumseam.dev/internal/rule/group"
+	"geraniumseam.dev/internal/rule/membr"
+	"geraniumseam.dev/pkg/ident"
+	"geraniumseam.dev/pkg/objs"
+)
+
+// slowStore counts the reads of a group's record and answers them after a delay.
+type slowStore struct {
+	claimStore
+	reads atomic.Int64
+	delay time.Duration
+}
+
+func (s *slowStore) Get(ctx context.Context, kind objs.Kind, name string) (objs.Object, error) {
+	s.reads.Add(1)
+	select {
+	case <-ctx.Done():
+		return objs.Object{}, ctx.Err()
+	case <-time.After(s.delay):
+	}
+	return s.claimStore.Get(ctx, kind, name)
+}
+
+// recordAsker is a group that reads its record when it is told to, from the store and from the peer that answers.
+func recordAsker(t *testing.T, s plat.Store, answering ident.InstanceID) *Group {
+	c := testGroupConfig(newDriver(), s)
+	c.Group = conf.Group{Connections: 20, Slots: 3}
+	c.Place = Place{Rank: 1, Owners: []ident.InstanceID{"first", "i", "third"}}
+	c.LinkedPeers = func() []ident.InstanceID { return []ident.InstanceID{"first", "linked"} }
+	c.ReadRecord = func(ctx context.Context, from ident.InstanceID, _ ident.GroupID, maxAge time.Duration) (group.RecordCopy, bool) {
+		if from != answering {
+			<-ctx.Done()
+			return group.RecordCopy{}, false
+		}
+		return group.RecordCopy{Version: 7, Asked: clock.Now().Add(-maxAge)}, true
+	}
+	return startGroupWith(t, c)
+}
+
+// TestRecordIsAskedForWithoutWaiting guards against reads of the store beside a first owner that answers, and against
+// waits for a source that does not answer.
+func TestRecordIsAskedForWithoutWaiting(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		answering ident.InstanceID
+		store     time.Duration
+		maxAge    time.Duration
+		// steps is how many sources are waited for in vain; reads is how often the store is read.
+		steps int
+		reads int64
+	}{
+		{"first owner", "first", time.Hour, group.SharedRecordAge, 0, 0},
+		{"store after first owner", "", 0, group.SharedRecordAge, 1, 1},
+		{"other owner", "third", time.Hour, group.SharedRecordAge, 2, 1},
+		{"linked instance", "linked", time.Hour, group.SharedRecordAge, 3, 1},
+		{"fresh record", "first", 0, group.FreshRecordAge, 0, 1},
+		{"fresh record of first owner", "first", time.Hour, group.FreshRecordAge, 1, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := &slowStore{delay: c.store}
+			g := recordAsker(t, s, c.answering)
+			began := time.Now()
+			g.refreshRecord(c.maxAge)
+			took, earliest := time.Since(began), time.Duration(c.steps)*recordHedgeDelay
+			if took < earliest || took > earliest+recordHedgeDelay || !g.conf.copies.known("g").IsKnown() {
+				t.Errorf("took %v, want %v to %v and a copy", took, earliest, earliest+recordHedgeDelay)
+			}
+			if reads := s.reads.Load(); reads != c.reads {
+				t.Errorf("%d reads of the store, want %d", reads, c.reads)
+			}
+		})
+	}
+}
+
+// TestReadIsSharedByPeers guards against a read of the store for each peer that asks, and against a copy, or a read that
+// had been begun before, in answer to a question without an age.
+func TestReadIsSharedByPeers(t *testing.T) {
+	s := &slowStore{delay: 50 * time.Millisecond}
+	h := NewHost(HostConfig{Store: s, Now: clock.Now})
+	ask := func(questions int, maxAge time.Duration) int64 {
+		before := s.reads.Load()
+		var asked sync.WaitGroup
+		for range questions {
+			asked.Go(func() {
+				arrival := clock.Now()
+				c, ok := h.ReadRecord(t.Context(), "g", maxAge)
+				if !ok || maxAge == 0 && c.Asked.Before(arrival) {
+					t.Errorf("answered %t with a record that was read %v before the question", ok, c.AgeOn(arrival))
+				}
+			})
+		}
+		asked.Wait()
+		return s.reads.Load() - before
+	}
+	if reads := ask(5, group.SharedRecordAge); reads != 1 {
+		t.Errorf("%d reads for five peers at once, want 1", reads)
+	}
+	if reads := ask(1, group.SharedRecordAge); reads != 0 {
+		t.Errorf("%d reads for a peer that takes the copy, want none", reads)
+	}
+	if reads := ask(5, 0); reads == 0 {
+		t.Error("no read for peers that don't say how old the record may be")
+	}
+	time.Sleep(group.FreshRecordAge)
+	if reads := ask(5, group.FreshRecordAge); reads != 1 {
+		t.Errorf("%d reads for five peers that take no older copy, want 1", reads)
+	}
+}
+
+// TestOwnersShareReadsOfRecord guards against reads of the store by each of a group's owners while one could tell the
+// others what it has read.
+func TestOwnersShareReadsOfRecord(t *testing.T) {
+	s := &slowStore{}
+	c := groupOf("a", "b", "c")
+	centers := membr.Centers{}
+	for at, center := range []ident.CenterID{"x", "y", "z"} {
+		c.Servers[at].Center = center
+		centers[center] = []membr.Member{{ID: ident.InstanceID("i" + center), Center: center}}
+	}
+	hosts, d := map[ident.InstanceID]*Host{}, newProofDriver()
+	for center, members := range centers {
+		config := testGroupConfig(d, s)
+		hosts[members[0].ID] = NewHost(HostConfig{
+			Self: members[0].ID, Center: center, Claimant: group.Claimant(members[0].ID), Driver: d, Store: s, Journal: config.Journal, Random: config.Random, Now: config.Now,
+			ReadRecord: func(ctx context.Context, from ident.InstanceID, g ident.GroupID, maxAge time.Duration) (group.RecordCopy, bool) {
+				sent := clock.Now()
+				c, ok := hosts[from].ReadRecord(ctx, g, maxAge)
+				c.Asked = group.PeerReadTime(sent, c.AgeOn(sent))
+				return c, ok
+			},
+		})
+	}
+	snapshot := conf.NewSnapshot(conf.Config{Defaults: testGroupConfig(d, s).Defaults, Groups: map[ident.GroupID]conf.Group{"g": c}}, 1)
+	for _, h := range hosts {
+		h.Reconcile(snapshot, centers)
+		t.Cleanup(h.Stop)
+	}
+	held := func() bool {
+		for _, h := range hosts {
+			if _, needed := h.Group("g").tracker.needsRecord(clock.Now()); needed {
+				return false
+			}
+		}
+		return true
+	}
+	eventually(t, "all owners hold a lease", held)
+	const window = 6 * time.Second
+	before := s.reads.Load()
+	time.Sleep(window)
+	reads, most := s.reads.Load()-before, int64(window/group.SharedRecordAge)
+	if reads > most || reads == 0 {
+		t.Errorf("%d reads in %v, want 1 to %d", reads, window, most)
+	}
+	t.Logf("%d reads in %v by %d owners", reads, window, len(hosts))
+	eventually(t, "all owners hold a lease", held)
+}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -139,16 +139,20 @@
 	Members []membr.Member `cbor:"2,keyasint"`
 }
 
-// RecordRequest requests a fresh read of a group's record from the platform's store; the response is
-// RecordResponse, or none if the store does not answer.
+// RecordRequest requests a group's record that was read from the platform's store at most MaxAge ago; the response
+// is RecordResponse, or none if the store does not answer.
 type RecordRequest struct {
 	Group ident.GroupID `cbor:"1,keyasint"`
+	// MaxAge is 0 in requests of earlier releases, which take the record for one that is read on the request.
+	MaxAge time.Duration `cbor:"2,keyasint,omitempty"`
 }
 
 // RecordResponse has a group's record and its version.
 type RecordResponse struct {
 	Record  group.Record  `cbor:"1,keyasint"`
 	Version ident.Version `cbor:"2,keyasint"`
+	// Age is how long before the request arrived the read was begun; 0 if it was begun later, as in earlier releases.
+	Age time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // SuspicionReport propagates a suspicion of one instance about another, or its withdrawal.
--- a/internal/rule/group/lease.go
+++ b/internal/rule/group/lease.go
@@ -112,16 +112,17 @@
 	if l.recordKnown && v < l.version {
 		return
 	}
+	if asked.Before(l.recordAsked) {
+		// It is not older than the one that is known, so it was current after that had been read.
+		asked = l.recordAsked
+	}
 	if !l.recordKnown || r.Claim != l.record.Claim {
 		l.claimSeenAt = answered
 	}
 	if l.recordKnown && v.Epoch() != l.version.Epoch() {
 		l.restoredAt = answered
 	}
-	l.record, l.version, l.recordKnown = r, v, true
-	if asked.After(l.recordAsked) {
-		l.recordAsked = asked
-	}
+	l.record, l.version, l.recordKnown, l.recordAsked = r, v, true, asked
 	l.restartFrom, l.claimPossible = asked, r.ReplacedTerm >= l.term || l.mayHaveOutdatedClaim(asked)
 	if l.claimPossible || l.term == 0 {
 		return
@@ -312,10 +313,10 @@
 }
 
 // NeedsRecord reports whether the record should be read: the lease has ended, an answering member is not
-// trusted, or a server is not a member yet.
-func (l *TermLease) NeedsRecord(now time.Time) bool {
-	if l.term == 0 || !l.recordKnown || !now.Before(l.until) || !now.Before(l.recordAsked.Add(recordRenewal)) {
-		return true
+// trusted, a server is not a member yet, or the record will expire. It also returns how old a copy of the record may be.
+func (l *TermLease) NeedsRecord(now time.Time) (maxAge time.Duration, needed bool) {
+	if l.term == 0 || !l.recordKnown || !now.Before(l.until) {
+		return FreshRecordAge, true
 	}
 	for id, s := range l.servers {
 		w := l.states[id]
@@ -323,8 +324,8 @@
 			continue
 		}
 		if l.record.isMember(s) && !w.trusted || !l.record.isMember(s) && !l.leaving[id] && w.poll.Status.Term == l.term {
-			return true
+			return FreshRecordAge, true
 		}
 	}
-	return false
+	return SharedRecordAge, !now.Before(l.recordAsked.Add(recordRenewal))
 }
