Open connections only where the server reports room for them

The number of connections and of running statements in a server's status now reaches the owner (group.Load; PostgreSQL servers report none, and nothing changes for them). admit.Headroom decides from that number, from what was opened and closed since the report was requested, and from the report's age. An owner without a connection, and one that closes an idle connection for a new one, may use the margin. Idle connections of other customers are closed for a waiting request, the least recently used first, and only if the new connection can then be opened; an owner without any connection to a full server refuses at once. Counters: geraniumseam_connections_withheld_total and _exchanged_total.

--- a/internal/owner/conns.go
+++ b/internal/owner/conns.go
@@ -135,10 +135,12 @@
 	p.idle = slices.DeleteFunc(p.idle, func(other *pooledConn) bool { return other == c })
 	c.Close()
 	p.open--
+	p.room.Closed(p.conf.now())
 }
 
 // dialFor starts opening a connection for a customer with waiting requests, unless
-// the limit is reached or enough are being opened already; the caller holds mu.
+// the limit is reached, the server has too few left or enough are being opened already; the
+// caller holds mu.
 func (p *pool) dialFor(customer ident.CustomerID) bool {
 	waiting := p.queue.Len()
 	if customer != "" {
@@ -147,6 +149,10 @@
 	if p.open >= p.limit || p.dialing[customer] >= waiting || p.closed || p.conf.now().Before(p.fullUntil) {
 		return false
 	}
+	if !p.hasRoom(0) {
+		p.countWithheld()
+		return false
+	}
 	p.open++
 	p.dialing[customer]++
 	go p.dial(customer)
@@ -180,6 +186,7 @@
 	}
 	if err == nil {
 		dialed.Conn = c
+		p.room.Opened(p.conf.now())
 		p.recycle(dialed)
 		return
 	}
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -53,6 +53,8 @@
 	leavers *leavers
 	// changes counts answers of superseded primaries; nil counts none.
 	changes *changes
+	// room counts what the headroom of servers has led to; nil counts nothing.
+	room *roomCounters
 }
 
 // ReadRecord reads a group's record from the platform's store; false if that does not answer.
@@ -207,7 +209,7 @@
 			target: target, driver: g.conf.Driver, slots: cmp.Or(s.Slots, c.Slots), queue: g.defaults.Load().QueueLength, now: g.conf.Now, random: g.random,
 			found:    func(last connUse, c proto.Condition) { g.recordCondition(added, last, c) },
 			report:   func(last connUse, f proto.Finding) { g.recordFinding(added, last, f) },
-			distrust: &added.distrust,
+			distrust: &added.distrust, counters: g.conf.room,
 		}, 1)
 		next.index[s.ID] = added.at
 		next.servers = append(next.servers, added)
@@ -276,6 +278,7 @@
 func (g *Group) resize(c conf.Group) {
 	place := g.place.Load()
 	for _, s := range g.allServers() {
+		s.pool.setRoom(c.Connections, len(place.Centers))
 		if !g.conf.Driver.PerCustomer() {
 			s.pool.resize(poolLimit(c.Connections, len(place.Centers)))
 			continue
--- a/internal/owner/history.go
+++ b/internal/owner/history.go
@@ -16,7 +16,7 @@
 // history is what a control connection has reported; the zero value is that of a new one.
 type history struct {
 	last group.Status
-	// seen holds all statuses.
+	// seen holds all statuses, without the loads, which change back and forth.
 	seen map[group.Status]bool
 	// lastAsked is when the last status was asked for, lastAnswered when it came, and confirmed when the last status that
 	// is no copy was asked for.
@@ -35,11 +35,15 @@
 }
 
 // isOld reports whether the connection has reported the status before, but not last.
-func (h *history) isOld(s group.Status) bool { return h.seen[s] && s != h.last }
+func (h *history) isOld(s group.Status) bool {
+	s.Load = group.Load{}
+	return h.seen[s] && s != h.last
+}
 
 // add adds a status and returns since when it is known to have been the server's: a doubtful one tells nothing newer than
 // the last that was confirmed.
 func (h *history) add(s group.Status, asked, now time.Time, doubtful bool) time.Time {
+	s.Load = group.Load{}
 	if len(h.seen) >= maxHistory {
 		h.seen = nil
 	}
--- a/internal/owner/host.go
+++ b/internal/owner/host.go
@@ -63,6 +63,7 @@
 	faults     *connFaults
 	leavers    *leavers
 	changes    *changes
+	room       *roomCounters
 }
 
 // retryBudgetCeiling is the largest number of retries that the retry budget accumulates.
@@ -76,6 +77,7 @@
 		faults:     newConnFaults(c.Registry),
 		leavers:    &leavers{now: c.Now},
 		changes:    newChanges(c.Registry),
+		room:       newRoomCounters(c.Registry),
 		budget:     retry.NewBudget(conf.DefaultValues().RetryRatio, retryBudgetCeiling),
 		ownedGauge: prometheus.NewGauge(prometheus.GaugeOpts{Name: "geraniumseam_groups_owned", Help: "Database groups owned by this instance."}),
 	}
@@ -143,7 +145,7 @@
 		ID: id, Group: g, Defaults: d, Self: h.conf.Self, Center: h.conf.Center, Claimant: h.conf.Claimant, Place: p,
 		Driver: h.conf.Driver, Store: h.conf.Store, Epochs: h.conf.Epochs, Journal: h.conf.Journal,
 		Budget: h.budget, Random: rand.New(rand.NewPCG(h.conf.Random.Uint64(), h.conf.Random.Uint64())),
-		Now: h.conf.Now, ReportServer: h.conf.ReportServer, ReadRecord: h.conf.ReadRecord, Baseline: h.conf.Baseline, lost: h.lost, faults: h.faults, leavers: h.leavers, changes: h.changes,
+		Now: h.conf.Now, ReportServer: h.conf.ReportServer, ReadRecord: h.conf.ReadRecord, Baseline: h.conf.Baseline, lost: h.lost, faults: h.faults, leavers: h.leavers, changes: h.changes, room: h.room,
 	})
 	h.conf.Journal.Add(jrnl.Event{Kind: jrnl.OwnerChanged, Group: id, Evidence: "this instance now owns the group"})
 	if current != nil {
--- a/internal/owner/pool.go
+++ b/internal/owner/pool.go
@@ -37,6 +37,8 @@
 	report func(connUse, proto.Finding)
 	// distrust is what is known of the server's answers out of turn; nil if nothing can be.
 	distrust *distrust
+	// counters counts what the server's headroom has led to; it may be nil.
+	counters *roomCounters
 }
 
 // grant answers a request for a connection: a connection, or the reason why there is
@@ -83,6 +85,10 @@
 	closed  bool
 	// relinquished is set while another instance owns the group: requests are refused.
 	relinquished bool
+	// room limits new connections to what the server reports to be free; withheld is set if it has
+	// done so since the last report.
+	room     admit.Headroom
+	withheld bool
 	// fullUntil is until when no connection is opened because the server is full.
 	fullUntil time.Time
 	// serviceNanos is the average duration of a request in nanoseconds, activeCount and
@@ -231,6 +237,7 @@
 func (p *pool) dispatchWaiting() {
 	for p.queue.Len() > 0 && p.slotsInUse() < p.limiter.Limit() && p.dispatchNext() {
 	}
+	p.refuseWithoutRoom()
 	p.updateCounters()
 }
 
@@ -250,12 +257,7 @@
 			return true
 		}
 	}
-	next, ok := p.queue.NextCustomer()
-	if !ok || len(p.idle) == 0 || p.dialing[next] >= p.queue.WaitingFor(next) {
-		return false
-	}
-	p.evict(p.idle[0])
-	return p.dialFor(next)
+	return p.exchange()
 }
 
 // serveCustomer grants an idle connection of the customer to its next request; inTurn says
--- /dev/null
+++ b/internal/owner/room.go
@@ -0,0 +1,80 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"geraniumseam.dev/internal/fault"
+	"geraniumseam.dev/internal/rule/admit"
+	"geraniumseam.dev/internal/rule/group"
+)
+
+// roomCounters counts what the headroom of servers has led to. A nil one counts nothing.
+type roomCounters struct {
+	withheld, exchanged prometheus.Counter
+}
+
+func newRoomCounters(r prometheus.Registerer) *roomCounters {
+	c := &roomCounters{
+		withheld:  prometheus.NewCounter(prometheus.CounterOpts{Name: "geraniumseam_connections_withheld_total", Help: "Reports of a server after which a needed connection was not opened because the server had too few left; each report counts once."}),
+		exchanged: prometheus.NewCounter(prometheus.CounterOpts{Name: "geraniumseam_connections_exchanged_total", Help: "Idle connections to servers that were closed for a request of another customer."}),
+	}
+	if r != nil {
+		r.MustRegister(c.withheld, c.exchanged)
+	}
+	return c
+}
+
+// setRoom sets how many connections the server accepts and how many owners share them.
+func (p *pool) setRoom(connections, owners int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.room.SetLimit(connections, owners)
+}
+
+// recordReport records the load that the server has reported.
+func (p *pool) recordReport(asked, answered time.Time, l group.Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.room.Report(asked, answered, l.Connections, l.Known)
+	p.withheld = false
+}
+
+// hasRoom reports whether the server's headroom allows another connection after the given number
+// of idle ones have been closed; the caller holds mu.
+func (p *pool) hasRoom(closing int) bool {
+	dialing := p.dialsInFlight()
+	return p.room.Allows(p.conf.now(), admit.Owned{Open: p.open - dialing, Dialing: dialing, Closing: closing})
+}
+
+// countWithheld counts a connection that is not opened for lack of headroom; the caller holds mu.
+func (p *pool) countWithheld() {
+	if !p.withheld && p.conf.counters != nil {
+		p.conf.counters.withheld.Inc()
+	}
+	p.withheld = true
+}
+
+// exchange closes the least recently used idle connection and opens one for the customer whose
+// turn it is, unless the server would not accept it; the caller holds mu.
+func (p *pool) exchange() bool {
+	next, ok := p.queue.NextCustomer()
+	if !ok || len(p.idle) == 0 || p.dialing[next] >= p.queue.WaitingFor(next) || p.conf.now().Before(p.fullUntil) || !p.hasRoom(1) {
+		return false
+	}
+	p.evict(p.idle[0])
+	if p.conf.counters != nil {
+		p.conf.counters.exchanged.Inc()
+	}
+	return p.dialFor(next)
+}
+
+// refuseWithoutRoom refuses all waiting requests if this owner has no connection and the server
+// has none left; the caller holds mu.
+func (p *pool) refuseWithoutRoom() {
+	if p.open > 0 || p.queue.Len() == 0 || p.hasRoom(0) {
+		return
+	}
+	p.refuseWaiting(grant{reason: fault.ServerFull, retryAfter: p.jitter(serverFullBackoff)})
+}
--- a/internal/owner/watch.go
+++ b/internal/owner/watch.go
@@ -131,6 +131,7 @@
 	now := clock.Now()
 	w.group.tracker.observe(w.server.at, group.Poll{Status: status, Asked: asked, Answered: now, Conn: w.server.conns.Load()})
 	w.group.noteStatus(status)
+	w.server.pool.recordReport(w.history.lastAsked, now, status.Load)
 	w.server.pool.recordRoundTrip(now.Sub(w.history.lastAsked))
 	w.group.postEvent(group.Polled{Status: status, Asked: asked})
 	w.reportToPeers(true)
--- /dev/null
+++ b/internal/rule/admit/headroom_test.go
@@ -0,0 +1,154 @@
+package admit
+
+import (
+	"bufio"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+// connectionLoad is a load on the connections of one server, read from a file.
+type connectionLoad struct {
+	connections, sets, owners, left      int
+	leftFor, poll, dial, length, backoff time.Duration
+}
+
+func readConnectionLoad(t *testing.T, name string) connectionLoad {
+	t.Helper()
+	file, err := os.Open(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	l := connectionLoad{backoff: 50 * time.Millisecond}
+	for lines := bufio.NewScanner(file); lines.Scan(); {
+		f := strings.Fields(lines.Text())
+		if len(f) == 0 || f[0] == "#" {
+			continue
+		}
+		number, _ := strconv.Atoi(f[1])
+		length, _ := time.ParseDuration(f[len(f)-1])
+		switch f[0] {
+		case "connections":
+			l.connections = number
+		case "sets":
+			l.sets = number
+		case "owners":
+			l.owners = number
+		case "left":
+			l.left, l.leftFor = number, length
+		case "poll":
+			l.poll = length
+		case "dial":
+			l.dial = length
+		case "length":
+			l.length = length
+		default:
+			t.Fatalf("%s: unknown keyword %q", name, f[0])
+		}
+	}
+	return l
+}
+
+// play has all owners open as many connections as they may and returns how many the server
+// refused and how many each owner has at the end.
+func (l connectionLoad) play(reports bool) (refused int, open []int) {
+	owners := l.sets * l.owners
+	rooms, until := make([]Headroom, owners), make([]time.Duration, owners)
+	open = make([]int, owners)
+	total := owners + l.left
+	for at := time.Duration(0); at < l.length; at += time.Millisecond {
+		now := time.Unix(0, 0).Add(at)
+		if l.left > 0 && at == l.leftFor {
+			total -= l.left
+		}
+		for i := range owners {
+			phase := time.Duration(i) * time.Millisecond
+			if r := &rooms[i]; reports && at%l.poll == phase*7%l.poll {
+				r.SetLimit(l.connections, l.owners)
+				r.Report(now, now, total, true)
+			}
+			share := ConnectionShare{Connections: l.connections, Owners: l.owners, Local: i%l.owners == 0, LocalOwned: true}
+			if at%l.dial != phase%l.dial || at < until[i] || open[i] >= share.Limit() || !rooms[i].Allows(now, Owned{Open: open[i]}) {
+				continue
+			}
+			if total >= l.connections {
+				refused++
+				until[i] = at + l.backoff
+				continue
+			}
+			total++
+			open[i]++
+			rooms[i].Opened(now)
+		}
+	}
+	return refused, open
+}
+
+// TestReportedConnectionsAvoidRefusals guards against servers that reset hundreds of
+// connections as over their limit while two sets of owners exist or all instances start.
+func TestReportedConnectionsAvoidRefusals(t *testing.T) {
+	files, err := filepath.Glob("testdata/connections/*.load")
+	if err != nil || len(files) == 0 {
+		t.Fatal(files, err)
+	}
+	for _, name := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(name), ".load"), func(t *testing.T) {
+			l := readConnectionLoad(t, name)
+			blind, _ := l.play(false)
+			refused, open := l.play(true)
+			t.Logf("%d refused, %d without reports; connections %v", refused, blind, open)
+			if refused > blind/10 {
+				t.Errorf("the server refused %d connections, %d without reports, want at most a tenth", refused, blind)
+			}
+			for i, n := range open {
+				if n == 0 {
+					t.Errorf("owner %d has no connection", i)
+				}
+			}
+		})
+	}
+}
+
+// TestHeadroom checks the number of connections that may be opened at the edges of the rule.
+func TestHeadroom(t *testing.T) {
+	start := time.Unix(100, 0)
+	for _, test := range []struct {
+		name     string
+		reported int
+		age      time.Duration
+		own      Owned
+		closed   int
+		want     bool
+	}{
+		{"below the margin", 62, 0, Owned{Open: 4}, 0, true},
+		{"at the margin", 63, 0, Owned{Open: 4}, 0, false},
+		{"connections being opened count", 62, 0, Owned{Open: 4, Dialing: 1}, 0, false},
+		{"first connection", 69, 0, Owned{}, 0, true},
+		{"first connection at a full server", 70, 0, Owned{}, 0, false},
+		{"in exchange for a closed one", 70, 0, Owned{Open: 4}, 1, true},
+		{"old report, first", 10, 2 * time.Second, Owned{Open: 4}, 0, true},
+		{"old report of a full server, first", 70, 2 * time.Second, Owned{}, 0, true},
+		{"old report of a full server, another", 70, 2 * time.Second, Owned{Open: 1}, 0, false},
+		{"old report, second", 10, 2 * time.Second, Owned{Open: 4, Dialing: 1}, 0, false},
+	} {
+		var h Headroom
+		h.SetLimit(70, 6)
+		h.Report(start, start, test.reported, true)
+		for range test.closed {
+			h.Closed(start)
+		}
+		if got := h.Allows(start.Add(test.age), test.own); got != test.want {
+			t.Errorf("%s: allowed %t, want %t", test.name, got, test.want)
+		}
+	}
+	var none Headroom
+	none.SetLimit(70, 6)
+	none.Report(start, start, 0, false)
+	if !none.Allows(start.Add(time.Hour), Owned{Open: 60, Dialing: 9}) {
+		t.Error("a server that reports no number of connections limits them, want no limit")
+	}
+}
--- a/internal/rule/group/status.go
+++ b/internal/rule/group/status.go
@@ -33,6 +33,16 @@
 	AppliedTerm ident.Term
 	// UpstreamSilence is the time between a replica's last contact with its primary and the report.
 	UpstreamSilence time.Duration
+	Load            Load
+}
+
+// Load is what a server reports of its load; the zero value means that it reports none.
+type Load struct {
+	Known bool
+	// Busy is the number of statements that it runs, Connections the number of its open connections,
+	// each for all instances together.
+	Busy        int
+	Connections int
 }
 
 // Majority returns the smallest number of servers that is a majority of size.
