Send reads where they are served soonest, by what servers report

An owner sees only its own queue. Reads that it passes on to the owner near a server wait in that one's queue, so all owners without a server in their data centre chose the same replica, whatever its load, and what that one couldn't run overflowed to the primary while the other replica had free slots. A server at which an owner had measured no statement also counted as free at any length of its queue.

The choice now adds the expected wait behind other owners' statements, estimated from the running statements that the server reports, less the owner's own. Customers react differently strongly, by a hash with the owner, so that reads move in part and a session keeps its server.

Counter: geraniumseam_reads_total{role}.

--- a/internal/owner/choose.go
+++ b/internal/owner/choose.go
@@ -93,6 +93,7 @@
 		c.Usable = g.usable(report, now)
 		c.Leaving = leaving[s.ID]
 		c.Latency, c.Load, c.ServiceTime, c.Slots = report.latency, load, service, s.pool.conf.slots
+		c.OtherLoad, c.FailureRate = s.pool.others.Load().At(now), s.pool.failures.Load().At(now)
 		if r.MaxAge > 0 {
 			c.Age, c.AgeKnown = g.tracker.dataAge(now, c.Term, c.Applied)
 		}
--- a/internal/owner/pool.go
+++ b/internal/owner/pool.go
@@ -12,6 +12,7 @@
 	"geraniumseam.dev/internal/proto"
 	"geraniumseam.dev/internal/rule/admit"
 	"geraniumseam.dev/internal/rule/fair"
+	"geraniumseam.dev/internal/rule/route"
 	"geraniumseam.dev/pkg/ident"
 )
 
@@ -89,6 +90,9 @@
 	// done so since the last report.
 	room     admit.Headroom
 	withheld bool
+	// others and failures estimate the load by other owners and the rate of failed reads.
+	others   atomic.Pointer[route.OtherLoad]
+	failures atomic.Pointer[route.FailureRate]
 	// fullUntil is until when no connection is opened because the server is full.
 	fullUntil time.Time
 	// serviceNanos is the average duration of a request in nanoseconds, activeCount and
@@ -100,10 +104,13 @@
 }
 
 func newPool(c poolConfig, limit int) *pool {
-	return &pool{
+	p := &pool{
 		conf: c, limiter: admit.NewLimiter(c.slots), limit: max(limit, 1), queue: fair.NewQueue(c.queue), runTimes: map[string]time.Duration{}, corrections: map[ident.CustomerID]*admit.Correction{},
 		running: map[*pooledConn]*runningRequest{}, dialing: map[ident.CustomerID]int{}, active: map[*pooledConn]bool{},
 	}
+	p.others.Store(&route.OtherLoad{})
+	p.failures.Store(&route.FailureRate{})
+	return p
 }
 
 // load returns how many requests run or wait, and the average duration of one.
--- a/internal/owner/read.go
+++ b/internal/owner/read.go
@@ -110,7 +110,7 @@
 	}
 	return route.Request{
 		Floor: floor, SwitchFloor: switchFloor, MaxAge: age, MaxWait: w.Limits.ReadWait,
-		PrimaryCost: w.Limits.PrimaryCost, LastServer: w.LastRead.Server,
+		PrimaryCost: w.Limits.PrimaryCost, LastServer: w.LastRead.Server, Spread: route.Spread(w.Customer, g.conf.Self),
 	}
 }
 
@@ -207,6 +207,9 @@
 	if err != nil {
 		s.pool.release(c)
 		lost := g.failedRead(ctx, w, err, buffer)
+		if ctx.Err() == nil && endedByServer(err) {
+			s.pool.recordRead(true)
+		}
 		g.recordLost(w, s, c, err, lost.result)
 		return lost
 	}
@@ -215,6 +218,9 @@
 	if (w.refused(answer) && ended || failed) && !buffer.forwarded {
 		s.pool.release(c)
 		g.handleRefusal(s, answer.Refusal)
+		if failed {
+			s.pool.recordRead(true)
+		}
 		result := refused(answer)
 		if failed {
 			result.Outcome = fault.NoEffect
@@ -222,6 +228,8 @@
 		result.LastRead.Server = s.ID
 		return attempt{result: result, retryable: true}
 	}
+	s.pool.recordRead(false)
+	g.conf.room.countRead(replica)
 	if g.serverChecksFloor(w) || w.ReadConsistency == conf.LatestReads {
 		floor = w.Floor
 	}
--- a/internal/owner/room.go
+++ b/internal/owner/room.go
@@ -3,16 +3,18 @@
 import (
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"geraniumseam.dev/internal/fault"
+	"geraniumseam.dev/internal/proto"
 	"geraniumseam.dev/internal/rule/admit"
 	"geraniumseam.dev/internal/rule/group"
 )
 
 // roomCounters counts what the headroom of servers has led to. A nil one counts nothing.
 type roomCounters struct {
-	withheld, exchanged prometheus.Counter
+	withheld, exchanged, primaryReads, replicaReads prometheus.Counter
 }
 
 func newRoomCounters(r prometheus.Registerer) *roomCounters {
@@ -20,12 +22,25 @@
 		withheld:  prometheus.NewCounter(prometheus.CounterOpts{Name: "geraniumseam_connections_withheld_total", Help: "Reports of a server after which a needed connection was not opened because the server had too few left; each report counts once."}),
 		exchanged: prometheus.NewCounter(prometheus.CounterOpts{Name: "geraniumseam_connections_exchanged_total", Help: "Idle connections to servers that were closed for a request of another customer."}),
 	}
+	reads := prometheus.NewCounterVec(prometheus.CounterOpts{Name: "geraniumseam_reads_total", Help: "Reads that servers answered to this owner, by the server's role."}, []string{"role"})
+	c.primaryReads, c.replicaReads = reads.WithLabelValues(group.Primary.String()), reads.WithLabelValues(group.Replica.String())
 	if r != nil {
-		r.MustRegister(c.withheld, c.exchanged)
+		r.MustRegister(c.withheld, c.exchanged, reads)
 	}
 	return c
 }
 
+// countRead counts a read that a server answered.
+func (c *roomCounters) countRead(replica bool) {
+	switch {
+	case c == nil:
+	case replica:
+		c.replicaReads.Inc()
+	default:
+		c.primaryReads.Inc()
+	}
+}
+
 // setRoom sets how many connections the server accepts and how many owners share them.
 func (p *pool) setRoom(connections, owners int) {
 	p.mu.Lock()
@@ -39,6 +54,27 @@
 	defer p.mu.Unlock()
 	p.room.Report(asked, answered, l.Connections, l.Known)
 	p.withheld = false
+	if l.Known {
+		others := *p.others.Load()
+		others.Observe(answered, l.Busy, len(p.active))
+		p.others.Store(&others)
+	}
+}
+
+// endedByServer reports whether a request failed because its connection was lost after it had been
+// sent, though the connection had not been silent before.
+func endedByServer(err error) bool {
+	var failed *proto.RunError
+	return errors.As(err, &failed) && failed.Stage != proto.Unsent && !failed.Unresponsive
+}
+
+// recordRead records the result of a read for the choice of servers.
+func (p *pool) recordRead(failed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	failures := *p.failures.Load()
+	failures.Observe(p.conf.now(), failed)
+	p.failures.Store(&failures)
 }
 
 // hasRoom reports whether the server's headroom allows another connection after the given number
--- a/internal/rule/route/choose.go
+++ b/internal/rule/route/choose.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"cmp"
 	"time"
 
 	"geraniumseam.dev/pkg/ident"
@@ -24,6 +25,10 @@
 	Latency time.Duration
 	// Load is the number of running and queued statements.
 	Load int
+	// OtherLoad is the estimated number of statements that it runs for other owners.
+	OtherLoad float64
+	// FailureRate is the rate of reads that it has failed of late, from 0 to 1.
+	FailureRate float64
 	// Slots is the number of statements that can run at once.
 	Slots int
 	// ServiceTime is the time that one statement takes.
@@ -52,6 +57,8 @@
 	// LaggingServer is a server that has just refused the read because it lags, whatever its report
 	// says.
 	LaggingServer ident.ServerID
+	// Spread is how strongly the choice reacts to the load of other owners, from 0 to 1; see Spread.
+	Spread float64
 }
 
 // Choice is the result of Choose: Serve, Await or None.
@@ -88,12 +95,14 @@
 func Choose(r Request, servers []Server) Choice {
 	var best Choice = None{}
 	lowestCost := time.Duration(0)
+	least := leastOtherLoad(servers)
 	for at := range servers {
 		s := &servers[at]
 		choice, cost, ok := r.evaluate(s)
 		if !ok {
 			continue
 		}
+		cost += s.otherCost(least, r.Spread) + failureCost(s.FailureRate)
 		if s.ID == r.LastServer {
 			cost -= affinityMargin
 		}
@@ -149,6 +158,6 @@
 // cost returns the expected time of the read on the server: the round trip and the time in
 // the server's queue.
 func (s *Server) cost() time.Duration {
-	queueTime := time.Duration(s.Load) * s.ServiceTime / time.Duration(max(s.Slots, 1))
+	queueTime := time.Duration(s.Load) * cmp.Or(s.ServiceTime, assumedServiceTime) / time.Duration(max(s.Slots, 1))
 	return s.Latency + queueTime
 }
