Leave room for polls and small servers, and say why there was none

An owner without a connection could take the last place of a server, over which another owner may have to begin polling it: it may now use half of the margin. Where a server accepts few connections the margin would have left none for some owners; it now ends where each can have one. A request that is refused for lack of headroom has the reported number and its age as evidence.

--- a/internal/owner/pool.go
+++ b/internal/owner/pool.go
@@ -48,6 +48,8 @@
 	conn       *pooledConn
 	reason     fault.Reason
 	retryAfter time.Duration
+	// evidence describes what a refusal for lack of headroom is based on.
+	evidence string
 }
 
 // queueEntry is a request's entry in the queue.
--- a/internal/owner/read.go
+++ b/internal/owner/read.go
@@ -185,7 +185,7 @@
 		if retryable {
 			g.tracker.recordMiss(s.at)
 		}
-		return attempt{result: Result{Outcome: fault.NotSent, Reason: got.reason, RetryAfter: got.retryAfter}, retryable: retryable}
+		return attempt{result: Result{Outcome: fault.NotSent, Reason: got.reason, RetryAfter: got.retryAfter, Evidence: got.evidence}, retryable: retryable}
 	}
 	if g.isRetired(s) {
 		s.pool.release(got.conn)
--- a/internal/owner/room.go
+++ b/internal/owner/room.go
@@ -112,5 +112,5 @@
 	if p.open > 0 || p.queue.Len() == 0 || p.hasRoom(0) {
 		return
 	}
-	p.refuseWaiting(grant{reason: fault.ServerFull, retryAfter: p.jitter(serverFullBackoff)})
+	p.refuseWaiting(grant{reason: fault.ServerFull, retryAfter: p.jitter(serverFullBackoff), evidence: p.room.Evidence(p.conf.now())})
 }
--- a/internal/owner/room_test.go
+++ b/internal/owner/room_test.go
@@ -39,7 +39,7 @@
 	p.release(third.conn)
 	p.closeIdle()
 	report(20)
-	if got := get("a"); got.reason != fault.ServerFull {
-		t.Fatalf("got %s from a full server without own connections, want server-full at once", got.reason)
+	if got := get("a"); got.reason != fault.ServerFull || got.evidence == "" {
+		t.Fatalf("got %s, evidence %q from a full server without own connections, want server-full at once", got.reason, got.evidence)
 	}
 }
--- a/internal/rule/admit/headroom.go
+++ b/internal/rule/admit/headroom.go
@@ -1,6 +1,9 @@
 package admit
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 const (
 	// marginTenths is how many tenths of a server's connections an owner leaves free for those
@@ -61,8 +64,8 @@
 }
 
 // Allows reports whether another connection may be opened. An owner without a connection may
-// use the margin, and so may one that has closed more connections since the report than it has
-// opened.
+// use half of the margin; the rest is left for the connections over which owners poll the server.
+// An owner that has closed more connections since the report than it has opened may use all of it.
 func (h *Headroom) Allows(now time.Time, own Owned) bool {
 	if h.connections == 0 || !h.known && !h.asked.IsZero() {
 		return true
@@ -75,9 +78,18 @@
 		return true
 	}
 	added := len(h.opened) + own.Dialing - len(h.closed) - own.Closing
-	limit := h.connections
-	if own.Open+own.Dialing > 0 && added >= 0 {
-		limit -= max(h.connections*marginTenths/10, h.owners-1)
+	// Each owner can have one connection for requests at a server that accepts few.
+	margin := max(min(max(h.connections*marginTenths/10, h.owners-1), h.connections-2*h.owners), 0)
+	switch {
+	case added < 0:
+		margin = 0
+	case own.Open+own.Dialing == 0:
+		margin -= margin / 2
 	}
-	return h.reported+added < limit
+	return h.reported+added < h.connections-margin
+}
+
+// Evidence describes what the decision is based on and how old that is.
+func (h *Headroom) Evidence(now time.Time) string {
+	return fmt.Sprintf("the server reported %d of %d connections %v ago", h.reported, h.connections, now.Sub(h.asked).Round(time.Millisecond))
 }
--- a/internal/rule/admit/headroom_test.go
+++ b/internal/rule/admit/headroom_test.go
@@ -96,8 +96,8 @@
 		{"below the margin", 62, 0, Owned{Open: 4}, 0, true},
 		{"at the margin", 63, 0, Owned{Open: 4}, 0, false},
 		{"connections being opened count", 62, 0, Owned{Open: 4, Dialing: 1}, 0, false},
-		{"first connection", 69, 0, Owned{}, 0, true},
-		{"first connection at a full server", 70, 0, Owned{}, 0, false},
+		{"first connection", 65, 0, Owned{}, 0, true},
+		{"first connection, half of the margin in use", 66, 0, Owned{}, 0, false},
 		{"in exchange for a closed one", 70, 0, Owned{Open: 4}, 1, true},
 		{"old report, first", 10, 2 * time.Second, Owned{Open: 4}, 0, true},
 		{"old report of a full server, first", 70, 2 * time.Second, Owned{}, 0, true},
@@ -114,6 +114,12 @@
 			t.Errorf("%s: allowed %t, want %t", test.name, got, test.want)
 		}
 	}
+	var few Headroom
+	few.SetLimit(12, 6)
+	few.Report(start, start, 11, true)
+	if !few.Allows(start, Owned{}) {
+		t.Error("the last of six owners may open no connection to a server that accepts twelve")
+	}
 	var none Headroom
 	none.SetLimit(70, 6)
 	none.Report(start, start, 0, false)
