--- a/internal/owner/host.go
+++ b/internal/owner/host.go
@@ -66,6 +66,7 @@
 	leavers    *leavers
 	changes    *changes
 	copies     *recordCopies
+	room       *roomCounters
 }
 
 // retryBudgetCeiling is the largest number of retries that the retry budget accumulates.
@@ -83,6 +84,7 @@
 		leavers:    &leavers{now: c.Now},
 		changes:    newChanges(c.Registry),
 		copies:     newRecordCopies(c.Store, c.Epochs, c.Registry),
+		room:       newRoomCounters(c.Registry),
 		budget:     retry.NewBudget(conf.DefaultValues().RetryRatio, retryBudgetCeiling),
 		ownedGauge: prometheus.NewGauge(prometheus.GaugeOpts{Name: "geraniumseam_groups_owned", Help: "Database groups owned by this instance."}),
 	}
@@ -151,7 +153,7 @@
 		Driver: h.conf.Driver, Store: h.conf.Store, Epochs: h.conf.Epochs, Journal: h.conf.Journal,
 		Budget: h.budget, Random: rand.New(rand.NewPCG(h.conf.Random.Uint64(), h.conf.Random.Uint64())),
 		Now: h.conf.Now, ReportServer: h.conf.ReportServer, ReadRecord: h.conf.ReadRecord, LinkedPeers: h.conf.LinkedPeers, Baseline: h.conf.Baseline,
-		lost: h.lost, faults: h.faults, leavers: h.leavers, changes: h.changes, copies: h.copies,
+		lost: h.lost, faults: h.faults, leavers: h.leavers, changes: h.changes, copies: h.copies, room: h.room,
 	})
 	h.conf.Journal.Add(jrnl.Event{Kind: jrnl.OwnerChanged, Group: id, Evidence: "this instance now owns the group"})
 	if current != nil {
--- a/internal/owner/pool.go
+++ b/internal/owner/pool.go
@@ -12,6 +12,7 @@
 	"geraniumseam.dev/internal/proto"
 	"geraniumseam.dev/internal/rule/admit"
 	"geraniumseam.dev/internal/rule/fair"
+	"geraniumseam.dev/internal/rule/route"
 	"geraniumseam.dev/pkg/ident"
 )
 
@@ -37,6 +38,8 @@
 	report func(connUse, proto.Finding)
 	// distrust is what is known of the server's answers out of turn; nil if nothing can be.
 	distrust *distrust
+	// counters counts what the server's headroom has led to; it may be nil.
+	counters *roomCounters
 }
 
 // grant answers a request for a connection: a connection, or the reason why there is
@@ -45,6 +48,8 @@
 	conn       *pooledConn
 	reason     fault.Reason
 	retryAfter time.Duration
+	// evidence describes what a refusal for lack of headroom is based on.
+	evidence string
 }
 
 // queueEntry is a request's entry in the queue.
@@ -83,6 +88,13 @@
 	closed  bool
 	// relinquished is set while another instance owns the group: requests are refused.
 	relinquished bool
+	// room limits new connections to what the server reports to be free; withheld is set if it has
+	// done so since the last report.
+	room     admit.Headroom
+	withheld bool
+	// others and failures estimate the load by other owners and the rate of failed reads.
+	others   atomic.Pointer[route.OtherLoad]
+	failures atomic.Pointer[route.FailureRate]
 	// fullUntil is until when no connection is opened because the server is full.
 	fullUntil time.Time
 	// serviceNanos is the average duration of a request in nanoseconds, activeCount and
@@ -94,10 +106,13 @@
 }
 
 func newPool(c poolConfig, limit int) *pool {
-	return &pool{
+	p := &pool{
 		conf: c, limiter: admit.NewLimiter(c.slots), limit: max(limit, 1), queue: fair.NewQueue(c.queue), runTimes: map[string]time.Duration{}, corrections: map[ident.CustomerID]*admit.Correction{},
 		running: map[*pooledConn]*runningRequest{}, dialing: map[ident.CustomerID]int{}, active: map[*pooledConn]bool{},
 	}
+	p.others.Store(&route.OtherLoad{})
+	p.failures.Store(&route.FailureRate{})
+	return p
 }
 
 // load returns how many requests run or wait, and the average duration of one.
@@ -231,6 +246,7 @@
 func (p *pool) dispatchWaiting() {
 	for p.queue.Len() > 0 && p.slotsInUse() < p.limiter.Limit() && p.dispatchNext() {
 	}
+	p.refuseWithoutRoom()
 	p.updateCounters()
 }
 
@@ -250,12 +266,7 @@
 			return true
 		}
 	}
-	next, ok := p.queue.NextCustomer()
-	if !ok || len(p.idle) == 0 || p.dialing[next] >= p.queue.WaitingFor(next) {
-		return false
-	}
-	p.evict(p.idle[0])
-	return p.dialFor(next)
+	return p.exchange()
 }
 
 // serveCustomer grants an idle connection of the customer to its next request; inTurn says
