--- a/internal/owner/refresh.go
+++ b/internal/owner/refresh.go
@@ -21,8 +21,8 @@
 
 // How an owner learns the record; each step begins when the one before has failed, or after recordHedgeDelay:
 //
-//	renewal ──▶ first owner ──▶ store ──▶ other owners ──▶ other linked instances
-//	fresh, or by the first owner ▲
+//	renewal by another owner ──▶ first owner ──┐
+//	any other need ────────────────────────────┴──▶ store ──▶ other owners ──▶ other linked instances
 //
 // The first answer counts; a read of the store goes on and is applied as well.
 
