Send nothing to servers of evacuated data centres

Operators had no way to keep work away from the servers of one data centre. The platform's objects of kind evacuations now name such data centres. Relays watch them, peers pass the list on with its version in the heartbeat, and an instance waits for it up to 2 s before it is ready. Owners give servers there no reads, writes or new transactions, end open transactions after 2 s, and refuse what only such a primary can run as evacuated. The primary is replaced by a server elsewhere once that has its log; among equal logs, servers elsewhere are preferred.

--- a/internal/confs/cache.go
+++ b/internal/confs/cache.go
@@ -26,6 +26,8 @@
 	// base is the current configuration without the listed servers.
 	base    *conf.Snapshot
 	listing conf.Listing
+	// evacuations is the newest list of evacuated data centres.
+	evacuations conf.Evacuations
 	// left holds the servers that have recently disappeared from the list.
 	left map[ident.ServerID]departure
 	// listEpoch is the latest epoch of a list; until copyUntil, lists may have entries of the
@@ -80,7 +82,7 @@
 	}
 	c.bundle = b.withListedPages()
 	c.base = conf.NewSnapshot(config, b.Version)
-	snapshot := c.base.WithServers(c.listing)
+	snapshot := c.base.WithServers(c.listing).WithEvacuations(c.evacuations)
 	c.current.Store(snapshot)
 	callbacks := c.callbacks
 	c.mu.Unlock()
@@ -110,7 +112,7 @@
 		c.recordDepartures(l)
 	}
 	c.listing = l
-	snapshot := c.base.WithServers(l)
+	snapshot := c.base.WithServers(l).WithEvacuations(c.evacuations)
 	c.current.Store(snapshot)
 	callbacks := c.callbacks
 	c.mu.Unlock()
--- /dev/null
+++ b/internal/confs/evacuations.go
@@ -0,0 +1,141 @@
+package confs
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"k8s.io/klog/v2"
+
+	"geraniumseam.dev/internal/jrnl"
+	"geraniumseam.dev/internal/plat"
+	"geraniumseam.dev/internal/rule/conf"
+	"geraniumseam.dev/pkg/ident"
+	"geraniumseam.dev/pkg/objs"
+)
+
+// EvacuationWatcher watches the platform's list of evacuated data centres on behalf of the instances of a
+// data centre.
+type EvacuationWatcher struct {
+	Store    plat.Store
+	Cache    *Cache
+	centers  map[ident.CenterID]bool
+	position position
+}
+
+// Step reads the list if that is due, otherwise runs one watch. It returns the error of the platform call.
+func (w *EvacuationWatcher) Step(ctx context.Context) error {
+	if !w.position.mayContinue() {
+		return w.load(ctx)
+	}
+	delivered := false
+	seen := eventFilter{after: w.position.after, newest: map[string]ident.Version{}}
+	after, err := w.Store.Watch(ctx, objs.Evacuations, w.position.after, serverWatchTime, func(e objs.Event) {
+		if seen.isNew(e) {
+			delivered = true
+			w.apply(e)
+		}
+	})
+	w.position.update(after, delivered, err)
+	if delivered {
+		w.publish()
+	}
+	return err
+}
+
+func (w *EvacuationWatcher) load(ctx context.Context) error {
+	list, err := w.Store.List(ctx, objs.Evacuations)
+	if err != nil {
+		return err
+	}
+	// Peers may have delivered a newer list since this instance last watched the platform.
+	known := map[ident.CenterID]bool{}
+	for _, id := range w.Cache.Current().Evacuations.Centers {
+		known[id] = true
+	}
+	w.centers = map[ident.CenterID]bool{}
+	for _, o := range list.Items {
+		id := ident.CenterID(o.Metadata.Name)
+		if known[id] {
+			w.centers[id] = true
+		}
+		w.apply(objs.Event{Type: objs.Modified, Object: o})
+	}
+	w.position.listed(list.Version())
+	w.publish()
+	return nil
+}
+
+// apply applies one entry. One that is malformed is logged and changes nothing.
+func (w *EvacuationWatcher) apply(e objs.Event) {
+	id := ident.CenterID(e.Object.Metadata.Name)
+	if e.Type == objs.Deleted {
+		delete(w.centers, id)
+		return
+	}
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(e.Object.Spec, &fields); err != nil || fields == nil || id == "" {
+		klog.ErrorS(err, "malformed entry in the list of evacuated data centres", "name", id, "spec", string(e.Object.Spec))
+		return
+	}
+	w.centers[id] = true
+}
+
+// publish passes the list to the cache.
+func (w *EvacuationWatcher) publish() {
+	e := conf.Evacuations{Version: w.position.after}
+	for id := range w.centers {
+		e.Centers = append(e.Centers, id)
+	}
+	slices.Sort(e.Centers)
+	w.Cache.OfferEvacuations(e, "the platform")
+}
+
+// OfferEvacuations puts a list of evacuated data centres to use if it is newer. It reports whether it did.
+func (c *Cache) OfferEvacuations(e conf.Evacuations, source string) bool {
+	c.mu.Lock()
+	old := c.evacuations
+	if e.Version <= old.Version {
+		c.mu.Unlock()
+		return false
+	}
+	c.evacuations = e
+	snapshot := c.Current().WithEvacuations(e)
+	c.current.Store(snapshot)
+	callbacks := c.callbacks
+	c.mu.Unlock()
+	if old.Version != 0 && slices.Equal(old.Centers, e.Centers) {
+		return true
+	}
+	evidence := "learnt from " + source + "; evacuated: " + joinCenters(e.Centers) + "; before: " + joinCenters(old.Centers)
+	for _, id := range e.Centers {
+		switch {
+		case slices.Contains(old.Centers, id):
+		case snapshot.Version > 0 && !snapshot.KnowsCenter(id):
+			klog.ErrorS(nil, "the list of evacuated data centres names an unknown one", "center", id, "version", e.Version.String())
+		default:
+			c.journal.Add(jrnl.Event{Kind: jrnl.EvacuationBegun, Version: e.Version, Reason: string(id), Evidence: evidence})
+		}
+	}
+	for _, id := range old.Centers {
+		if !slices.Contains(e.Centers, id) {
+			c.journal.Add(jrnl.Event{Kind: jrnl.EvacuationEnded, Version: e.Version, Reason: string(id), Evidence: evidence})
+		}
+	}
+	for _, f := range callbacks {
+		f(snapshot)
+	}
+	return true
+}
+
+func joinCenters(all []ident.CenterID) string {
+	if len(all) == 0 {
+		return "none"
+	}
+	names := make([]string, 0, len(all))
+	for _, id := range all {
+		names = append(names, string(id))
+	}
+	return strings.Join(names, ", ")
+}
--- /dev/null
+++ b/internal/confs/evacuations_test.go
@@ -0,0 +1,62 @@
+package confs
+
+import (
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"geraniumseam.dev/internal/jrnl"
+	"geraniumseam.dev/internal/rule/conf"
+	"geraniumseam.dev/pkg/ident"
+	"geraniumseam.dev/pkg/objs"
+)
+
+// TestEvacuationsAreFollowed guards against an evacuation that is missed, outlives its end, or is changed by a malformed
+// entry, a repeated event or a list of an earlier epoch.
+func TestEvacuationsAreFollowed(t *testing.T) {
+	event := func(kind objs.EventType, id, spec string, revision ident.Revision) objs.Event {
+		version := strconv.FormatUint(uint64(ident.NewVersion(1, revision)), 10)
+		return objs.Event{Type: kind, Object: objs.Object{Kind: objs.Evacuations, Metadata: objs.Metadata{Name: id, ResourceVersion: version}, Spec: []byte(spec)}}
+	}
+	steps := []struct {
+		events []objs.Event
+		want   []ident.CenterID
+	}{
+		{[]objs.Event{event(objs.Added, "b", "{}", 11), event(objs.Added, "c", "{}", 12)}, []ident.CenterID{"b", "c"}},
+		{[]objs.Event{event(objs.Modified, "b", `"x"`, 13), event(objs.Added, "d", "null", 14), event(objs.Added, "e", "", 15)}, []ident.CenterID{"b", "c"}},
+		{[]objs.Event{event(objs.Deleted, "c", "{}", 16)}, []ident.CenterID{"b"}},
+		{[]objs.Event{event(objs.Added, "c", "{}", 12), event(objs.Deleted, "b", "", 17)}, nil},
+	}
+	store := &eventStore{}
+	store.show(ident.NewVersion(1, 10))
+	cache := NewCache(jrnl.New(jrnl.Config{Capacity: 10, Now: time.Now}), time.Now)
+	w := &EvacuationWatcher{Store: store, Cache: cache}
+	if err := w.Step(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	for at, s := range steps {
+		store.events = [][]objs.Event{s.events}
+		if err := w.Step(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if got := cache.Current().Evacuations.Centers; !slices.Equal(got, s.want) {
+			t.Errorf("step %d: got %v, want %v", at, got, s.want)
+		}
+	}
+	cache.OfferEvacuations(conf.Evacuations{Version: ident.NewVersion(2, 3), Centers: []ident.CenterID{"f"}}, "a peer")
+	cache.OfferEvacuations(conf.Evacuations{Version: ident.NewVersion(1, 99)}, "a peer")
+	cache.OfferServers(conf.Listing{Version: 1}, "a peer")
+	if got := cache.Current().Evacuations.Centers; !slices.Equal(got, []ident.CenterID{"f"}) {
+		t.Errorf("got %v after a list of an earlier epoch, want f", got)
+	}
+	var kinds []jrnl.Kind
+	for _, e := range cache.journal.Since(time.Time{}) {
+		if e.Kind == jrnl.EvacuationBegun || e.Kind == jrnl.EvacuationEnded {
+			kinds = append(kinds, e.Kind)
+		}
+	}
+	if want := []jrnl.Kind{jrnl.EvacuationBegun, jrnl.EvacuationBegun, jrnl.EvacuationEnded, jrnl.EvacuationEnded, jrnl.EvacuationBegun}; !slices.Equal(kinds, want) {
+		t.Errorf("journal: got %v, want %v", kinds, want)
+	}
+}
--- a/internal/entry/gateway.go
+++ b/internal/entry/gateway.go
@@ -26,6 +26,7 @@
 	configUpdate updateKind = iota
 	serversUpdate
 	membersUpdate
+	evacuationsUpdate
 	updateKinds
 )
 
@@ -171,14 +172,14 @@
 	defer m.mu.Unlock()
 	snapshot := m.instance.configCache.Current()
 	wait := gatewayWait
-	if snapshot.Version == 0 || m.instance.conf.Listed && snapshot.Listed == 0 {
+	if snapshot.Version == 0 || m.instance.conf.Listed && snapshot.Listed == 0 || m.instance.conf.Evacuations && snapshot.Evacuations.Version == 0 {
 		wait = startupGatewayWait
 	}
 	if sameCenter || c.isGateway(self) || len(c.gateways) == 0 {
 		m.behind[kind] = lag{}
 		return true
 	}
-	held := [updateKinds]ident.Version{configUpdate: snapshot.Version, serversUpdate: snapshot.Listed, membersUpdate: m.listVersion}[kind]
+	held := [updateKinds]ident.Version{configUpdate: snapshot.Version, serversUpdate: snapshot.Listed, membersUpdate: m.listVersion, evacuationsUpdate: snapshot.Evacuations.Version}[kind]
 	behind, now := &m.behind[kind], clock.Now()
 	if behind.since.IsZero() || behind.held != held || now.Sub(behind.since) > behindExpiry {
 		*behind = lag{since: now, held: held}
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -30,6 +30,7 @@
 	beat := peer.Heartbeat{
 		Version: h.configCache.Current().Version, Checked: h.configCache.SinceConfirmed(),
 		Leaving: h.draining.Load(), List: list, ListHash: hash, Servers: h.configCache.Current().Listed,
+		Evacuations: h.configCache.Current().Evacuations.Version,
 	}
 	if epoch, since, known := h.epochs.Current(); known && epoch == beat.Epoch() {
 		beat.EpochSeconds = uint8(min(clock.Since(since)/time.Second, peer.MaxEpochSeconds))
@@ -70,6 +71,9 @@
 		if m.Servers > h.configCache.Current().Listed && h.members.mayFetch(from, serversUpdate) {
 			h.fetchServers(from)
 		}
+		if h.conf.Evacuations && m.Evacuations > h.configCache.Current().Evacuations.Version && h.members.mayFetch(from, evacuationsUpdate) {
+			h.fetchEvacuations(from)
+		}
 		if h.members.listBehind(m.List, m.ListHash) && h.members.mayFetch(from, membersUpdate) {
 			h.fetchMembers(from)
 		}
@@ -95,6 +99,8 @@
 		return h.stateMessage(m)
 	case peer.ServersRequest:
 		return peer.ServersResponse{Listing: h.configCache.Listing()}
+	case peer.EvacuationsRequest:
+		return peer.EvacuationsResponse{Evacuations: h.configCache.Current().Evacuations}
 	case peer.ShareRequest:
 		grants, err := h.quota.SubmitFor(ctx, m.Requests)
 		if err != nil {
@@ -176,6 +182,16 @@
 	})
 }
 
+// fetchEvacuations fetches a newer list of evacuated data centres from a peer.
+func (h *handler) fetchEvacuations(from ident.InstanceID) {
+	h.fetchOnce(&h.fetchingEvacuations, func(ctx context.Context) {
+		reply, err := peer.QueryFor[peer.EvacuationsResponse](ctx, h.hub, from, peer.EvacuationsRequest{})
+		if err == nil {
+			h.configCache.OfferEvacuations(reply.Evacuations, "instance "+string(from))
+		}
+	})
+}
+
 // fetch reads the configuration of a peer in two requests: the head, then the missing
 // pages. It gives up if the configuration of the peer changed in between.
 func (i *Instance) fetch(ctx context.Context, from ident.InstanceID) (confs.Bundle, bool) {
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -71,6 +71,8 @@
 	Weight ident.Millicores
 	// Listed is set if the platform keeps a list of backend servers.
 	Listed bool
+	// Evacuations is set if operators may evacuate data centres through the platform.
+	Evacuations bool
 	// Relays is the number of relays of a data centre: instances that watch the platform
 	// permanently and pass changes on to the others; 0 means the default.
 	Relays int
@@ -140,11 +142,15 @@
 	// instances; peerWork is how many requests run for them.
 	txEnded, workEnded atomic.Bool
 	peerWork           atomic.Int64
-	// fetchingConfig, fetchingServers and fetchingMembers are set while the respective state is
-	// fetched from a peer.
-	fetchingConfig  atomic.Bool
-	fetchingServers atomic.Bool
-	fetchingMembers atomic.Bool
+	// fetchingConfig, fetchingServers, fetchingMembers and fetchingEvacuations are set while the respective
+	// state is fetched from a peer.
+	fetchingConfig      atomic.Bool
+	fetchingServers     atomic.Bool
+	fetchingMembers     atomic.Bool
+	fetchingEvacuations atomic.Bool
+	// awaitingEvacuations is since when only the list of evacuations has been lacking, in Unix nanoseconds; 0
+	// if it has not been.
+	awaitingEvacuations atomic.Int64
 	// unlisted signals that the platform's list lacks this instance or shows another state of it.
 	unlisted chan struct{}
 	tomb     tomb.Tomb
@@ -201,6 +207,9 @@
 	if c.Listed {
 		i.tomb.Go(i.relayServers)
 	}
+	if c.Evacuations {
+		i.tomb.Go(i.relayEvacuations)
+	}
 	if c.AdvertiseAddress != "" {
 		i.tomb.Go(i.register)
 	}
@@ -255,12 +264,28 @@
 		return "no configuration yet"
 	case i.conf.Listed && s.Listed == 0:
 		return "no list of backend servers yet"
+	case i.lacksEvacuations(s):
+		return "no list of evacuated data centres yet"
 	case !open && i.keysUnchecked():
 		return "configuration not confirmed within key-grace, so keys cannot be checked"
 	}
 	return ""
 }
 
+// evacuationsWait is how long an instance that has all other state waits for the list of evacuated data centres
+// before it admits callers; a store that answers the other calls may fail just this one.
+const evacuationsWait = 2 * time.Second
+
+// lacksEvacuations reports whether the instance still waits for the list of evacuated data centres.
+func (i *Instance) lacksEvacuations(s *conf.Snapshot) bool {
+	if !i.conf.Evacuations || s.Evacuations.Version != 0 {
+		return false
+	}
+	now := clock.Now()
+	i.awaitingEvacuations.CompareAndSwap(0, now.UnixNano())
+	return now.Sub(time.Unix(0, i.awaitingEvacuations.Load())) < evacuationsWait
+}
+
 const (
 	// admitTimeout is how long a caller waits for the instance to become ready. It is shorter
 	// than the time that callers wait for a greeting.
--- a/internal/jrnl/event.go
+++ b/internal/jrnl/event.go
@@ -56,6 +56,8 @@
 	SupersededAnswer              // superseded-answer
 	MembersChanged                // members-changed
 	MalformedAnswer               // malformed-answer
+	EvacuationBegun               // evacuation-begun
+	EvacuationEnded               // evacuation-ended
 	Other                         // other
 	kindCount
 )
--- a/internal/owner/choose.go
+++ b/internal/owner/choose.go
@@ -30,6 +30,9 @@
 			g.awaitReplica(ctx, c, r.Floor.Raise(r.SwitchFloor))
 			r.MaxWait = max(0, w.Limits.ReadWait-clock.Since(started))
 		case route.None:
+			if g.allEvacuated() {
+				return nil, false, fault.Evacuated
+			}
 			if !g.awaitAny(ctx, r) {
 				return nil, false, fault.NoServer
 			}
@@ -91,7 +94,7 @@
 		c.ID, c.Primary = s.ID, at == v.primary
 		c.Term, c.Applied = cmp.Or(report.status.AppliedTerm, report.status.Term), report.status.Applied
 		c.Usable = g.usable(report, now)
-		c.Leaving = leaving[s.ID]
+		c.Leaving = leaving[s.ID] || g.isEvacuated(s)
 		c.Latency, c.Load, c.ServiceTime, c.Slots = report.latency, load, service, s.pool.conf.slots
 		if r.MaxAge > 0 {
 			c.Age, c.AgeKnown = g.tracker.dataAge(now, c.Term, c.Applied)
--- a/internal/owner/coordinate.go
+++ b/internal/owner/coordinate.go
@@ -38,6 +38,7 @@
 			machine.SetListed(*g.listed.Load())
 			machine.SetLeaving(*g.leaving.Load())
 			machine.SetDraining(*g.draining.Load())
+			machine.SetEvacuated(g.evacuatedServers())
 			if epoch, since, known := g.conf.Epochs.Current(); known {
 				machine.SetEpoch(epoch, since)
 			}
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -51,6 +51,8 @@
 	faults *connFaults
 	// leavers knows since when servers are leaving; nil means that none is.
 	leavers *leavers
+	// evacuees knows which data centres are evacuated; nil means that none is.
+	evacuees *evacuees
 	// changes counts answers of superseded primaries; nil counts none.
 	changes *changes
 }
@@ -150,6 +152,9 @@
 	if c.leavers == nil {
 		c.leavers = &leavers{}
 	}
+	if c.evacuees == nil {
+		c.evacuees = newEvacuees(c.Now, nil)
+	}
 	g := &Group{
 		conf: c, tracker: newTracker(c.Group.Synchronous > 0),
 		events: make(chan group.Event, eventQueueSize), txs: map[TxID]*transaction{},
@@ -269,6 +274,7 @@
 	g.updateServers(c)
 	g.resize(c)
 	g.updateLeaving(c)
+	g.closeEvacuated()
 	return true
 }
 
@@ -299,6 +305,7 @@
 	g.defaults.Store(&d)
 	g.updateServers(c)
 	g.updateLeaving(c)
+	g.closeEvacuated()
 	g.relinquish()
 }
 
--- a/internal/owner/host.go
+++ b/internal/owner/host.go
@@ -62,6 +62,7 @@
 	lost       *lostAnswers
 	faults     *connFaults
 	leavers    *leavers
+	evacuees   *evacuees
 	changes    *changes
 }
 
@@ -75,6 +76,7 @@
 		lost:       newLostAnswers(c.Registry),
 		faults:     newConnFaults(c.Registry),
 		leavers:    &leavers{now: c.Now},
+		evacuees:   newEvacuees(c.Now, c.Registry),
 		changes:    newChanges(c.Registry),
 		budget:     retry.NewBudget(conf.DefaultValues().RetryRatio, retryBudgetCeiling),
 		ownedGauge: prometheus.NewGauge(prometheus.GaugeOpts{Name: "geraniumseam_groups_owned", Help: "Database groups owned by this instance."}),
@@ -92,6 +94,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.leavers.update(s.Groups)
+	h.evacuees.update(s.Evacuations.Centers)
 	old := *h.groups.Load()
 	next := map[ident.GroupID]*hostedGroup{}
 	var ended []*Group
@@ -143,7 +146,7 @@
 		ID: id, Group: g, Defaults: d, Self: h.conf.Self, Center: h.conf.Center, Claimant: h.conf.Claimant, Place: p,
 		Driver: h.conf.Driver, Store: h.conf.Store, Epochs: h.conf.Epochs, Journal: h.conf.Journal,
 		Budget: h.budget, Random: rand.New(rand.NewPCG(h.conf.Random.Uint64(), h.conf.Random.Uint64())),
-		Now: h.conf.Now, ReportServer: h.conf.ReportServer, ReadRecord: h.conf.ReadRecord, Baseline: h.conf.Baseline, lost: h.lost, faults: h.faults, leavers: h.leavers, changes: h.changes,
+		Now: h.conf.Now, ReportServer: h.conf.ReportServer, ReadRecord: h.conf.ReadRecord, Baseline: h.conf.Baseline, lost: h.lost, faults: h.faults, leavers: h.leavers, evacuees: h.evacuees, changes: h.changes,
 	})
 	h.conf.Journal.Add(jrnl.Event{Kind: jrnl.OwnerChanged, Group: id, Evidence: "this instance now owns the group"})
 	if current != nil {
--- a/internal/owner/primary.go
+++ b/internal/owner/primary.go
@@ -44,6 +44,11 @@
 	if usable(g.tracker.current.Load()) {
 		return found, Result{}
 	}
+	if after, evacuated := g.refuseEvacuated(); evacuated {
+		refusal := notSent(fault.Evacuated)
+		refusal.RetryAfter = admit.Jitter(after, g.random())
+		return nil, refusal
+	}
 	wait, after := admit.PrimaryWait(g.primaryAbsence(), g.maxQueueWait(ctx, w))
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
@@ -74,8 +79,9 @@
 	return v.primary != noPrimary && g.canWrite(v, &v.servers[v.primary]) && !g.isRetired(g.allServers()[v.primary])
 }
 
-// isRetired reports whether a server has been leaving for so long that it gets no new work.
-func (g *Group) isRetired(s *server) bool { return g.conf.leavers.done(s.ID) }
+// isRetired reports whether a server gets no new work: its data centre is evacuated, or it has been leaving for
+// too long.
+func (g *Group) isRetired(s *server) bool { return g.isEvacuated(s) || g.conf.leavers.done(s.ID) }
 
 // canWrite reports whether a primary answered its last poll, within the silence limit,
 // and is not sealed for a later term. In a synchronous group its term must also be leased, since its
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -44,7 +44,9 @@
 	if v.lease != nil {
 		text += "; " + describeLease(v.lease)
 	}
-	if g.isRetired(s) {
+	if g.isEvacuated(s) {
+		text += fmt.Sprintf("; it gets no new work, as its data centre %s has been evacuated for %v", s.Center, g.conf.evacuees.age(s.Center).Round(time.Millisecond))
+	} else if g.isRetired(s) {
 		text += fmt.Sprintf("; it gets no new work, as it has been leaving for more than %v", leavingWork)
 	}
 	return text
--- a/internal/owner/tx.go
+++ b/internal/owner/tx.go
@@ -150,6 +150,12 @@
 		t.mu.Unlock()
 		return notSent(fault.TransactionLost)
 	}
+	if g.mustEnd(t) {
+		t.mu.Unlock()
+		g.conf.evacuees.ended.Inc()
+		g.End(w.Tx)
+		return notSent(fault.TransactionLost)
+	}
 	buffer := &bufferSink{}
 	t.pinned = t.pinned || w.Pin
 	conn := t.conn
@@ -264,6 +270,7 @@
 		for _, id := range g.idleTxs(clock.Now()) {
 			g.End(id)
 		}
+		g.endEvacuated()
 	}
 }
 
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -58,6 +58,8 @@
 	// none, and EchoAge the milliseconds since it received that one.
 	Echo    uint64 `cbor:"10,keyasint,omitempty"`
 	EchoAge uint64 `cbor:"11,keyasint,omitempty"`
+	// Evacuations is the version of the sender's list of evacuated data centres.
+	Evacuations ident.Version `cbor:"12,keyasint,omitempty"`
 	// Transit is the longest time that the heartbeat may have been on its way, set by the link that
 	// received it; UnknownTransit if nothing bounds it.
 	Transit time.Duration `cbor:"-"`
@@ -103,6 +105,14 @@
 	Pages   map[conf.PageName][]byte `cbor:"3,keyasint,omitempty"`
 }
 
+// EvacuationsRequest requests the list of evacuated data centres; the response is EvacuationsResponse.
+type EvacuationsRequest struct{}
+
+// EvacuationsResponse has the list of evacuated data centres.
+type EvacuationsResponse struct {
+	Evacuations conf.Evacuations `cbor:"1,keyasint"`
+}
+
 // ServersRequest requests the list of backend servers; the response is ServersResponse.
 type ServersRequest struct{}
 
@@ -187,63 +197,67 @@
 	Agreed bool `cbor:"1,keyasint,omitempty"`
 }
 
-func (Hello) isMessage()           {}
-func (Heartbeat) isMessage()       {}
-func (ServerReport) isMessage()    {}
-func (TokensRequest) isMessage()   {}
-func (TokensResponse) isMessage()  {}
-func (ConfigRequest) isMessage()   {}
-func (ConfigResponse) isMessage()  {}
-func (RemoteCancel) isMessage()    {}
-func (JournalRequest) isMessage()  {}
-func (JournalResponse) isMessage() {}
-func (TxRollback) isMessage()      {}
-func (ShareRequest) isMessage()    {}
-func (SuspicionReport) isMessage() {}
-func (ShareHandover) isMessage()   {}
-func (HandoverAck) isMessage()     {}
-func (ShareResponse) isMessage()   {}
-func (MembersRequest) isMessage()  {}
-func (MembersResponse) isMessage() {}
-func (ServersRequest) isMessage()  {}
-func (ServersResponse) isMessage() {}
-func (RecordRequest) isMessage()   {}
-func (RecordResponse) isMessage()  {}
-func (Retire) isMessage()          {}
-func (RetireAnswer) isMessage()    {}
+func (Hello) isMessage()               {}
+func (Heartbeat) isMessage()           {}
+func (ServerReport) isMessage()        {}
+func (TokensRequest) isMessage()       {}
+func (TokensResponse) isMessage()      {}
+func (ConfigRequest) isMessage()       {}
+func (ConfigResponse) isMessage()      {}
+func (RemoteCancel) isMessage()        {}
+func (JournalRequest) isMessage()      {}
+func (JournalResponse) isMessage()     {}
+func (TxRollback) isMessage()          {}
+func (ShareRequest) isMessage()        {}
+func (SuspicionReport) isMessage()     {}
+func (ShareHandover) isMessage()       {}
+func (HandoverAck) isMessage()         {}
+func (ShareResponse) isMessage()       {}
+func (MembersRequest) isMessage()      {}
+func (MembersResponse) isMessage()     {}
+func (ServersRequest) isMessage()      {}
+func (ServersResponse) isMessage()     {}
+func (EvacuationsRequest) isMessage()  {}
+func (EvacuationsResponse) isMessage() {}
+func (RecordRequest) isMessage()       {}
+func (RecordResponse) isMessage()      {}
+func (Retire) isMessage()              {}
+func (RetireAnswer) isMessage()        {}
 
 // kind is the type of a frame on the wire; numbers are never reused.
 type kind uint8
 
 const (
-	kindHello           kind = 1
-	kindHeartbeat       kind = 2
-	kindServerReport    kind = 3
-	kindTokensRequest   kind = 4
-	kindTokensResponse  kind = 5
-	kindConfigRequest   kind = 6
-	kindConfigResponse  kind = 7
-	kindRemoteCancel    kind = 8
-	kindJournalRequest  kind = 9
-	kindJournalResponse kind = 10
-	kindTxRollback      kind = 11
-	kindShareRequest    kind = 12
-	kindShareResponse   kind = 13
-	kindMembersRequest  kind = 14
-	kindMembersResponse kind = 15
-	kindSuspicionReport kind = 16
-	kindServersRequest  kind = 17
-	kindServersResponse kind = 18
-	kindShareHandover   kind = 24
-	kindHandoverAck     kind = 25
-	kindRecordRequest   kind = 28
-	kindRecordResponse  kind = 29
-	kindRetire          kind = 26
-	kindRetireAnswer    kind = 27
-	kindWork            kind = 20
-	kindChunk           kind = 21
-	kindResult          kind = 22
-	kindCancel          kind = 23
+	kindHello               kind = 1
+	kindHeartbeat           kind = 2
+	kindServerReport        kind = 3
+	kindTokensRequest       kind = 4
+	kindTokensResponse      kind = 5
+	kindConfigRequest       kind = 6
+	kindConfigResponse      kind = 7
+	kindRemoteCancel        kind = 8
+	kindJournalRequest      kind = 9
+	kindJournalResponse     kind = 10
+	kindTxRollback          kind = 11
+	kindShareRequest        kind = 12
+	kindShareResponse       kind = 13
+	kindMembersRequest      kind = 14
+	kindMembersResponse     kind = 15
+	kindSuspicionReport     kind = 16
+	kindServersRequest      kind = 17
+	kindServersResponse     kind = 18
+	kindShareHandover       kind = 24
+	kindHandoverAck         kind = 25
+	kindRecordRequest       kind = 28
+	kindRecordResponse      kind = 29
+	kindRetire              kind = 26
+	kindRetireAnswer        kind = 27
+	kindEvacuationsRequest  kind = 30
+	kindEvacuationsResponse kind = 31
+	kindWork                kind = 20
+	kindChunk               kind = 21
+	kindResult              kind = 22
+	kindCancel              kind = 23
 )
 
 // frame is one CBOR item on a link; a WebSocket message has one or more.
@@ -314,6 +328,10 @@
 		return kindServersRequest
 	case ServersResponse:
 		return kindServersResponse
+	case EvacuationsRequest:
+		return kindEvacuationsRequest
+	case EvacuationsResponse:
+		return kindEvacuationsResponse
 	case Retire:
 		return kindRetire
 	case RetireAnswer:
@@ -369,6 +387,10 @@
 		return decodeAs[RecordRequest](body)
 	case kindRecordResponse:
 		return decodeAs[RecordResponse](body)
+	case kindEvacuationsRequest:
+		return decodeAs[EvacuationsRequest](body)
+	case kindEvacuationsResponse:
+		return decodeAs[EvacuationsResponse](body)
 	case kindRetire:
 		return decodeAs[Retire](body)
 	case kindRetireAnswer:
--- a/internal/rule/conf/snapshot.go
+++ b/internal/rule/conf/snapshot.go
@@ -1,6 +1,7 @@
 package conf
 
 import (
+	"slices"
 	"time"
 
 	"geraniumseam.dev/pkg/ident"
@@ -12,6 +13,8 @@
 	Version ident.Version
 	// Listed is the version of the platform's server list in use, 0 if there is none.
 	Listed ident.Version
+	// Evacuations are the data centres whose servers get no work.
+	Evacuations Evacuations
 
 	keysByHash      map[Hash]ident.KeyID
 	centerFractions map[ident.CenterID]float64
@@ -71,6 +74,33 @@
 	return &next
 }
 
+// Evacuations is one version of the list of evacuated data centres, sorted. It is sent between instances
+// under its Go field names. Version 0 stands for a list that is not known.
+type Evacuations struct {
+	Version ident.Version
+	Centers []ident.CenterID
+}
+
+// WithEvacuations returns a copy of the snapshot with a list of evacuated data centres.
+func (s *Snapshot) WithEvacuations(e Evacuations) *Snapshot {
+	next := *s
+	next.Evacuations = e
+	return &next
+}
+
+// KnowsCenter reports whether a data centre is configured or has a backend server.
+func (s *Snapshot) KnowsCenter(id ident.CenterID) bool {
+	if _, known := s.Centers[id]; known {
+		return true
+	}
+	for _, g := range s.Groups {
+		if slices.Contains(g.ServerCenters(), id) {
+			return true
+		}
+	}
+	return false
+}
+
 // CustomerOfKey returns the customer that a key belongs to.
 func (s *Snapshot) CustomerOfKey(hash Hash) (ident.CustomerID, bool) {
 	id, known := s.keysByHash[hash]
--- a/internal/rule/group/attempt.go
+++ b/internal/rule/group/attempt.go
@@ -119,7 +119,7 @@
 		m.abandonAttempt(now)
 		return append(actions, m.journalEntry(SealFailed, absent.Server, "it is a member of the group and not on this instance's list of servers, so it cannot be sealed"))
 	}
-	if m.leaving[m.primary] && m.isPrimaryAnswering(now) && !m.conf.Synchronous {
+	if m.avoids(m.primary) && m.isPrimaryAnswering(now) && !m.conf.Synchronous {
 		m.phase, m.stepDeadline, m.drainTargetKnown = draining, now.Add(m.conf.Timing.StepTime), false
 		return append(actions, m.seal(m.primary))
 	}
@@ -135,12 +135,23 @@
 	return Seal{Server: id, Term: m.attemptTerm, Held: held, Claimant: m.conf.Claimant}
 }
 
-// startSealing seals every server that stays or, in a synchronous group, every replica.
+// startSealing seals every server that stays or, in a synchronous group, every replica. Servers in evacuated data
+// centres are passed over where the others that answer are a majority.
 func (m *Machine) startSealing(now time.Time) []Action {
 	m.phase, m.stepDeadline, m.serverJoined = sealing, now.Add(m.conf.Timing.StepTime), false
+	elsewhere := 0
+	for id, s := range m.servers {
+		if !m.avoids(id) && m.isAnswering(now, s) {
+			elsewhere++
+		}
+	}
+	passOver := func(id ident.ServerID) bool { return m.leaving[id] }
+	if elsewhere >= Majority(len(m.servers)) {
+		passOver = m.avoids
+	}
 	var actions []Action
 	for _, id := range m.conf.Servers {
-		if !m.leaving[id] && !m.conf.Synchronous || m.conf.Synchronous && id != m.primary {
+		if !passOver(id) && !m.conf.Synchronous || m.conf.Synchronous && id != m.primary {
 			actions = append(actions, m.seal(id))
 		}
 	}
--- a/internal/rule/group/detect.go
+++ b/internal/rule/group/detect.go
@@ -28,6 +28,9 @@
 	if m.leaving[m.primary] && m.canHandOver(now) {
 		return "it is about to be removed from the group", true
 	}
+	if m.evacuated[m.primary] && m.canHandOver(now) && m.canSucceedEvacuated(now) {
+		return "its data centre is evacuated", true
+	}
 	if p.status.Role != Primary {
 		return fmt.Sprintf("it reports that it is a replica in term %d", p.status.Term), m.countAnswering(now) >= Majority(len(m.servers))
 	}
@@ -45,13 +48,25 @@
 		staying++ // the replicas alone hold every acknowledged write, so one server fewer must answer
 	}
 	for id, s := range m.servers {
-		if !m.leaving[id] && m.isAnswering(now, s) {
+		if id != m.primary && !m.leaving[id] && m.isAnswering(now, s) {
 			staying++
 		}
 	}
 	return staying >= Majority(len(m.servers))
 }
 
+// canSucceedEvacuated reports whether a server outside the evacuated data centres has received what the primary
+// last reported. As the primary gets no new work, one that follows it soon has.
+func (m *Machine) canSucceedEvacuated(now time.Time) bool {
+	wanted := m.servers[m.primary].status
+	for id, s := range m.servers {
+		if id != m.primary && !m.avoids(id) && m.isAnswering(now, s) && s.status.Term == wanted.Term && s.status.Received >= wanted.Received {
+			return true
+		}
+	}
+	return false
+}
+
 // checkAbandonedSeal reports whether the primary, or so many servers that no majority follows
 // it, have been sealed for at least a step's time for a term that has no primary, because a
 // claimant died between seal and promotion.
--- a/internal/rule/group/machine.go
+++ b/internal/rule/group/machine.go
@@ -74,6 +74,8 @@
 	peerViews map[ident.ServerID]map[ident.InstanceID]peerView
 
 	leaving map[ident.ServerID]bool
+	// evacuated are the servers that get no work, because their data centre is evacuated.
+	evacuated map[ident.ServerID]bool
 	// draining are the servers whose last entries in the list say that they leave.
 	draining map[ident.ServerID]bool
 	// incarnations tells the servers in the list from earlier ones of the same names.
--- a/internal/rule/group/servers.go
+++ b/internal/rule/group/servers.go
@@ -52,5 +52,34 @@
 // group if one is more advanced than every server that stays.
 func (m *Machine) SetLeaving(leaving map[ident.ServerID]bool) { m.leaving = leaving }
 
+// SetEvacuated sets the servers in evacuated data centres. A primary among them is replaced by a server that is
+// not, once one has what the primary had last reported. They stay members and are sealed like the others.
+func (m *Machine) SetEvacuated(evacuated map[ident.ServerID]bool) { m.evacuated = evacuated }
+
+// avoids reports whether a server should not become primary.
+func (m *Machine) avoids(id ident.ServerID) bool { return m.leaving[id] || m.evacuated[id] }
+
+// reluctance orders the servers that have equal logs: the lowest is promoted.
+func (m *Machine) reluctance(id ident.ServerID) int {
+	switch {
+	case m.evacuated[id]:
+		return 2
+	case m.leaving[id]:
+		return 1
+	}
+	return 0
+}
+
+// mostAdvanced returns the status with the most advanced log and, among equals, the least reluctance.
+func (m *Machine) mostAdvanced(statuses []Status) Status {
+	best := MostAdvanced(statuses)
+	for _, s := range statuses {
+		if s.LogTerm == best.LogTerm && s.Received == best.Received && m.reluctance(s.Server) < m.reluctance(best.Server) {
+			best = s
+		}
+	}
+	return best
+}
+
 // SetDraining sets the servers whose last entries in the list say that they leave.
 func (m *Machine) SetDraining(draining map[ident.ServerID]bool) { m.draining = draining }
--- a/internal/rule/group/synch.go
+++ b/internal/rule/group/synch.go
@@ -211,12 +211,13 @@
 }
 
 // successor chooses the server to promote: the most advanced one. In a synchronous group it is a
-// candidate of the claim, and among equals a server that stays is preferred to one that leaves. The
+// candidate of the claim, and among equals a server that stays is preferred to one that leaves, and both to one in
+// an evacuated data centre. The
 // primary, which has been demoted by then, succeeds itself only if no other is in its term and has the
 // required position.
 func (m *Machine) successor(statuses []Status) Status {
 	if !m.conf.Synchronous {
-		return MostAdvanced(statuses)
+		return m.mostAdvanced(statuses)
 	}
 	successor, demoted := Status{}, Status{}
 	for _, s := range statuses {
@@ -229,7 +230,7 @@
 		}
 		ahead := s.LogTerm > successor.LogTerm || s.LogTerm == successor.LogTerm && s.Received > successor.Received
 		equal := s.LogTerm == successor.LogTerm && s.Received == successor.Received
-		if successor.Server == "" || ahead || equal && m.leaving[successor.Server] {
+		if successor.Server == "" || ahead || equal && m.reluctance(s.Server) < m.reluctance(successor.Server) {
 			successor = s
 		}
 	}
--- a/pkg/objs/object.go
+++ b/pkg/objs/object.go
@@ -34,6 +34,8 @@
 	Instances Kind = "machines"
 	// Servers holds the platform's list of backend servers, if the platform keeps one.
 	Servers Kind = "servers"
+	// Evacuations holds one object for each evacuated data centre, named after it.
+	Evacuations Kind = "evacuations"
 	// Secrets holds the secret with which the instances of a fleet authenticate to each
 	// other.
 	Secrets Kind = "secrets"
