--- a/internal/cmds/cmds_test.go
+++ b/internal/cmds/cmds_test.go
@@ -25,7 +25,7 @@
 // which _ stands for a space within an argument, and prints the command's output and exit
 // code. PLATFORM stands for the platform's URL, DIR for the directory of the files.
 func TestCommands(t *testing.T) {
-	for _, name := range []string{"check", "config"} {
+	for _, name := range []string{"check", "config", "evacuate"} {
 		t.Run(name, func(t *testing.T) {
 			p, err := platf.Start("127.0.0.1:0")
 			if err != nil {
@@ -64,7 +64,7 @@
 
 func TestHelpListsEveryCommand(t *testing.T) {
 	out := runCommand(t, "--help")
-	for _, name := range []string{"demo", "serve", "check", "config", "customer", "key", "service", "exception", "review", "bench", "version"} {
+	for _, name := range []string{"demo", "serve", "check", "config", "customer", "key", "service", "exception", "evacuate", "review", "bench", "version"} {
 		if !strings.Contains(out, "   "+name) {
 			t.Errorf("help does not list command %s:\n%s", name, out)
 		}
--- a/internal/cmds/options.go
+++ b/internal/cmds/options.go
@@ -56,7 +56,7 @@
 			"Then read docs/ops/README.md and write settings for 'serve'.",
 		Commands: []*cli.Command{
 			p.demoCommand(), p.serveCommand(), p.checkCommand(), p.configCommand(), p.customerCommand(), p.keyCommand(),
-			p.serviceCommand(), p.exceptionCommand(), p.reviewCommand(), p.benchCommand(), p.versionCommand(),
+			p.serviceCommand(), p.exceptionCommand(), p.evacuateCommand(), p.reviewCommand(), p.benchCommand(), p.versionCommand(),
 		},
 	}
 }
--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -57,7 +57,7 @@
 		Instance: s.Instance, Center: s.Center, Callers: listeners.callers, Peers: listeners.peers,
 		CallerTLS: s.CallerTLS, RequireTLS: s.RequireTLS, PeerServer: s.PeerServer, PeerClient: s.PeerClient, PeerSecret: s.PeerSecret,
 		Store: newPlatformClient(s.PlatformURL, registry, seed), Backends: &pgcon.Driver{Dialer: dialer, User: s.User, Password: s.Password}, PeerDialer: dialer,
-		Seed: seed, Registry: registry,
+		Evacuations: s.Evacuations, Seed: seed, Registry: registry,
 	})
 	if err != nil {
 		return err
--- a/internal/review/review.go
+++ b/internal/review/review.go
@@ -176,6 +176,7 @@
 	jrnl.CallersEnded: "closed callers' connections", jrnl.PlatformLost: "lost contact with the platform", jrnl.PlatformBack: "reached the platform again",
 	jrnl.PlatformRestored: "found the platform restored from an older copy",
 	jrnl.ShareChanged:     "changed its share of the rate limits", jrnl.PeerJoined: "connected to an instance", jrnl.PeerLost: "lost the connection to an instance",
+	jrnl.EvacuationBegun: "stopped sending requests to the servers of a data centre", jrnl.EvacuationEnded: "sends requests to the servers of a data centre again",
 	jrnl.OwnerChanged: "ownership changed", jrnl.ServerLeaving: "stopped sending new requests to a leaving server",
 	jrnl.Refused: "refused a request", jrnl.Retried: "retried a request", jrnl.OutcomeUnknown: "could not determine the outcome of a request",
 	jrnl.AnswerLost:   "lost the server connection of a request",
--- a/internal/sets/sets.go
+++ b/internal/sets/sets.go
@@ -22,6 +22,7 @@
 	PeerListenAddress     string
 	OperatorListenAddress string
 	PlatformURL           string
+	Evacuations           bool
 	User                  string
 	Password              string
 	PeerSecret            string
@@ -41,6 +42,7 @@
 operator-listen = HOST:PORT for /metrics, /healthz, /readyz, /journal, /status
 [platform]
 url             = URL of the object API
+evacuations     = yes to obey the command evacuate (default no)
 [backend]
 user            = NAME that the proxy gives to backend servers
 password-file   = FILE with its password
@@ -71,6 +73,7 @@
 	s.PeerListenAddress = readAddress(instance, "peer-listen")
 	s.OperatorListenAddress = readAddress(instance, "operator-listen")
 	s.PlatformURL = readPlatformURL(f.Section("platform"))
+	s.Evacuations = f.Section("platform").Flag("evacuations", false)
 	backend := f.Section("backend")
 	s.User = backend.Require("user", "the user name for backend servers")
 	s.Password = readSecret(backend, "password-file")
