Bound the requests to cold servers

A server that has just started or come back is slow, and owners sent it as much as to others. Groups may now have a cold rate: each owner spaces its requests to a cold server by an equal part, counted over one owner for each data centre.

--- a/internal/confs/servers.go
+++ b/internal/confs/servers.go
@@ -150,7 +150,7 @@
 		return
 	}
 	server := conf.Server{
-		ID: id, Center: s.Center, Address: s.Address, Leaving: s.State == objs.Leaving, Incarnation: s.Incarnation, Slots: s.Slots, IsPrimary: s.IsPrimary,
+		ID: id, Center: s.Center, Address: s.Address, Leaving: s.State == objs.Leaving, Incarnation: s.Incarnation, Slots: s.Slots, IsPrimary: s.IsPrimary, Cold: s.Cold,
 	}
 	if mayBeCopy && w.isOutdated(&server, e.Object.Version()) {
 		w.passedOver = true
--- a/internal/inifl/config.go
+++ b/internal/inifl/config.go
@@ -60,6 +60,7 @@
 	for _, s := range f.NamedSections("group") {
 		c.Groups[ident.GroupID(s.Title)] = conf.Group{
 			Servers: readServers(s), Connections: s.Count("connections", 0), Slots: s.Count("slots", 0),
+			ColdRate: s.Number("cold-rate", rateUnit, 0),
 		}
 	}
 	for _, s := range f.NamedSections("exception") {
@@ -133,6 +134,9 @@
 		w.key("servers", joinServers(v.Servers))
 		w.key("connections", strconv.Itoa(v.Connections))
 		w.key("slots", strconv.Itoa(v.Slots))
+		if v.ColdRate > 0 {
+			w.key("cold-rate", formatNumber(v.ColdRate)+rateUnit)
+		}
 	})
 	eachSorted(c.Services, func(id ident.ServiceID, v conf.Service) {
 		w.section("service " + string(id))
--- a/internal/owner/choose.go
+++ b/internal/owner/choose.go
@@ -95,7 +95,8 @@
 		c.Term, c.Applied = cmp.Or(report.status.AppliedTerm, report.status.Term), report.status.Applied
 		c.Usable = g.usable(report, now)
 		c.Leaving = leaving[s.ID] || g.isEvacuated(s)
-		c.Latency, c.Load, c.ServiceTime, c.Slots = report.latency, load, service, s.pool.conf.slots
+		// A cold server is chosen for as long as its next place comes sooner than an answer elsewhere.
+		c.Latency, c.Load, c.ServiceTime, c.Slots = report.latency+g.coldWait(s, now), load, service, s.pool.conf.slots
 		if r.MaxAge > 0 {
 			c.Age, c.AgeKnown = g.tracker.dataAge(now, c.Term, c.Applied)
 		}
--- a/internal/owner/evacuees.go
+++ b/internal/owner/evacuees.go
@@ -25,11 +25,14 @@
 	// ended at evacuated servers.
 	refused, ended prometheus.Counter
 	centers        prometheus.Gauge
+	// cold counts the requests for cold servers.
+	cold *prometheus.CounterVec
 }
 
 func newEvacuees(now func() time.Time, r prometheus.Registerer) *evacuees {
 	e := &evacuees{
 		now:     now,
+		cold:    newColdCounter(r),
 		refused: prometheus.NewCounter(prometheus.CounterOpts{Name: "geraniumseam_evacuation_refusals_total", Help: "Requests refused because all servers that could run them are in evacuated data centres."}),
 		ended:   prometheus.NewCounter(prometheus.CounterOpts{Name: "geraniumseam_evacuation_transactions_ended_total", Help: "Transactions and pinned connections ended at servers in evacuated data centres."}),
 		centers: prometheus.NewGauge(prometheus.GaugeOpts{Name: "geraniumseam_evacuated_centers", Help: "Data centres that this instance knows to be evacuated."}),
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -93,6 +93,7 @@
 	// removed is closed once the server has left the group.
 	removed  chan struct{}
 	distrust distrust
+	coldness coldness
 }
 
 // roster lists all servers that a group has had. An index is never reused; the map
@@ -121,6 +122,8 @@
 	// listed is the server that the platform's list names as the primary, empty unless it names exactly one.
 	listed atomic.Pointer[ident.ServerID]
 	place  atomic.Pointer[Place]
+	// coldLimits are the limits for cold servers.
+	coldLimits atomic.Pointer[coldLimits]
 	// relinquished is set while another instance owns the group: only owners replace a primary.
 	relinquished atomic.Bool
 	// change is the latest sign that the primary is being replaced; nil means none.
@@ -166,6 +169,7 @@
 	g.updateServers(c.Group)
 	g.resize(c.Group)
 	g.updateLeaving(c.Group)
+	g.updateCold(c.Group)
 	g.tomb.Go(g.coordinate)
 	g.tomb.Go(g.reapIdle)
 	return g
@@ -274,6 +278,7 @@
 	g.updateServers(c)
 	g.resize(c)
 	g.updateLeaving(c)
+	g.updateCold(c)
 	g.closeEvacuated()
 	return true
 }
@@ -305,6 +310,7 @@
 	g.defaults.Store(&d)
 	g.updateServers(c)
 	g.updateLeaving(c)
+	g.updateCold(c)
 	g.closeEvacuated()
 	g.relinquish()
 }
--- a/internal/owner/host.go
+++ b/internal/owner/host.go
@@ -14,6 +14,7 @@
 	"geraniumseam.dev/internal/jrnl"
 	"geraniumseam.dev/internal/plat"
 	"geraniumseam.dev/internal/proto"
+	"geraniumseam.dev/internal/rule/admit"
 	"geraniumseam.dev/internal/rule/conf"
 	"geraniumseam.dev/internal/rule/group"
 	"geraniumseam.dev/internal/rule/membr"
@@ -99,6 +100,8 @@
 	next := map[ident.GroupID]*hostedGroup{}
 	var ended []*Group
 	for id, g := range s.Groups {
+		// Owners are counted whether they exist or not: one in each data centre.
+		g.ColdRate = admit.ColdPart(g.ColdRate, len(s.Centers))
 		owners := membr.Owners(id, g.ServerCenters(), available)
 		rank := slices.IndexFunc(owners, func(m membr.Member) bool { return m.ID == h.conf.Self })
 		kept, stopped := h.reconcileGroup(id, g, s.Defaults, old[id], ownerPlace(owners, rank))
--- a/internal/owner/read.go
+++ b/internal/owner/read.go
@@ -187,6 +187,10 @@
 		}
 		return attempt{result: Result{Outcome: fault.NotSent, Reason: got.reason, RetryAfter: got.retryAfter}, retryable: retryable}
 	}
+	if after, admitted := g.awaitCold(ctx, s, g.maxQueueWait(ctx, w)); !admitted {
+		s.pool.release(got.conn)
+		return attempt{result: g.refuseCold(fault.QueueLate, after)}
+	}
 	if g.isRetired(s) {
 		s.pool.release(got.conn)
 		return attempt{result: notSent(fault.NoServer), retryable: true, uncharged: true}
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -181,6 +181,10 @@
 		retryable := got.reason == fault.ConnectFailed || got.reason == fault.ServerFull
 		return attempt{result: Result{Outcome: fault.NotSent, Reason: got.reason, RetryAfter: got.retryAfter}, retryable: retryable, uncharged: true}
 	}
+	if after, admitted := g.awaitCold(ctx, s, g.maxQueueWait(ctx, w)); !admitted {
+		s.pool.release(got.conn)
+		return attempt{result: g.refuseCold(fault.QueueLate, after)}
+	}
 	if g.isRetired(s) {
 		s.pool.release(got.conn)
 		return attempt{result: notSent(fault.NoPrimary), retryable: true, uncharged: true}
--- a/internal/owner/tx.go
+++ b/internal/owner/tx.go
@@ -150,6 +150,12 @@
 		t.mu.Unlock()
 		return notSent(fault.TransactionLost)
 	}
+	_, admitted := g.awaitCold(ctx, t.server, untilDeadline(ctx))
+	if !admitted {
+		t.mu.Unlock()
+		g.End(w.Tx)
+		return g.refuseCold(fault.TransactionLost, 0)
+	}
 	if g.mustEnd(t) {
 		t.mu.Unlock()
 		g.conf.evacuees.ended.Inc()
--- a/internal/rule/conf/check.go
+++ b/internal/rule/conf/check.go
@@ -103,6 +103,7 @@
 	k.name("group", string(id))
 	k.want(len(g.Servers) > 0 || g.Listed, section, "servers", "at least one NAME@CENTER/ADDRESS")
 	k.want(g.Connections >= 2, section, "connections", "a whole number, at least 2")
+	k.want(g.ColdRate >= 0 && g.ColdTime >= 0, section, "cold-rate", "requests a second, not negative")
 	k.want(g.Slots >= 1, section, "slots", "a whole number above 0")
 	for _, s := range g.Servers {
 		_, _, err := net.SplitHostPort(s.Address)
--- a/internal/rule/conf/config.go
+++ b/internal/rule/conf/config.go
@@ -118,6 +118,11 @@
 	// Synchronous is how many replicas a primary itself waits for before it
 	// acknowledges a write; 0 leaves the wait to the proxy.
 	Synchronous int `json:"synchronous,omitempty"`
+	// ColdRate is how many requests a second all instances together send to a server that is cold; 0 means that
+	// cold servers are used like others. ColdTime is how long a server is cold after its start, 0 if that is not
+	// known.
+	ColdRate float64       `json:"cold-rate,omitempty"`
+	ColdTime time.Duration `json:"cold-time,omitempty"`
 	// Listed is set if the servers come from the platform's list instead of Servers.
 	Listed bool `json:"listed,omitempty"`
 }
@@ -132,6 +137,8 @@
 	Incarnation int64 `json:"born,omitempty"`
 	// IsPrimary is set if the server reports to the platform that it is its group's primary.
 	IsPrimary bool `json:"leads,omitempty"`
+	// Cold is set if the server reports that it is slow because it has just started or come back.
+	Cold bool `json:"cold,omitempty"`
 	// Slots is how many statements this server runs at once; 0 means the group's Slots.
 	Slots int `json:"slots,omitempty"`
 }
--- a/pkg/objs/object.go
+++ b/pkg/objs/object.go
@@ -134,6 +134,8 @@
 	State   LifecycleState `json:"state"`
 	// Incarnation is the time of the server's start, in Unix milliseconds.
 	Incarnation int64 `json:"born"`
+	// Cold is set while the server is slow after its start.
+	Cold bool `json:"cold,omitempty"`
 	// IsPrimary is set if the server reports that it is its group's primary.
 	IsPrimary bool `json:"leads,omitempty"`
 }
