Keep requests in their home regions

Requests ran wherever it was quickest. A route and a customer may now name regions: the caller's instance sends the request only to owners in its own or in home regions, and owners run it only on servers there; where both name regions, both apply. What can't run there is refused at once.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -23,9 +23,12 @@
 	serverCenters := s.Groups[w.Group].ServerCenters()
 	var last owner.Result
 	for attempt := 0; ; attempt++ {
-		owners := i.preferPrimaryCenter(w, i.members.owners(w.Group, serverCenters))
+		owners := i.homeOwners(w, i.preferPrimaryCenter(w, i.members.owners(w.Group, serverCenters)))
 		if len(owners) == 0 {
 			last = owner.Result{Outcome: fault.NotSent, Reason: fault.NoOwner}.After(last)
+			if w.Home.Restricted {
+				return last, ""
+			}
 		} else {
 			id := owners[attempt%len(owners)]
 			tracker := &trackingSink{sink: sink}
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -183,7 +183,7 @@
 	i.members = newMembers(i)
 	i.callers = newCallers(i)
 	i.host = owner.NewHost(owner.HostConfig{
-		Self: c.Instance, Center: c.Center, Claimant: group.Claimant(string(c.Instance) + "-" + i.bootID), Driver: c.Backends,
+		Self: c.Instance, Center: c.Center, Regions: c.Regions, Claimant: group.Claimant(string(c.Instance) + "-" + i.bootID), Driver: c.Backends,
 		Store: c.Store, Epochs: epochs, Journal: i.journal, Random: i.random.fork(),
 		Now: clock.Now, ReportServer: i.broadcastReachability, ReadRecord: i.readRecordThroughPeer, Registry: c.Registry, Baseline: c.Baseline.Baseline,
 	})
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -296,7 +296,7 @@
 		Limits: owner.Limits{
 			Run: run, QueueWait: d.QueueDeadline, AckWait: d.AckDeadline, ReadWait: d.ReadWait, PrimaryCost: d.PrimaryCost,
 		},
-		Tx: s.tx, Pin: s.pinned || q.Pin, ReadConsistency: a.ReadConsistency, Target: a.Target, Request: q.Content,
+		Tx: s.tx, Pin: s.pinned || q.Pin, ReadConsistency: a.ReadConsistency, Target: a.Target, Home: a.Home, Request: q.Content,
 	}
 	w.Request.Settings = s.settings
 	return w
--- a/internal/inifl/config.go
+++ b/internal/inifl/config.go
@@ -42,7 +42,7 @@
 	}
 	for _, s := range f.NamedSections("customer") {
 		c.Customers[ident.CustomerID(s.Title)] = conf.Customer{
-			Rate: s.Number("rate", rateUnit, 0), Burst: s.Number("burst", "", 0), Weight: s.Number("weight", "", 1),
+			Rate: s.Number("rate", rateUnit, 0), Burst: s.Number("burst", "", 0), Weight: s.Number("weight", "", 1), Regions: s.List("regions"),
 		}
 	}
 	for _, s := range f.NamedSections("key") {
@@ -54,7 +54,7 @@
 	for _, s := range f.NamedSections("route") {
 		c.Routes[ident.ServiceID(s.Title)] = conf.Route{
 			Service: ident.ServiceID(s.Require("service", "the name of a service")), Open: ident.CustomerID(s.Text("open", "")),
-			MaxAge: s.Duration("max-age", 0), Worth: s.Number("worth", "", 1),
+			MaxAge: s.Duration("max-age", 0), Worth: s.Number("worth", "", 1), Regions: s.List("regions"),
 		}
 	}
 	for _, s := range f.NamedSections("group") {
@@ -148,6 +148,7 @@
 		w.key("rate", formatNumber(v.Rate)+rateUnit)
 		w.key("burst", formatNumber(v.Burst))
 		w.key("weight", formatNumber(v.Weight))
+		w.key("regions", strings.Join(v.Regions, ", "))
 	})
 	eachSorted(c.Keys, func(id ident.KeyID, v conf.Key) {
 		w.section("key " + string(id))
@@ -200,6 +201,7 @@
 		w.key("max-age", v.MaxAge.String())
 	}
 	w.key("worth", formatNumber(v.Worth))
+	w.key("regions", strings.Join(v.Regions, ", "))
 }
 
 func (w *writer) exception(name string, v conf.Exception) {
--- a/internal/owner/choose.go
+++ b/internal/owner/choose.go
@@ -30,8 +30,8 @@
 			g.awaitReplica(ctx, c, r.Floor.Raise(r.SwitchFloor))
 			r.MaxWait = max(0, w.Limits.ReadWait-clock.Since(started))
 		case route.None:
-			if g.allEvacuated() {
-				return nil, false, fault.Evacuated
+			if reason := g.hopeless(w); reason != fault.None {
+				return nil, false, reason
 			}
 			if !g.awaitAny(ctx, r) {
 				return nil, false, fault.NoServer
@@ -94,7 +94,7 @@
 		c.ID, c.Primary = s.ID, at == v.primary
 		c.Term, c.Applied = cmp.Or(report.status.AppliedTerm, report.status.Term), report.status.Applied
 		c.Usable = g.usable(report, now)
-		c.Leaving = leaving[s.ID] || g.isEvacuated(s)
+		c.Leaving, c.Region = leaving[s.ID] || g.isEvacuated(s), g.regionOf(s.Center)
 		// A cold server is chosen for as long as its next place comes sooner than an answer elsewhere.
 		c.Latency, c.Load, c.ServiceTime, c.Slots = report.latency+g.coldWait(s, now), load, service, s.pool.conf.slots
 		if r.MaxAge > 0 {
--- a/internal/owner/evacuees.go
+++ b/internal/owner/evacuees.go
@@ -24,7 +24,9 @@
 	// refused counts the requests that only an evacuated primary could run, ended the transactions that were
 	// ended at evacuated servers.
 	refused, ended prometheus.Counter
-	centers        prometheus.Gauge
+	// foreign counts the requests that no server in their home regions could run.
+	foreign prometheus.Counter
+	centers prometheus.Gauge
 	// cold counts the requests for cold servers.
 	cold *prometheus.CounterVec
 }
@@ -35,11 +37,12 @@
 		cold:    newColdCounter(r),
 		refused: prometheus.NewCounter(prometheus.CounterOpts{Name: "geraniumseam_evacuation_refusals_total", Help: "Requests refused because all servers that could run them are in evacuated data centres."}),
 		ended:   prometheus.NewCounter(prometheus.CounterOpts{Name: "geraniumseam_evacuation_transactions_ended_total", Help: "Transactions and pinned connections ended at servers in evacuated data centres."}),
+		foreign: prometheus.NewCounter(prometheus.CounterOpts{Name: "geraniumseam_home_refusals_total", Help: "Requests refused because no server in their home regions can run them."}),
 		centers: prometheus.NewGauge(prometheus.GaugeOpts{Name: "geraniumseam_evacuated_centers", Help: "Data centres that this instance knows to be evacuated."}),
 	}
 	e.since.Store(&map[ident.CenterID]time.Time{})
 	if r != nil {
-		r.MustRegister(e.refused, e.ended, e.centers)
+		r.MustRegister(e.refused, e.ended, e.foreign, e.centers)
 	}
 	return e
 }
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -29,6 +29,8 @@
 	Defaults conf.Defaults
 	Self     ident.InstanceID
 	Center   ident.CenterID
+	// Regions gives the region of each data centre; one without an entry is in a region of its own.
+	Regions  map[ident.CenterID]string
 	Claimant group.Claimant
 	Place    Place
 	Driver   proto.Driver
--- a/internal/owner/host.go
+++ b/internal/owner/host.go
@@ -24,8 +24,10 @@
 
 // HostConfig configures a Host.
 type HostConfig struct {
-	Self     ident.InstanceID
-	Center   ident.CenterID
+	Self   ident.InstanceID
+	Center ident.CenterID
+	// Regions gives the region of each data centre; one without an entry is in a region of its own.
+	Regions  map[ident.CenterID]string
 	Claimant group.Claimant
 	Driver   proto.Driver
 	Store    plat.Store
@@ -146,7 +148,7 @@
 		return &hostedGroup{group: current.group, conf: g}, nil
 	}
 	started := NewGroup(GroupConfig{
-		ID: id, Group: g, Defaults: d, Self: h.conf.Self, Center: h.conf.Center, Claimant: h.conf.Claimant, Place: p,
+		ID: id, Group: g, Defaults: d, Self: h.conf.Self, Center: h.conf.Center, Regions: h.conf.Regions, Claimant: h.conf.Claimant, Place: p,
 		Driver: h.conf.Driver, Store: h.conf.Store, Epochs: h.conf.Epochs, Journal: h.conf.Journal,
 		Budget: h.budget, Random: rand.New(rand.NewPCG(h.conf.Random.Uint64(), h.conf.Random.Uint64())),
 		Now: h.conf.Now, ReportServer: h.conf.ReportServer, ReadRecord: h.conf.ReadRecord, Baseline: h.conf.Baseline, lost: h.lost, faults: h.faults, leavers: h.leavers, evacuees: h.evacuees, changes: h.changes,
--- a/internal/owner/primary.go
+++ b/internal/owner/primary.go
@@ -35,12 +35,16 @@
 		found = nil
 		if g.hasUsablePrimary(v) {
 			g.noPrimarySince.Store(0)
-			if accept(v) {
-				found = g.allServers()[v.primary]
+			if s := g.allServers()[v.primary]; g.mayRunAt(w, s) && accept(v) {
+				found = s
 			}
 		}
 		return found != nil
 	}
+	if g.foreignPrimary(w) {
+		g.conf.evacuees.foreign.Inc()
+		return nil, notSent(fault.NoPrimary)
+	}
 	if usable(g.tracker.current.Load()) {
 		return found, Result{}
 	}
--- a/internal/owner/read.go
+++ b/internal/owner/read.go
@@ -110,7 +110,7 @@
 	}
 	return route.Request{
 		Floor: floor, SwitchFloor: switchFloor, MaxAge: age, MaxWait: w.Limits.ReadWait,
-		PrimaryCost: w.Limits.PrimaryCost, LastServer: w.LastRead.Server,
+		PrimaryCost: w.Limits.PrimaryCost, LastServer: w.LastRead.Server, Home: w.Home,
 	}
 }
 
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -27,6 +27,9 @@
 	result.PrimaryCenter = g.primaryCenter()
 	if result.Outcome != fault.Done {
 		result.Evidence = g.evidence()
+		if w.Home.Restricted {
+			result.Evidence += fmt.Sprintf("; it may run only in the regions %q", w.Home.Names)
+		}
 	}
 	return result
 }
--- a/internal/owner/work.go
+++ b/internal/owner/work.go
@@ -49,6 +49,8 @@
 	Target time.Duration `cbor:"17,keyasint,omitempty"`
 	// Redirected is set if the work was sent to this owner on purpose and must not be redirected.
 	Redirected bool `cbor:"18,keyasint,omitempty"`
+	// Home are the regions in which the work may run.
+	Home conf.HomeRegions `cbor:"19,keyasint,omitzero"`
 }
 
 // Limits bound one request: its total time, its wait in the queue, for the
--- a/internal/rule/conf/check.go
+++ b/internal/rule/conf/check.go
@@ -142,6 +142,7 @@
 		_, known := k.conf.Customers[r.Open]
 		k.want(known, section, "open", "the customer whose rate the open route counts against")
 	}
+	k.want(!slices.Contains(r.Regions, ""), section, "regions", "names of regions")
 	k.want(r.Worth > 0, section, "worth", "a number above 0")
 	k.want(r.MaxAge >= 0, section, "max-age", "a duration, not negative")
 	k.want(r.ReadConsistency != BoundedReads || r.MaxAge > 0, section, "max-age", "a duration above 0 for reads of a stated age")
@@ -154,6 +155,7 @@
 	k.want(c.Rate > 0, section, "rate", "requests a second, above 0")
 	k.want(c.Burst >= 1, section, "burst", "requests, at least 1")
 	k.want(c.RestartAllowance >= 0, section, "restart", "requests, not negative")
+	k.want(!slices.Contains(c.Regions, ""), section, "regions", "names of regions")
 	k.want(c.Weight > 0, section, "weight", "a number above 0")
 }
 
--- a/internal/rule/conf/config.go
+++ b/internal/rule/conf/config.go
@@ -35,6 +35,8 @@
 	// instances restart: a new instance does not know what was spent before it started.
 	RestartAllowance float64 `json:"restart,omitempty"`
 	Weight           float64 `json:"weight"`
+	// Regions are the regions in which the customer's requests may run; empty means all.
+	Regions []string `json:"regions,omitempty"`
 }
 
 // Hash is the SHA-256 of a key.
@@ -89,6 +91,8 @@
 	Timeout time.Duration `json:"timeout,omitempty"`
 	// Target is the latency that callers aim at; 0 means none.
 	Target time.Duration `json:"target,omitempty"`
+	// Regions are the regions in which requests on the route may run; empty means all.
+	Regions []string `json:"regions,omitempty"`
 }
 
 //go:generate go tool stringer -type=Consistency -linecomment -output=consistency_string.go
--- a/internal/rule/conf/snapshot.go
+++ b/internal/rule/conf/snapshot.go
@@ -128,6 +128,8 @@
 	ReadConsistency Consistency
 	Timeout         time.Duration
 	Target          time.Duration
+	// Home are the regions of both the route and the customer.
+	Home HomeRegions
 }
 
 // lookupRoute looks up a route. A service is also a route of the same name, unless it is reached
@@ -178,6 +180,7 @@
 	a.Service, a.MaxAge, a.Worth = r.Service, r.MaxAge, r.Worth
 	a.ReadConsistency, a.Timeout, a.Target = r.ReadConsistency, r.Timeout, r.Target
 	a.Group = s.Services[r.Service].Group
+	a.Home = HomeRegions{}.And(r.Regions).And(s.Customers[a.Customer].Regions)
 	return a
 }
 
--- a/internal/rule/route/choose.go
+++ b/internal/rule/route/choose.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"geraniumseam.dev/internal/rule/conf"
 	"geraniumseam.dev/pkg/ident"
 )
 
@@ -18,6 +19,8 @@
 	AgeKnown bool
 	// Usable is false if the server does not answer or its report is implausible.
 	Usable bool
+	// Region is the region of the server's data centre.
+	Region string
 	// Leaving is set if the server is about to be removed from its group.
 	Leaving bool
 	// Latency is the measured round-trip time.
@@ -52,6 +55,8 @@
 	// LaggingServer is a server that has just refused the read because it lags, whatever its report
 	// says.
 	LaggingServer ident.ServerID
+	// Home are the regions in which the read may run.
+	Home conf.HomeRegions
 }
 
 // Choice is the result of Choose: Serve, Await or None.
@@ -109,7 +114,7 @@
 
 // evaluate returns the choice that a server offers and its cost; false if there is none.
 func (r Request) evaluate(s *Server) (Choice, time.Duration, bool) {
-	if !s.Usable || s.Leaving {
+	if !s.Usable || s.Leaving || !r.Home.Allows(s.Region) {
 		return nil, 0, false
 	}
 	cost := s.cost()
