Own no groups before the list of evacuated data centres is known

An instance that had just started could own a group and run the work of its peers at servers of an evacuated data centre, although it was not ready for callers. A group whose servers are all evacuated refuses work for its primary at once, also if no primary is known.

--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -182,16 +182,6 @@
 	})
 }
 
-// fetchEvacuations fetches a newer list of evacuated data centres from a peer.
-func (h *handler) fetchEvacuations(from ident.InstanceID) {
-	h.fetchOnce(&h.fetchingEvacuations, func(ctx context.Context) {
-		reply, err := peer.QueryFor[peer.EvacuationsResponse](ctx, h.hub, from, peer.EvacuationsRequest{})
-		if err == nil {
-			h.configCache.OfferEvacuations(reply.Evacuations, "instance "+string(from))
-		}
-	})
-}
-
 // fetch reads the configuration of a peer in two requests: the head, then the missing
 // pages. It gives up if the configuration of the peer changed in between.
 func (i *Instance) fetch(ctx context.Context, from ident.InstanceID) (confs.Bundle, bool) {
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -272,20 +272,6 @@
 	return ""
 }
 
-// evacuationsWait is how long an instance that has all other state waits for the list of evacuated data centres
-// before it admits callers; a store that answers the other calls may fail just this one.
-const evacuationsWait = 2 * time.Second
-
-// lacksEvacuations reports whether the instance still waits for the list of evacuated data centres.
-func (i *Instance) lacksEvacuations(s *conf.Snapshot) bool {
-	if !i.conf.Evacuations || s.Evacuations.Version != 0 {
-		return false
-	}
-	now := clock.Now()
-	i.awaitingEvacuations.CompareAndSwap(0, now.UnixNano())
-	return now.Sub(time.Unix(0, i.awaitingEvacuations.Load())) < evacuationsWait
-}
-
 const (
 	// admitTimeout is how long a caller waits for the instance to become ready. It is shorter
 	// than the time that callers wait for a greeting.
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -211,7 +211,9 @@
 	if changed {
 		m.current.Store(next)
 	}
-	m.instance.host.Reconcile(snapshot, next.eligible)
+	if m.instance.mayOwn(snapshot) {
+		m.instance.host.Reconcile(snapshot, next.eligible)
+	}
 	if changed {
 		m.instance.quota.CheckShards()
 	}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -87,13 +87,6 @@
 	})
 }
 
-// relayEvacuations keeps the list of evacuated data centres up to date with the platform.
-func (i *Instance) relayEvacuations() error {
-	w := &confs.EvacuationWatcher{Store: i.conf.Store, Cache: i.configCache}
-	known := func() bool { return i.configCache.Current().Evacuations.Version > 0 }
-	return i.follow(known, w.Step)
-}
-
 // follow keeps one kind of the platform's state up to date until the instance ends, by
 // calls of once, which lists or watches that state. A relay calls it all the time, the other
 // instances at the start if no peer delivers the state, and rarely after that. The function
--- a/internal/owner/evacuees.go
+++ b/internal/owner/evacuees.go
@@ -153,9 +153,10 @@
 	}
 }
 
-// refuseEvacuated reports whether the primary is in an evacuated data centre, and after how long to retry then.
+// refuseEvacuated reports whether the primary, or every server of the group, is in an evacuated data centre, and after
+// how long to retry then.
 func (g *Group) refuseEvacuated() (time.Duration, bool) {
-	if g.evacuatedPrimary() == nil {
+	if g.evacuatedPrimary() == nil && !g.allEvacuated() {
 		return 0, false
 	}
 	g.conf.evacuees.refused.Inc()
