Refuse work without a server in its home regions for a reason of its own

Such work was refused as no-primary or no-server, which says something of the group that other requests would be refused for, too. The reason is now no-home-server. TestWorkStaysInHomeRegions and TestEveryPromiseIsListed pass.

--- a/internal/fault/reason.go
+++ b/internal/fault/reason.go
@@ -56,6 +56,7 @@
 	MessageTooLong                    // message-too-long
 	MessageCut                        // message-cut
 	Evacuated                         // evacuated
+	NoHomeServer                      // no-home-server
 	reasonCount
 )
 
@@ -77,7 +78,7 @@
 	ConnectFailed: "57P03", ServerFull: "53300", ServerReadOnly: "57P03", ServerStopping: "57P03",
 	ConnectionLost: "08006", PrimaryReplaced: "57P03", TransactionLost: "40001", TransactionIdle: "25P03",
 	PeerLost: "57P03", DeadlinePassed: "57014", Cancelled: "57014", ShuttingDown: "57P01", AnswerTooLarge: "54000",
-	ConnectionSilent: "08006", ServerBusy: "53300", ServerFailed: "57P03", RouteGone: "3D000", NotReady: "57P03", Evacuated: "57P03", OtherOwnerPreferred: "57P03",
+	ConnectionSilent: "08006", ServerBusy: "53300", ServerFailed: "57P03", RouteGone: "3D000", NotReady: "57P03", Evacuated: "57P03", NoHomeServer: "57P03", OtherOwnerPreferred: "57P03",
 }
 
 // UnknownSQLState is the SQLSTATE of every request whose outcome is unknown.
--- a/internal/fault/reason_string.go
+++ b/internal/fault/reason_string.go
@@ -48,12 +48,13 @@
 	_ = x[MessageTooLong-37]
 	_ = x[MessageCut-38]
 	_ = x[Evacuated-39]
-	_ = x[reasonCount-40]
+	_ = x[NoHomeServer-40]
+	_ = x[reasonCount-41]
 }
 
-const _Reason_name = "nonekey-refusedkey-withdrawnkey-uncheckedplaintext-keybad-startupbad-messagenot-supportedrate-exceededrate-unavailablequeue-fullqueue-lateno-serverno-primaryno-ownerfloor-unreachedconnect-failedserver-fullserver-read-onlyserver-stoppingconnection-lostanswer-lostanswer-unconfirmedprimary-replacedtransaction-losttransaction-idlepeer-lostdeadline-passedcancelledshutting-downanswer-too-largeconnection-silentserver-busyserver-failedroute-gonenot-readybetter-placedmessage-too-longmessage-cutevacuatedreasonCount"
+const _Reason_name = "nonekey-refusedkey-withdrawnkey-uncheckedplaintext-keybad-startupbad-messagenot-supportedrate-exceededrate-unavailablequeue-fullqueue-lateno-serverno-primaryno-ownerfloor-unreachedconnect-failedserver-fullserver-read-onlyserver-stoppingconnection-lostanswer-lostanswer-unconfirmedprimary-replacedtransaction-losttransaction-idlepeer-lostdeadline-passedcancelledshutting-downanswer-too-largeconnection-silentserver-busyserver-failedroute-gonenot-readybetter-placedmessage-too-longmessage-cutevacuatedno-home-serverreasonCount"
 
-var _Reason_index = [...]uint16{0, 4, 15, 28, 41, 54, 65, 76, 89, 102, 118, 128, 138, 147, 157, 165, 180, 194, 205, 221, 236, 251, 262, 280, 296, 312, 328, 337, 352, 361, 374, 390, 407, 418, 431, 441, 450, 463, 479, 490, 499, 510}
+var _Reason_index = [...]uint16{0, 4, 15, 28, 41, 54, 65, 76, 89, 102, 118, 128, 138, 147, 157, 165, 180, 194, 205, 221, 236, 251, 262, 280, 296, 312, 328, 337, 352, 361, 374, 390, 407, 418, 431, 441, 450, 463, 479, 490, 499, 513, 524}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/internal/owner/home.go
+++ b/internal/owner/home.go
@@ -38,7 +38,7 @@
 		return fault.Evacuated
 	case w.Home.Restricted:
 		g.conf.evacuees.foreign.Inc()
-		return fault.NoServer
+		return fault.NoHomeServer
 	}
 	return fault.None
 }
--- a/internal/owner/home_test.go
+++ b/internal/owner/home_test.go
@@ -43,12 +43,12 @@
 		reason fault.Reason
 	}{
 		{stmt.Write, conf.LatestReads, "north", "", fault.None},
-		{stmt.Write, conf.LatestReads, "south", "", fault.NoPrimary},
-		{stmt.Read, conf.LatestReads, "south", "", fault.NoPrimary},
+		{stmt.Write, conf.LatestReads, "south", "", fault.NoHomeServer},
+		{stmt.Read, conf.LatestReads, "south", "", fault.NoHomeServer},
 		{stmt.Read, conf.SessionReads, "north", "a", fault.None},
 		{stmt.Read, conf.SessionReads, "south", "b", fault.None},
 		{stmt.Read, conf.SessionReads, "x", "c", fault.None},
-		{stmt.Read, conf.SessionReads, "west", "", fault.NoServer},
+		{stmt.Read, conf.SessionReads, "west", "", fault.NoHomeServer},
 	} {
 		eventually(t, "the work is run at its server, or refused at once", func() bool {
 			r, took := run(c.kind, c.reads, c.region)
--- a/internal/owner/primary.go
+++ b/internal/owner/primary.go
@@ -43,7 +43,7 @@
 	}
 	if g.foreignPrimary(w) {
 		g.conf.evacuees.foreign.Inc()
-		return nil, notSent(fault.NoPrimary)
+		return nil, notSent(fault.NoHomeServer)
 	}
 	if usable(g.tracker.current.Load()) {
 		return found, Result{}
