--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -25,10 +25,13 @@
 	var last owner.Result
 	var asked []ident.InstanceID
 	for attempt := 0; ; attempt++ {
-		nearest := i.members.owners(w.Group, serverCenters)
+		nearest := i.homeOwners(w, i.members.owners(w.Group, serverCenters))
 		owners, sent := i.preferProven(w, i.preferPrimaryCenter(w, nearest))
 		if len(owners) == 0 {
 			last = owner.Result{Outcome: fault.NotSent, Reason: fault.NoOwner}.After(last)
+			if w.Home.Restricted {
+				return last, ""
+			}
 		} else {
 			id := owners[attempt%len(owners)]
 			tracker := &trackingSink{sink: sink}
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -72,6 +72,8 @@
 	Weight ident.Millicores
 	// Listed is set if the platform keeps a list of backend servers.
 	Listed bool
+	// Evacuations is set if operators may evacuate data centres through the platform.
+	Evacuations bool
 	// Relays is the number of relays of a data centre: instances that watch the platform
 	// permanently and pass changes on to the others; 0 means the default.
 	Relays int
@@ -145,11 +147,15 @@
 	// instances; peerWork is how many requests run for them.
 	txEnded, workEnded atomic.Bool
 	peerWork           atomic.Int64
-	// fetchingConfig, fetchingServers and fetchingMembers are set while the respective state is
-	// fetched from a peer.
-	fetchingConfig  atomic.Bool
-	fetchingServers atomic.Bool
-	fetchingMembers atomic.Bool
+	// fetchingConfig, fetchingServers, fetchingMembers and fetchingEvacuations are set while the respective
+	// state is fetched from a peer.
+	fetchingConfig      atomic.Bool
+	fetchingServers     atomic.Bool
+	fetchingMembers     atomic.Bool
+	fetchingEvacuations atomic.Bool
+	// awaitingEvacuations is since when only the list of evacuations has been lacking, in Unix nanoseconds; 0
+	// if it has not been.
+	awaitingEvacuations atomic.Int64
 	// unlisted signals that the platform's list lacks this instance or shows another state of it.
 	unlisted chan struct{}
 	tomb     tomb.Tomb
@@ -182,7 +188,7 @@
 	i.members = newMembers(i)
 	i.callers = newCallers(i)
 	i.host = owner.NewHost(owner.HostConfig{
-		Self: c.Instance, Center: c.Center, Claimant: group.Claimant(string(c.Instance) + "-" + i.bootID), Driver: c.Backends,
+		Self: c.Instance, Center: c.Center, Regions: c.Regions, Claimant: group.Claimant(string(c.Instance) + "-" + i.bootID), Driver: c.Backends,
 		Store: c.Store, Epochs: epochs, Journal: i.journal, Random: i.random.fork(),
 		Now: clock.Now, ReportServer: i.broadcastReachability, ReadRecord: i.readRecordOf, LinkedPeers: i.linkedPeers, Registry: c.Registry, Baseline: c.Baseline.Baseline,
 	})
@@ -206,6 +212,9 @@
 	if c.Listed {
 		i.tomb.Go(i.relayServers)
 	}
+	if c.Evacuations {
+		i.tomb.Go(i.relayEvacuations)
+	}
 	if c.AdvertiseAddress != "" {
 		i.tomb.Go(i.register)
 	}
@@ -260,6 +269,8 @@
 		return "no configuration yet"
 	case i.conf.Listed && s.Listed == 0:
 		return "no list of backend servers yet"
+	case i.lacksEvacuations(s):
+		return "no list of evacuated data centres yet"
 	case !open && i.keysUnchecked():
 		return "configuration not confirmed within key-grace, so keys cannot be checked"
 	}
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -30,6 +30,8 @@
 	Defaults conf.Defaults
 	Self     ident.InstanceID
 	Center   ident.CenterID
+	// Regions gives the region of each data centre; one without an entry is in a region of its own.
+	Regions  map[ident.CenterID]string
 	Claimant group.Claimant
 	Place    Place
 	Driver   proto.Driver
@@ -53,6 +55,8 @@
 	faults *connFaults
 	// leavers knows since when servers are leaving; nil means that none is.
 	leavers *leavers
+	// evacuees knows which data centres are evacuated; nil means that none is.
+	evacuees *evacuees
 	// changes counts answers of superseded primaries; nil counts none.
 	changes *changes
 	// copies holds the copies of groups' records; nil keeps one for this group alone.
@@ -98,6 +102,7 @@
 	// removed is closed once the server has left the group.
 	removed  chan struct{}
 	distrust distrust
+	coldness coldness
 }
 
 // roster lists all servers that a group has had. An index is never reused; the map
@@ -127,6 +132,8 @@
 	// listed is the server that the platform's list names as the primary, empty unless it names exactly one.
 	listed atomic.Pointer[ident.ServerID]
 	place  atomic.Pointer[Place]
+	// coldLimits are the limits for cold servers.
+	coldLimits atomic.Pointer[coldLimits]
 	// relinquished is set while another instance owns the group: only owners replace a primary.
 	relinquished atomic.Bool
 	// change is the latest sign that the primary is being replaced; nil means none.
@@ -161,6 +168,9 @@
 	if c.copies == nil {
 		c.copies = newRecordCopies(c.Store, c.Epochs, nil)
 	}
+	if c.evacuees == nil {
+		c.evacuees = newEvacuees(c.Now, nil)
+	}
 	g := &Group{
 		conf: c, tracker: newTracker(c.Group.Synchronous > 0), started: clock.Now(),
 		events: make(chan group.Event, eventQueueSize), txs: map[TxID]*transaction{},
@@ -172,6 +182,7 @@
 	g.updateServers(c.Group)
 	g.resize(c.Group)
 	g.updateLeaving(c.Group)
+	g.updateCold(c.Group)
 	g.tomb.Go(g.coordinate)
 	g.tomb.Go(g.reapIdle)
 	return g
@@ -280,6 +291,8 @@
 	g.updateServers(c)
 	g.resize(c)
 	g.updateLeaving(c)
+	g.updateCold(c)
+	g.closeEvacuated()
 	return true
 }
 
@@ -311,6 +324,8 @@
 	g.defaults.Store(&d)
 	g.updateServers(c)
 	g.updateLeaving(c)
+	g.updateCold(c)
+	g.closeEvacuated()
 	g.relinquish()
 }
 
--- a/internal/owner/host.go
+++ b/internal/owner/host.go
@@ -15,6 +15,7 @@
 	"geraniumseam.dev/internal/jrnl"
 	"geraniumseam.dev/internal/plat"
 	"geraniumseam.dev/internal/proto"
+	"geraniumseam.dev/internal/rule/admit"
 	"geraniumseam.dev/internal/rule/conf"
 	"geraniumseam.dev/internal/rule/group"
 	"geraniumseam.dev/internal/rule/membr"
@@ -24,8 +25,10 @@
 
 // HostConfig configures a Host.
 type HostConfig struct {
-	Self     ident.InstanceID
-	Center   ident.CenterID
+	Self   ident.InstanceID
+	Center ident.CenterID
+	// Regions gives the region of each data centre; one without an entry is in a region of its own.
+	Regions  map[ident.CenterID]string
 	Claimant group.Claimant
 	Driver   proto.Driver
 	Store    plat.Store
@@ -64,6 +67,7 @@
 	lost       *lostAnswers
 	faults     *connFaults
 	leavers    *leavers
+	evacuees   *evacuees
 	changes    *changes
 	copies     *recordCopies
 	room       *roomCounters
@@ -82,6 +86,7 @@
 		lost:       newLostAnswers(c.Registry),
 		faults:     newConnFaults(c.Registry),
 		leavers:    &leavers{now: c.Now},
+		evacuees:   newEvacuees(c.Now, c.Registry),
 		changes:    newChanges(c.Registry),
 		copies:     newRecordCopies(c.Store, c.Epochs, c.Registry),
 		room:       newRoomCounters(c.Registry),
@@ -101,10 +106,13 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.leavers.update(s.Groups)
+	h.evacuees.update(s.Evacuations.Centers)
 	old := *h.groups.Load()
 	next := map[ident.GroupID]*hostedGroup{}
 	var ended []*Group
 	for id, g := range s.Groups {
+		// Owners are counted whether they exist or not: one in each data centre.
+		g.ColdRate = admit.ColdPart(g.ColdRate, len(s.Centers))
 		owners := membr.Owners(id, g.ServerCenters(), available)
 		rank := slices.IndexFunc(owners, func(m membr.Member) bool { return m.ID == h.conf.Self })
 		kept, stopped := h.reconcileGroup(id, g, s.Defaults, old[id], ownerPlace(owners, rank))
@@ -149,11 +157,11 @@
 		return &hostedGroup{group: current.group, conf: g}, nil
 	}
 	started := NewGroup(GroupConfig{
-		ID: id, Group: g, Defaults: d, Self: h.conf.Self, Center: h.conf.Center, Claimant: h.conf.Claimant, Place: p,
+		ID: id, Group: g, Defaults: d, Self: h.conf.Self, Center: h.conf.Center, Regions: h.conf.Regions, Claimant: h.conf.Claimant, Place: p,
 		Driver: h.conf.Driver, Store: h.conf.Store, Epochs: h.conf.Epochs, Journal: h.conf.Journal,
 		Budget: h.budget, Random: rand.New(rand.NewPCG(h.conf.Random.Uint64(), h.conf.Random.Uint64())),
 		Now: h.conf.Now, ReportServer: h.conf.ReportServer, ReadRecord: h.conf.ReadRecord, LinkedPeers: h.conf.LinkedPeers, Baseline: h.conf.Baseline,
-		lost: h.lost, faults: h.faults, leavers: h.leavers, changes: h.changes, copies: h.copies, room: h.room,
+		lost: h.lost, faults: h.faults, leavers: h.leavers, evacuees: h.evacuees, changes: h.changes, copies: h.copies, room: h.room,
 	})
 	h.conf.Journal.Add(jrnl.Event{Kind: jrnl.OwnerChanged, Group: id, Evidence: "this instance now owns the group"})
 	if current != nil {
--- a/internal/owner/primary.go
+++ b/internal/owner/primary.go
@@ -35,15 +35,24 @@
 		found = nil
 		if g.hasUsablePrimary(v) {
 			g.noPrimarySince.Store(0)
-			if accept(v) {
-				found = g.allServers()[v.primary]
+			if s := g.allServers()[v.primary]; g.mayRunAt(w, s) && accept(v) {
+				found = s
 			}
 		}
 		return found != nil
 	}
+	if g.foreignPrimary(w) {
+		g.conf.evacuees.foreign.Inc()
+		return nil, notSent(fault.NoHomeServer)
+	}
 	if usable(g.tracker.current.Load()) {
 		return found, Result{}
 	}
+	if after, evacuated := g.refuseEvacuated(); evacuated {
+		refusal := notSent(fault.Evacuated)
+		refusal.RetryAfter = admit.Jitter(after, g.random())
+		return nil, refusal
+	}
 	since := g.primaryAbsence()
 	wait, after := admit.PrimaryWait(since, g.maxQueueWait(ctx, w))
 	ctx, cancel := context.WithTimeout(ctx, wait)
@@ -88,8 +97,9 @@
 	return v.primary != noPrimary && g.canWrite(v, &v.servers[v.primary]) && !g.isRetired(g.allServers()[v.primary])
 }
 
-// isRetired reports whether a server has been leaving for so long that it gets no new work.
-func (g *Group) isRetired(s *server) bool { return g.conf.leavers.done(s.ID) }
+// isRetired reports whether a server gets no new work: its data centre is evacuated, or it has been leaving for
+// too long.
+func (g *Group) isRetired(s *server) bool { return g.isEvacuated(s) || g.conf.leavers.done(s.ID) }
 
 // canWrite reports whether a primary is answering. In a synchronous group its term must also be leased, since its
 // writes could not be acknowledged otherwise.
--- a/internal/owner/read.go
+++ b/internal/owner/read.go
@@ -110,7 +110,7 @@
 	}
 	return route.Request{
 		Floor: floor, SwitchFloor: switchFloor, MaxAge: age, MaxWait: w.Limits.ReadWait,
-		PrimaryCost: w.Limits.PrimaryCost, LastServer: w.LastRead.Server, Spread: route.Spread(w.Customer, g.conf.Self),
+		PrimaryCost: w.Limits.PrimaryCost, LastServer: w.LastRead.Server, Home: w.Home, Spread: route.Spread(w.Customer, g.conf.Self),
 	}
 }
 
@@ -187,6 +187,10 @@
 		}
 		return attempt{result: Result{Outcome: fault.NotSent, Reason: got.reason, RetryAfter: got.retryAfter, Evidence: got.evidence}, retryable: retryable}
 	}
+	if after, admitted := g.awaitCold(ctx, s, g.maxQueueWait(ctx, w)); !admitted {
+		s.pool.release(got.conn)
+		return attempt{result: g.refuseCold(fault.QueueLate, after)}
+	}
 	if g.isRetired(s) {
 		s.pool.release(got.conn)
 		return attempt{result: notSent(fault.NoServer), retryable: true, uncharged: true}
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -27,6 +27,9 @@
 	result.PrimaryCenter = g.primaryCenter()
 	if result.Outcome != fault.Done {
 		result.Evidence = g.evidence()
+		if w.Home.Restricted {
+			result.Evidence += fmt.Sprintf("; it may run only in the regions %q", w.Home.Names)
+		}
 	}
 	return result
 }
@@ -44,7 +47,9 @@
 	if v.lease != nil {
 		text += "; " + describeLease(v.lease)
 	}
-	if g.isRetired(s) {
+	if g.isEvacuated(s) {
+		text += fmt.Sprintf("; it gets no new work, as its data centre %s has been evacuated for %v", s.Center, g.conf.evacuees.age(s.Center).Round(time.Millisecond))
+	} else if g.isRetired(s) {
 		text += fmt.Sprintf("; it gets no new work, as it has been leaving for more than %v", leavingWork)
 	}
 	return text
@@ -182,6 +187,10 @@
 		retryable := got.reason == fault.ConnectFailed || got.reason == fault.ServerFull
 		return attempt{result: Result{Outcome: fault.NotSent, Reason: got.reason, RetryAfter: got.retryAfter}, retryable: retryable, uncharged: true}
 	}
+	if after, admitted := g.awaitCold(ctx, s, g.maxQueueWait(ctx, w)); !admitted {
+		s.pool.release(got.conn)
+		return attempt{result: g.refuseCold(fault.QueueLate, after)}
+	}
 	if g.isRetired(s) {
 		s.pool.release(got.conn)
 		return attempt{result: notSent(fault.NoPrimary), retryable: true, uncharged: true}
--- a/internal/rule/conf/check.go
+++ b/internal/rule/conf/check.go
@@ -103,6 +103,7 @@
 	k.name("group", string(id))
 	k.want(len(g.Servers) > 0 || g.Listed, section, "servers", "at least one NAME@CENTER/ADDRESS")
 	k.want(g.Connections >= 2, section, "connections", "a whole number, at least 2")
+	k.want(g.ColdRate >= 0 && g.ColdTime >= 0, section, "cold-rate", "requests a second, not negative")
 	k.want(g.Slots >= 1, section, "slots", "a whole number above 0")
 	for _, s := range g.Servers {
 		_, _, err := net.SplitHostPort(s.Address)
@@ -141,6 +142,7 @@
 		_, known := k.conf.Customers[r.Open]
 		k.want(known, section, "open", "the customer whose rate the open route counts against")
 	}
+	k.want(!slices.Contains(r.Regions, ""), section, "regions", "names of regions")
 	k.want(r.Worth > 0, section, "worth", "a number above 0")
 	k.want(r.MaxAge >= 0, section, "max-age", "a duration, not negative")
 	k.want(r.ReadConsistency != BoundedReads || r.MaxAge > 0, section, "max-age", "a duration above 0 for reads of a stated age")
@@ -153,6 +155,7 @@
 	k.want(c.Rate > 0, section, "rate", "requests a second, above 0")
 	k.want(c.Burst >= 1, section, "burst", "requests, at least 1")
 	k.want(c.RestartAllowance >= 0, section, "restart", "requests, not negative")
+	k.want(!slices.Contains(c.Regions, ""), section, "regions", "names of regions")
 	k.want(c.Weight > 0, section, "weight", "a number above 0")
 }
 
--- a/internal/rule/route/choose.go
+++ b/internal/rule/route/choose.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"time"
 
+	"geraniumseam.dev/internal/rule/conf"
 	"geraniumseam.dev/pkg/ident"
 )
 
@@ -19,6 +20,8 @@
 	AgeKnown bool
 	// Usable is false if the server does not answer or its report is implausible.
 	Usable bool
+	// Region is the region of the server's data centre.
+	Region string
 	// Leaving is set if the server is about to be removed from its group.
 	Leaving bool
 	// Latency is the measured round-trip time.
@@ -59,6 +62,8 @@
 	LaggingServer ident.ServerID
 	// Spread is how strongly the choice reacts to the load of other owners, from 0 to 1; see Spread.
 	Spread float64
+	// Home are the regions in which the read may run.
+	Home conf.HomeRegions
 }
 
 // Choice is the result of Choose: Serve, Await or None.
@@ -118,7 +123,7 @@
 
 // evaluate returns the choice that a server offers and its cost; false if there is none.
 func (r Request) evaluate(s *Server) (Choice, time.Duration, bool) {
-	if !s.Usable || s.Leaving {
+	if !s.Usable || s.Leaving || !r.Home.Allows(s.Region) {
 		return nil, 0, false
 	}
 	cost := s.cost()
--- a/pkg/objs/object.go
+++ b/pkg/objs/object.go
@@ -34,6 +34,8 @@
 	Instances Kind = "machines"
 	// Servers holds the platform's list of backend servers, if the platform keeps one.
 	Servers Kind = "servers"
+	// Evacuations holds one object for each evacuated data centre, named after it.
+	Evacuations Kind = "evacuations"
 	// Secrets holds the secret with which the instances of a fleet authenticate to each
 	// other.
 	Secrets Kind = "secrets"
@@ -132,6 +134,8 @@
 	State   LifecycleState `json:"state"`
 	// Incarnation is the time of the server's start, in Unix milliseconds.
 	Incarnation int64 `json:"born"`
+	// Cold is set while the server is slow after its start.
+	Cold bool `json:"cold,omitempty"`
 	// IsPrimary is set if the server reports that it is its group's primary.
 	IsPrimary bool `json:"leads,omitempty"`
 }
