group: let all members together prove a term for 12 s without the store

Callers saw every write and every read of a primary refused from the sixth second of an outage of the store on: the record that a term lease rests on had become older than 6 s, although all members answered. The record proves something for 12 s if all its members answer; a former member is forgotten 12 s after it has become one where no member that stays is older. The models of lists, late orders and members pass but for the known TestWriteBesideSuccessorThatRestartsEmptyIsNotLost (3 of 1200 schedules as before). Scripts that state the time state the new one; TestPrimaryThatLeftAsItSaidIsNotWaitedFor waits as long as before, with members that are old enough.

--- a/internal/rule/group/lease.go
+++ b/internal/rule/group/lease.go
@@ -26,7 +26,8 @@
 
 // SharedRecordLifetime is how long after a read of the record all its members together prove something. A member
 // is removed only if one that stays has been a member for that long, or has itself been a former one for so long.
-const SharedRecordLifetime = 6 * time.Second
+// It covers an outage of the platform's store of 9 s that begins just before the record would be read again.
+const SharedRecordLifetime = 12 * time.Second
 
 // recordRenewal is the age at which the record is to be read again.
 const recordRenewal = RecordLifetime * 3 / 4
