owner: count a new owner as unproven 300 ms after work first needed its record

The joined tests showed writes refused as unproven by an owner that had started 300 ms before and whose first read of the record was under way. Work now waits as long as for any primary: 300 ms from when it was first needed.

--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -12,7 +12,6 @@
 
 	"gopkg.in/tomb.v2"
 
-	"geraniumseam.dev/internal/clock"
 	"geraniumseam.dev/internal/jrnl"
 	"geraniumseam.dev/internal/plat"
 	"geraniumseam.dev/internal/proto"
@@ -118,7 +117,6 @@
 	roster  atomic.Pointer[roster]
 	tracker *tracker
 	events  chan group.Event
-	started time.Time
 	// viewWaiters counts the requests that wait for a newer view.
 	viewWaiters atomic.Int64
 	// lastUsed is when the group last received a request, in Unix nanoseconds.
@@ -172,7 +170,7 @@
 		c.evacuees = newEvacuees(c.Now, nil)
 	}
 	g := &Group{
-		conf: c, tracker: newTracker(c.Group.Synchronous > 0), started: clock.Now(),
+		conf: c, tracker: newTracker(c.Group.Synchronous > 0),
 		events: make(chan group.Event, eventQueueSize), txs: map[TxID]*transaction{},
 		jitterRand: rand.New(rand.NewPCG(c.Random.Uint64(), c.Random.Uint64())),
 	}
--- a/internal/owner/primary.go
+++ b/internal/owner/primary.go
@@ -74,10 +74,18 @@
 // isUnproven reports whether the primary might get new work but for the term lease, which has ended because this
 // instance has not read the group's record.
 func (g *Group) isUnproven(v *view) bool {
-	return v.lease != nil && v.primary != noPrimary && v.lease.Unproven(clock.Now(), g.started) &&
+	return v.lease != nil && v.primary != noPrimary && v.lease.Unproven(clock.Now(), g.firstNeeded()) &&
 		g.isAnswering(v, &v.servers[v.primary]) && !g.isRetired(g.allServers()[v.primary])
 }
 
+// firstNeeded returns when work first needed a primary that was not usable, now if none did.
+func (g *Group) firstNeeded() time.Time {
+	if since := g.noPrimarySince.Load(); since != 0 {
+		return time.Unix(0, since)
+	}
+	return clock.Now()
+}
+
 // primaryAbsence returns how long there has been no usable primary, 0 if there is one.
 func (g *Group) primaryAbsence() time.Duration {
 	v := g.tracker.current.Load()
