quota: have restarted instances release the shards that block a holder

A grant now names the instance that blocks it, and the holder asks that one to release what an earlier run was granted. A lease keeps the conditions under which it was requested, so that a change of them does not lengthen it, and a shard that was just taken over is not handed on within a second, which two instances that disagree would repeat (both found in the review). TestBlockingInstanceReleasesEarlierLeases fails without the question.

--- a/internal/quota/handover.go
+++ b/internal/quota/handover.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"time"
 
 	"geraniumseam.dev/internal/clock"
 	"geraniumseam.dev/internal/rule/share"
@@ -84,13 +85,17 @@
 		return false
 	}
 	for shard := range share.Shard(share.Shards) {
-		if _, found := q.successor(shard); found {
+		if _, found := q.successor(shard); found && clock.Since(time.Unix(0, q.tookOver[shard].Load())) > recentTakeover {
 			return true
 		}
 	}
 	return false
 }
 
+// recentTakeover is how long a shard that was just taken over is not handed on as soon as a link is open: two
+// instances that disagree on its holder would hand it to and fro.
+const recentTakeover = time.Second
+
 // drain empties the buckets of a shard's customers and returns their states.
 func (q *Quota) drain(shard share.Shard) map[ident.CustomerID]share.BucketState {
 	all := map[ident.CustomerID]share.BucketState{}
@@ -152,5 +157,7 @@
 	q.mu.Unlock()
 	if q.Part(shard) == 0 {
 		q.CheckShards()
+		return
 	}
+	q.tookOver[shard].Store(clock.Now().UnixNano())
 }
--- a/internal/quota/lease.go
+++ b/internal/quota/lease.go
@@ -208,6 +208,7 @@
 	}
 	q.mu.Unlock()
 	q.updateParts()
+	q.askBlocking(grants)
 	return grants, begun, nil
 }
 
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -28,6 +28,9 @@
 	SameCenter bool `cbor:"3,keyasint,omitempty"`
 	// Wait is how much longer the requests that need the tokens wait.
 	Wait time.Duration `cbor:"4,keyasint,omitempty"`
+	// Release asks an instance of this data centre, which the table may list for the customer's shard because
+	// of an earlier run, to release it; no tokens are requested.
+	Release bool `cbor:"5,keyasint,omitempty"`
 }
 
 // TokenResponse is the response to a TokenRequest.
@@ -130,6 +133,8 @@
 	// asked is set once another instance has requested tokens of a shard that this one neither holds
 	// nor should hold.
 	asked [share.Shards]atomic.Bool
+	// tookOver is when each shard was last taken over from its holder, in Unix nanoseconds.
+	tookOver [share.Shards]atomic.Int64
 	// failed holds the time of the last failed request for tokens by instance.
 	failed      sync.Map
 	renew       chan struct{}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -320,6 +320,22 @@
 	c.await("b holds all shards", func() bool { return second.Held() == share.Shards })
 }
 
+// TestBlockingInstanceReleasesEarlierLeases guards against a holder that waits for the end of a lease whose instance
+// has been restarted and knows nothing of it, after a restart of the whole data centre.
+func TestBlockingInstanceReleasesEarlierLeases(t *testing.T) {
+	c := newTestCenter(t)
+	c.ranking = []ident.InstanceID{"a"}
+	killed := c.start("a", true, 100)
+	c.await("a holds all shards", func() bool { return killed.Held() == share.Shards })
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	killed.Stop(ended)
+	c.rank("b", "c", "a")
+	c.start("a", true, 100)
+	first := c.start("b", true, 100)
+	c.await("b holds all shards", func() bool { return first.Held() == share.Shards })
+}
+
 // TestIdleInstanceSendsNoRequests starts an instance that is second in rank for all shards: it
 // must send the writer of the table nothing as long as nobody asks it for tokens.
 func TestIdleInstanceSendsNoRequests(t *testing.T) {
--- a/internal/quota/take.go
+++ b/internal/quota/take.go
@@ -44,7 +44,11 @@
 // Lend responds to another instance's request for tokens.
 func (q *Quota) Lend(ctx context.Context, w TokenRequest) TokenResponse {
 	s := q.conf.Snapshot()
-	if _, known := s.Customers[w.Customer]; !known || share.Amount(w.Amount) == 0 || q.conf.Static {
+	if _, known := s.Customers[w.Customer]; !known || share.Amount(w.Amount) == 0 && !w.Release || q.conf.Static {
+		return TokenResponse{Inconclusive: true}
+	}
+	if w.Release {
+		q.releaseEarlier(share.ShardOf(w.Customer))
 		return TokenResponse{Inconclusive: true}
 	}
 	a := q.account(w.Customer)
@@ -72,9 +76,7 @@
 	} else {
 		// The holder does not respond or has no grant, so this instance stands in for it without a
 		// part of its own.
-		if !q.asked[shard].Swap(true) {
-			q.CheckShards()
-		}
+		q.releaseEarlier(shard)
 		q.gatherRemote(a, w.Customer, w.Amount)
 		q.now(a, w.Customer, lend)
 		lent.RetryAfter = q.emptyFor(a)
--- a/internal/rule/share/holder.go
+++ b/internal/rule/share/holder.go
@@ -37,7 +37,9 @@
 	requested    time.Time
 	pending      Request
 	pendingSince time.Time
-	listing      listing
+	// pendingParams are the conditions of the pending request; the lease that is held keeps those of its own.
+	pendingParams LeaseParams
+	listing       listing
 	// statement is the request that states what was held before the release.
 	statement Request
 	// tenure numbers the times for which a part was held without interruption; ended is set
@@ -94,7 +96,7 @@
 	if h.Usable(now) == 0 {
 		h.held, h.ended, h.basis = 0, true, 0
 	}
-	h.params = params
+	h.pendingParams = params
 	h.held = min(h.held, want)
 	h.pending = Request{
 		Instance: h.self, Center: h.center, Shard: h.shard, Want: want, Held: h.held, Renewal: h.pending.Renewal + 1,
@@ -116,6 +118,7 @@
 		return false
 	}
 	begins := false
+	h.params = h.pendingParams
 	h.held, h.requested = min(g.Part, h.pending.Want), h.pendingSince
 	h.continued = false
 	switch {
--- a/internal/rule/share/table.go
+++ b/internal/rule/share/table.go
@@ -216,7 +216,7 @@
 		// The entry of a release stays for one lease, so that earlier requests that arrive late are ignored.
 		next[r.Instance] = entry
 		a.lastSeen[entryKey{center, shard, r.Instance}] = lastSeen{renewal: r.Renewal, at: now}
-		grants = append(grants, Grant{Instance: r.Instance, Shard: shard, Renewal: r.Renewal, Part: part, Proven: proven})
+		grants = append(grants, Grant{Instance: r.Instance, Shard: shard, Renewal: r.Renewal, Part: part, Proven: proven, Blocking: blocking(r, part, bounds)})
 		bounds[r.Instance] = params.maxHeld(entry, 0)
 		total = others + bounds[r.Instance]
 	}
@@ -235,6 +235,27 @@
 	// Proven is the part that no other instance can have held since the instance, perhaps in an
 	// earlier run, made the request; for the first grant of a run, since before it started.
 	Proven Part `cbor:"6,keyasint,omitempty"`
+	// Blocking is the other instance of the data centre that may hold the most of what was not granted;
+	// empty if none is known.
+	Blocking ident.InstanceID `cbor:"7,keyasint,omitempty"`
+}
+
+// blocking returns the other instance that may hold the most of a shard of which a request is granted less than it
+// wants; bounds are what each may hold.
+func blocking(r Request, part Part, bounds map[ident.InstanceID]Part) ident.InstanceID {
+	var most ident.InstanceID
+	if r.Release || part >= r.Want {
+		return most
+	}
+	for id, held := range bounds {
+		if id == r.Instance || id == lostHolder || held == 0 {
+			continue
+		}
+		if most == "" || held > bounds[most] || held == bounds[most] && id < most {
+			most = id
+		}
+	}
+	return most
 }
 
 // provenFor returns the part that no other instance can have held since a request was made, where old is
