jrnl: log the retry delay that a refused caller was sent

The lines of refusals didn't show it, so that callers who come back could not be told from new ones.

--- a/internal/jrnl/event.go
+++ b/internal/jrnl/event.go
@@ -108,6 +108,8 @@
 	Evidence string `json:"evidence,omitempty"`
 	// Count is the number of similar events that this one stands for; 0 means one.
 	Count int64 `json:"count,omitempty"`
+	// RetryAfter is after how many milliseconds a refused caller was told to retry; 0 if it was told nothing.
+	RetryAfter int64 `json:"retry-after-ms,omitempty"`
 }
 
 // RefusalEvent returns the journal event for a fault.
@@ -116,5 +118,9 @@
 	if f.Outcome.Unknown() {
 		kind = OutcomeUnknown
 	}
-	return Event{Kind: kind, Trace: f.Trace, Customer: customer, Group: group, Reason: f.Reason.String(), Outcome: f.Outcome.String(), Evidence: f.Evidence}
+	e := Event{Kind: kind, Trace: f.Trace, Customer: customer, Group: group, Reason: f.Reason.String(), Outcome: f.Outcome.String(), Evidence: f.Evidence}
+	if f.Outcome.NotRun() {
+		e.RetryAfter = f.RetryAfter.Milliseconds()
+	}
+	return e
 }
--- a/internal/jrnl/journal.go
+++ b/internal/jrnl/journal.go
@@ -176,6 +176,9 @@
 	if e.Count != 0 {
 		attributes = append(attributes, "count", e.Count)
 	}
+	if e.RetryAfter != 0 {
+		attributes = append(attributes, "retry-after-ms", e.RetryAfter)
+	}
 	klog.InfoS(e.Kind.String(), append(attributes, "evidence", e.Evidence)...)
 }
 
