owner: exchange idle connections without headroom, and serve from idle ones if that fails

Cause: after 16 requests out of turn a pool served only the customer whose turn it is. If that one could get no connection, because the server's headroom or a recent refusal forbade the exchange of an idle one, all others waited beside their idle connections. If no exchange is possible, idle connections serve their own customers out of turn. A refused connection frees its slot for waiting requests at once.

--- a/internal/owner/conns.go
+++ b/internal/owner/conns.go
@@ -149,14 +149,19 @@
 	if p.open >= p.limit || p.dialing[customer] >= waiting || p.closed || p.conf.now().Before(p.fullUntil) {
 		return false
 	}
-	if !p.hasRoom(0) {
+	if !p.hasRoom() {
 		p.countWithheld()
 		return false
 	}
+	p.startDial(customer)
+	return true
+}
+
+// startDial starts opening a connection for a customer; the caller holds mu.
+func (p *pool) startDial(customer ident.CustomerID) {
 	p.open++
 	p.dialing[customer]++
 	go p.dial(customer)
-	return true
 }
 
 // dialsInFlight returns how many connections are being opened; the caller holds mu.
@@ -203,6 +208,8 @@
 	if full {
 		p.fullUntil = p.conf.now().Add(serverFullBackoff)
 		if p.open > 0 {
+			// The slot of the handshake is free for a request with an idle connection.
+			p.dispatchWaiting()
 			return
 		}
 	}
--- a/internal/owner/pool.go
+++ b/internal/owner/pool.go
@@ -257,16 +257,21 @@
 	if !p.conf.driver.PerCustomer() {
 		return p.serveCustomer("", true) || p.dialFor("")
 	}
+	exchangeTried := false
 	for position, customer := range p.queue.WaitingCustomers() {
 		inTurn := position == 0
-		if !inTurn && p.outOfTurn >= maxOutOfTurn {
-			break
+		if !inTurn && p.outOfTurn >= maxOutOfTurn && !exchangeTried {
+			if p.exchange() {
+				return true
+			}
+			exchangeTried = true
 		}
-		if p.serveCustomer(customer, inTurn) || p.dialFor(customer) {
+		// Without an exchange, waiting would not bring the customer whose turn it is a connection sooner.
+		if p.serveCustomer(customer, inTurn) || !exchangeTried && p.dialFor(customer) {
 			return true
 		}
 	}
-	return p.exchange()
+	return !exchangeTried && p.exchange()
 }
 
 // serveCustomer grants an idle connection of the customer to its next request; inTurn says
--- a/internal/owner/room.go
+++ b/internal/owner/room.go
@@ -77,11 +77,10 @@
 	p.failures.Store(&failures)
 }
 
-// hasRoom reports whether the server's headroom allows another connection after the given number
-// of idle ones have been closed; the caller holds mu.
-func (p *pool) hasRoom(closing int) bool {
+// hasRoom reports whether the server's headroom allows another connection; the caller holds mu.
+func (p *pool) hasRoom() bool {
 	dialing := p.dialsInFlight()
-	return p.room.Allows(p.conf.now(), admit.Owned{Open: p.open - dialing, Dialing: dialing, Closing: closing})
+	return p.room.Allows(p.conf.now(), admit.Owned{Open: p.open - dialing, Dialing: dialing})
 }
 
 // countWithheld counts a connection that is not opened for lack of headroom; the caller holds mu.
@@ -93,23 +92,25 @@
 }
 
 // exchange closes the least recently used idle connection and opens one for the customer whose
-// turn it is, unless the server would not accept it; the caller holds mu.
+// turn it is. That does not raise the server's number of connections, so it needs no headroom, only
+// that the server has not just refused a connection; the caller holds mu.
 func (p *pool) exchange() bool {
 	next, ok := p.queue.NextCustomer()
-	if !ok || len(p.idle) == 0 || p.dialing[next] >= p.queue.WaitingFor(next) || p.conf.now().Before(p.fullUntil) || !p.hasRoom(1) {
+	if !ok || len(p.idle) == 0 || p.open > p.limit || p.closed || p.dialing[next] >= p.queue.WaitingFor(next) || p.conf.now().Before(p.fullUntil) {
 		return false
 	}
 	p.evict(p.idle[0])
 	if p.conf.counters != nil {
 		p.conf.counters.exchanged.Inc()
 	}
-	return p.dialFor(next)
+	p.startDial(next)
+	return true
 }
 
 // refuseWithoutRoom refuses all waiting requests if this owner has no connection and the server
 // has none left; the caller holds mu.
 func (p *pool) refuseWithoutRoom() {
-	if p.open > 0 || p.queue.Len() == 0 || p.hasRoom(0) {
+	if p.open > 0 || p.queue.Len() == 0 || p.hasRoom() {
 		return
 	}
 	p.refuseWaiting(grant{reason: fault.ServerFull, retryAfter: p.jitter(serverFullBackoff), evidence: p.room.Evidence(p.conf.now())})
--- a/internal/owner/room_test.go
+++ b/internal/owner/room_test.go
@@ -43,3 +43,63 @@
 		t.Fatalf("got %s, evidence %q from a full server without own connections, want server-full at once", got.reason, got.evidence)
 	}
 }
+
+// TestIdleConnectionsServeWithoutRoom guards against requests that wait beside idle connections because the customer
+// whose turn it is may not open one: an idle connection is exchanged, or serves its own customer.
+func TestIdleConnectionsServeWithoutRoom(t *testing.T) {
+	for _, c := range []struct {
+		reported int
+		refusing bool
+	}{{66, false}, {71, false}, {66, true}, {71, true}} {
+		p := newPool(poolConfig{driver: newDriver(), slots: 2, queue: 4 * maxOutOfTurn, now: clock.Now}, 10)
+		p.setRoom(70, 6)
+		asked := clock.Now()
+		get := func(customer ident.CustomerID, maxWait time.Duration) grant {
+			return p.acquire(context.Background(), fair.Flow{Customer: customer}, 1, maxWait)
+		}
+		p.recordReport(asked, clock.Now(), group.Load{Known: true, Connections: 2})
+		held := []grant{get("a", time.Second), get("a", time.Second)}
+		p.recordReport(asked, clock.Now(), group.Load{Known: true, Connections: c.reported})
+		if c.refusing {
+			p.fullUntil = clock.Now().Add(time.Hour)
+		}
+		const requests = 2 * maxOutOfTurn
+		served := make(chan bool, requests+1)
+		start := func(customer ident.CustomerID) {
+			go func() {
+				g := get(customer, 10*time.Second)
+				served <- g.conn != nil
+				if g.conn != nil {
+					p.release(g.conn)
+				}
+			}()
+		}
+		waiting := func(n int) func() bool {
+			return func() bool { p.mu.Lock(); defer p.mu.Unlock(); return p.queue.Len() == n }
+		}
+		start("b")
+		eventually(t, "b waits", waiting(1))
+		for range requests {
+			start("a")
+		}
+		eventually(t, "all wait", waiting(requests+1))
+		for _, g := range held {
+			p.release(g.conn)
+		}
+		want := requests + 1
+		if c.refusing {
+			want = requests
+		}
+		for n := range want {
+			select {
+			case ok := <-served:
+				if !ok {
+					t.Fatalf("%+v: a request was refused", c)
+				}
+			case <-time.After(5 * time.Second):
+				t.Fatalf("%+v: %d of %d requests were served", c, n, want)
+			}
+		}
+		p.close()
+	}
+}
--- a/internal/rule/admit/headroom.go
+++ b/internal/rule/admit/headroom.go
@@ -59,8 +59,6 @@
 type Owned struct {
 	Open    int
 	Dialing int
-	// Closing is the number of idle connections that are closed for the new one.
-	Closing int
 }
 
 // Allows reports whether another connection may be opened. An owner without a connection may
@@ -77,7 +75,7 @@
 	if !h.known {
 		return true
 	}
-	added := len(h.opened) + own.Dialing - len(h.closed) - own.Closing
+	added := len(h.opened) + own.Dialing - len(h.closed)
 	// Each owner can have one connection for requests at a server that accepts few.
 	margin := max(min(max(h.connections*marginTenths/10, h.owners-1), h.connections-2*h.owners), 0)
 	switch {
