owner: count no connection that the owner has closed itself

Cause: popIdle and recycle closed connections that could not be reused without telling the headroom, so that they counted against the owner until the next report; an owner whose only connection ended refused its next request. Change: both record the close, as evict does. Result: TestClosedConnectionLeavesRoom (66 of 70 reported) passes; it got server-full in both places before.

--- a/internal/owner/conns.go
+++ b/internal/owner/conns.go
@@ -124,8 +124,7 @@
 		if p.usable(c) {
 			return c
 		}
-		c.Close()
-		p.open--
+		p.closeConn(c)
 	}
 	return nil
 }
@@ -133,6 +132,11 @@
 // evict closes an idle connection; the caller holds mu.
 func (p *pool) evict(c *pooledConn) {
 	p.idle = slices.DeleteFunc(p.idle, func(other *pooledConn) bool { return other == c })
+	p.closeConn(c)
+}
+
+// closeConn closes an open connection and no longer counts it; the caller holds mu.
+func (p *pool) closeConn(c *pooledConn) {
 	c.Close()
 	p.open--
 	p.room.Closed(p.conf.now())
@@ -236,8 +240,7 @@
 	delete(p.active, c)
 	c.inTransaction = false
 	if p.closed || p.open > p.limit || !p.usable(c) {
-		c.Close()
-		p.open--
+		p.closeConn(c)
 	} else {
 		c.since = p.conf.now()
 		p.idle = append(p.idle, c)
--- a/internal/owner/room_test.go
+++ b/internal/owner/room_test.go
@@ -103,3 +103,27 @@
 		p.close()
 	}
 }
+
+// TestClosedConnectionLeavesRoom guards against a connection that this owner has closed, because it could not be
+// reused, but that counts against the owner's next one until the server's next report.
+func TestClosedConnectionLeavesRoom(t *testing.T) {
+	for _, idle := range []bool{false, true} {
+		p := newPool(poolConfig{driver: newDriver(), slots: 2, queue: 8, now: clock.Now}, 10)
+		p.setRoom(70, 6)
+		get := func() grant {
+			return p.acquire(context.Background(), fair.Flow{Customer: "a"}, 1, time.Second)
+		}
+		asked := clock.Now()
+		p.recordReport(asked, clock.Now(), group.Load{Known: true, Connections: 2})
+		first := get()
+		p.recordReport(clock.Now(), clock.Now(), group.Load{Known: true, Connections: 66})
+		if !idle {
+			first.conn.retired = true
+		}
+		p.release(first.conn)
+		first.conn.retired = true
+		if second := get(); second.conn == nil || second.conn == first.conn {
+			t.Errorf("after a connection that ended, idle %t: got %s, want another connection", idle, second.reason)
+		}
+	}
+}
