route: charge the load by other owners only near full slots

Cause: the charge applied also while a server had free slots, so that reads went to a server in another region although the near one would have run them at once. Change: the charge is limited to twice the number of statements by which the load, with this read, exceeds the slots. Result: TestFreeSlotsKeepReadsNear (2 of 4 slots free, the other server 19 ms further) passes; without the limit customers leave.

--- a/internal/rule/route/load.go
+++ b/internal/rule/route/load.go
@@ -71,9 +71,10 @@
 }
 
 // otherCost returns the expected time in the queue behind the statements of other owners, compared
-// with the server that has the fewest of them.
+// with the server that has the fewest of them. A server with free slots would run a read at once,
+// so that its load counts only from one statement below its slots on.
 func (s *Server) otherCost(least, spread float64) time.Duration {
-	more := 2*spread*(s.OtherLoad-least) - equalLoads
+	more := min(2*spread*(s.OtherLoad-least)-equalLoads, 2*max(0, s.OtherLoad+1-float64(s.Slots)))
 	if more <= 0 {
 		return 0
 	}
--- a/internal/rule/route/spread_test.go
+++ b/internal/rule/route/spread_test.go
@@ -172,6 +172,20 @@
 	}
 }
 
+// TestFreeSlotsKeepReadsNear guards against reads that go to a server further away although a near one has free slots.
+func TestFreeSlotsKeepReadsNear(t *testing.T) {
+	servers := []Server{
+		{ID: "near", Usable: true, Slots: simSlots, ServiceTime: 5 * simWork, OtherLoad: simSlots / 2},
+		{ID: "far", Usable: true, Slots: simSlots, ServiceTime: 5 * simWork, Latency: 19 * time.Millisecond},
+	}
+	for i := range 100 {
+		r := Request{Spread: Spread(ident.CustomerID(fmt.Sprint(i)), "owner")}
+		if got := Choose(r, servers).(Serve).Server; got != "near" {
+			t.Errorf("customer %d reads at %s, want near", i, got)
+		}
+	}
+}
+
 // TestEqualLoadsKeepChoice checks that equal loads by other owners leave the choice as it is.
 func TestEqualLoadsKeepChoice(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
