entry: move no work for 100 ms after no owner of a group could prove its term

Cause: while no owner could prove the term, each request was run at all owners one after the other, which is six times the load. Change: when all reachable owners were asked for a move and each was unproven, that is remembered for the group for 100 ms. Meanwhile only the nearest owner is asked. A counter tells how many requests were not moved.

--- a/internal/entry/dispatch_test.go
+++ b/internal/entry/dispatch_test.go
@@ -161,6 +161,33 @@
 // owner that fails too, and against a proven owner that is not preferred.
 func TestUnprovenWorkIsMoved(t *testing.T) { playDispatch(t, "testdata/moves", "a", "b", "c") }
 
+// TestUnprovenGroupMovesNoWork guards against requests that are each run at all owners while none can prove the term.
+func TestUnprovenGroupMovesNoWork(t *testing.T) {
+	ids := []ident.InstanceID{"a", "b", "c", "d", "e", "f"}
+	s, owners := chargedSession(t, ids...)
+	owners.ends = map[ident.InstanceID][]string{}
+	for _, id := range ids {
+		owners.ends[id] = []string{"not-sent no-primary cannot-prove"}
+	}
+	const requests = 20
+	began := time.Now()
+	for range requests {
+		if r, _ := s.instance.dispatch(t.Context(), &conf.Snapshot{}, &owner.Work{Kind: stmt.Write, Group: "g"}, anySink{}); !r.Unproven {
+			t.Fatalf("%s %s, want unproven", r.Outcome, r.Reason)
+		}
+	}
+	// All owners are asked again every 100 ms.
+	rounds := 1 + int(time.Since(began)/(100*time.Millisecond))
+	if runs, most := len(owners.asked), requests+rounds*len(ids); runs > most {
+		t.Errorf("%d requests were run %d times in %v, want at most %d times", requests, runs, time.Since(began), most)
+	}
+	time.Sleep(100 * time.Millisecond)
+	owners.ends["b"] = []string{"done"}
+	if r, id := s.instance.dispatch(t.Context(), &conf.Snapshot{}, &owner.Work{Kind: stmt.Write, Group: "g"}, anySink{}); r.Outcome != fault.Done || id != "b" {
+		t.Errorf("after 100 ms: %s %s of %q, want done of b", r.Outcome, r.Reason, id)
+	}
+}
+
 // playDispatch plays the requests in a file at some owners, the nearest first. A request with the argument again
 // begins with what the instance has learnt from the one before.
 func playDispatch(t *testing.T, file string, ids ...ident.InstanceID) {
@@ -180,6 +207,7 @@
 		i.members.current.Store(present)
 		if !d.HasArg("again") {
 			i.provenOwners.Clear()
+			i.unprovenGroups.Clear()
 		}
 		owners.ends, owners.asked = map[ident.InstanceID][]string{}, nil
 		for line := range strings.SplitSeq(strings.TrimSpace(d.Input), "\n") {
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -141,6 +141,8 @@
 	primaryRefusals sync.Map
 	// provenOwners holds the owner of each group that could last prove its term when another could not.
 	provenOwners sync.Map
+	// unprovenGroups holds when all reachable owners of a group were last asked and none could prove its term.
+	unprovenGroups sync.Map
 	// draining is set once shutdown has begun.
 	draining atomic.Bool
 	// txEnded and workEnded are set once a shutdown lets no transaction go on, and runs nothing for other
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -30,6 +30,8 @@
 	refusedEarly prometheus.Counter
 	// moved counts the attempts at other owners, by the label of their outcome.
 	moved *prometheus.CounterVec
+	// notMoved counts the requests that were not moved because no owner had just been able to prove the term.
+	notMoved prometheus.Counter
 }
 
 func newMetrics(r *prometheus.Registry) *metrics {
@@ -48,6 +50,9 @@
 		moved: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "geraniumseam_requests_moved_total", Help: "Attempts at another owner after one could not prove its group's term, by result.",
 		}, []string{"result"}),
+		notMoved: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "geraniumseam_requests_not_moved_total", Help: "Requests that were not tried at another owner, because none of their group had just been able to prove its term.",
+		}),
 	}
 	for k := range statementKinds {
 		m.primary[k] = statements.WithLabelValues(stmt.Kind(k).String(), byPrimary)
@@ -58,7 +63,7 @@
 	}
 	m.moved.WithLabelValues(fault.NotRunLabel)
 	if r != nil {
-		r.MustRegister(statements, m.callers, m.latency, m.refusedEarly, m.moved)
+		r.MustRegister(statements, m.callers, m.latency, m.refusedEarly, m.moved, m.notMoved)
 	}
 	return m
 }
--- a/internal/rule/admit/owners.go
+++ b/internal/rule/admit/owners.go
@@ -30,6 +30,14 @@
 	return append([]ident.InstanceID{p.Owner}, slices.Delete(slices.Clone(owners), at, at+1)...), true
 }
 
+// moveRetryInterval is how long no work of a group is moved once none of its reachable owners could prove the term.
+// Asking all of them for each request would multiply the load of a group with six owners by six.
+const moveRetryInterval = UnprovenRetryDelay
+
+// MayMove reports whether work may be moved to other owners of its group, of which none could prove the term when
+// all were last asked.
+func MayMove(now, noneProven time.Time) bool { return now.Sub(noneProven) >= moveRetryInterval }
+
 // NextOwner returns the nearest owner that work which no server has been sent is moved to: each is asked once.
 // The owners are in order of distance.
 func NextOwner(owners, asked []ident.InstanceID) (ident.InstanceID, bool) {
