owner: end the absence of a primary when a view shows a usable one

Cause: noPrimarySince was reset only by work that needs the primary, so that the next absence could be counted from a past outage: work was refused at once for a single missed poll. Change: each published view with a usable primary resets it. primaryAbsence reads the time once, since it may be reset meanwhile. Result: TestMissedPollAfterPastOutageIsWaitedOut passes; before, the work was refused in 0.1 ms.

--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -174,6 +174,7 @@
 		events: make(chan group.Event, eventQueueSize), txs: map[TxID]*transaction{},
 		jitterRand: rand.New(rand.NewPCG(c.Random.Uint64(), c.Random.Uint64())),
 	}
+	g.tracker.published = g.endPrimaryAbsence
 	g.defaults.Store(&c.Defaults)
 	g.place.Store(&c.Place)
 	g.roster.Store(&roster{index: map[ident.ServerID]int{}})
--- a/internal/owner/primary.go
+++ b/internal/owner/primary.go
@@ -97,7 +97,20 @@
 	if g.noPrimarySince.CompareAndSwap(0, now.UnixNano()) {
 		return 0
 	}
-	return now.Sub(time.Unix(0, g.noPrimarySince.Load()))
+	since := g.noPrimarySince.Load()
+	if since == 0 {
+		// A usable primary has been seen in the meantime.
+		return 0
+	}
+	return now.Sub(time.Unix(0, since))
+}
+
+// endPrimaryAbsence ends the absence of a primary when a view shows a usable one, whether or not work needs it: a
+// later absence is counted from its own beginning.
+func (g *Group) endPrimaryAbsence(v *view) {
+	if g.noPrimarySince.Load() != 0 && g.hasUsablePrimary(v) {
+		g.noPrimarySince.Store(0)
+	}
 }
 
 // hasUsablePrimary reports whether the group has a primary that may get new work.
--- a/internal/owner/unproven_test.go
+++ b/internal/owner/unproven_test.go
@@ -25,6 +25,29 @@
 	}
 }
 
+// TestMissedPollAfterPastOutageIsWaitedOut guards against the absence of a primary that is counted from an outage
+// which ended while no work needed the primary: work would be refused at once for a single missed poll.
+func TestMissedPollAfterPastOutageIsWaitedOut(t *testing.T) {
+	t.Parallel()
+	d := newProofDriver()
+	g := startProven(t, d, &claimStore{})
+	setHidden := func(hidden bool) {
+		d.change(func() { d.hidden["a"], d.hidden["b"], d.hidden["c"] = hidden, hidden, hidden })
+		eventually(t, "polls are seen", func() bool { return g.hasUsablePrimary(g.tracker.current.Load()) != hidden })
+	}
+	setHidden(true)
+	if r, _ := runProven(t, g, Work{Kind: stmt.Write}, false, func() {}); r.Reason != fault.NoPrimary {
+		t.Fatalf("%s without a primary, want no-primary", r.Reason)
+	}
+	setHidden(false)
+	setHidden(true)
+	asked := clock.Now()
+	r, _ := runProven(t, g, Work{Kind: stmt.Write}, false, func() {})
+	if took := clock.Since(asked); r.Reason != fault.NoPrimary || r.PrimaryExpected > 0 || took < 300*time.Millisecond {
+		t.Errorf("%s in %v, primary expected in %v; want a wait of 300 ms as for a new absence", r.Reason, took, r.PrimaryExpected)
+	}
+}
+
 // TestUnprovenOwnerSaysSo guards against work that waits at an owner that can't read the group's record although
 // another one may run it, against one that sends it away while its first read is under way, and against one that does
 // so although the primary is sealed, which another owner would find too.
--- a/internal/owner/view.go
+++ b/internal/owner/view.go
@@ -48,6 +48,8 @@
 	ages route.AgeTracker
 	// lease is nil unless the group is synchronous.
 	lease *group.TermLease
+	// published is called with each new view; it may be nil and must not block or use the tracker.
+	published func(*view)
 	// changed is closed and replaced at each change of current.
 	changed chan struct{}
 }
@@ -107,6 +109,9 @@
 		t.ages.Record(asked, floor.Term, floor.Position)
 	}
 	t.current.Store(next)
+	if t.published != nil {
+		t.published(next)
+	}
 	close(t.changed)
 	t.changed = make(chan struct{})
 }
