owner: look for a usable primary once more before refusing work for lack of one

Cause: the wait for a primary may end in the same moment in which one becomes usable; the work was refused although it could run. Change: the current view is tried once more before the refusal.

--- a/internal/owner/primary.go
+++ b/internal/owner/primary.go
@@ -60,6 +60,10 @@
 	if g.await(ctx, func(v *view) bool { return usable(v) || g.isUnproven(v) }) && found != nil {
 		return found, Result{}
 	}
+	if usable(g.tracker.current.Load()) {
+		// It has become usable as the wait ended.
+		return found, Result{}
+	}
 	refusal := notSent(fault.NoPrimary)
 	switch {
 	case g.isUnproven(g.tracker.current.Load()):
--- a/internal/owner/unproven_test.go
+++ b/internal/owner/unproven_test.go
@@ -48,6 +48,18 @@
 	}
 }
 
+// TestPrimaryUsableAsWaitEndsIsTaken guards against a refusal for lack of a primary that is usable when the wait ends.
+func TestPrimaryUsableAsWaitEndsIsTaken(t *testing.T) {
+	t.Parallel()
+	g := startProven(t, newProofDriver(), &claimStore{})
+	w := &Work{Kind: stmt.Write}
+	w.Limits.QueueWait = 100 * time.Millisecond
+	began := clock.Now()
+	if found, r := g.awaitUsablePrimary(t.Context(), w, func(*view) bool { return clock.Since(began) >= w.Limits.QueueWait }); found == nil {
+		t.Errorf("refused with %s, want the primary that is usable at the end of the wait", r.Reason)
+	}
+}
+
 // TestUnprovenOwnerSaysSo guards against work that waits at an owner that can't read the group's record although
 // another one may run it, against one that sends it away while its first read is under way, and against one that does
 // so although the primary is sealed, which another owner would find too.
