owner: read a slow store for a group's record once at each owner

Cause: an owner that needed a fresh record asked all other owners after 150 ms and linked instances after 300 ms, and each of them read the store for it. A store that was only slow was read by many instances. Change: a peer joins its own read that is under way, whenever it was begun; the copy states the age of the read, and the asker takes one that was begun too early for no answer. Two other owners are asked one by one before the rest and the linked instances. Questions without an age still get a read of their own. TestOwnersShareReadsOfRecord shares its setup now and has linked instances; its bound is the same.

--- a/internal/owner/copies.go
+++ b/internal/owner/copies.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/singleflight"
@@ -33,13 +32,11 @@
 
 	mu     sync.Mutex
 	copies map[ident.GroupID]group.RecordCopy
-	// begun is when the last read of each group's record was begun.
-	begun map[ident.GroupID]time.Time
 }
 
 func newRecordCopies(store plat.Store, epochs *plat.Epochs, r prometheus.Registerer) *recordCopies {
 	c := &recordCopies{
-		store: store, epochs: epochs, copies: map[ident.GroupID]group.RecordCopy{}, begun: map[ident.GroupID]time.Time{},
+		store: store, epochs: epochs, copies: map[ident.GroupID]group.RecordCopy{},
 		counts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "geraniumseam_group_records_total", Help: "Answers to questions for a group's record, by source (store, peer) and result (applied, outdated, failed, late).",
 		}, []string{"source", "result"}),
@@ -71,13 +68,13 @@
 	return kept.Version != known.Version || !kept.Asked.Equal(known.Asked)
 }
 
-// read reads a group's record from the store, or joins a read that was begun at most maxAge ago. The read goes on when
-// ctx ends, for others that have joined it.
-func (c *recordCopies) read(ctx context.Context, id ident.GroupID, maxAge time.Duration) (group.RecordCopy, error) {
+// read reads a group's record from the store, or joins the last read if that is still under way: a slow store gets no
+// second read. The copy tells when its read was begun, which may be longer ago than the caller wants. Without join,
+// the read is begun now. It goes on when ctx ends, for others that have joined it.
+func (c *recordCopies) read(ctx context.Context, id ident.GroupID, join bool) (group.RecordCopy, error) {
 	c.mu.Lock()
-	if now := clock.Now(); maxAge <= 0 || now.Sub(c.begun[id]) > maxAge {
+	if !join {
 		c.reads.Forget(string(id))
-		c.begun[id] = now
 	}
 	answer := c.reads.DoChan(string(id), func() (any, error) { return c.readStore(id) })
 	c.mu.Unlock()
@@ -96,9 +93,6 @@
 	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
 	defer cancel()
 	asked := clock.Now()
-	c.mu.Lock()
-	c.begun[id] = asked
-	c.mu.Unlock()
 	kept, err := readRecord(ctx, c.store, c.epochs, id)
 	return group.RecordCopy{Record: kept.Record, Version: kept.version, Asked: asked}, err
 }
--- a/internal/owner/host.go
+++ b/internal/owner/host.go
@@ -209,7 +209,7 @@
 	if c := h.copies.known(id); c.MayAnswer(clock.Now(), maxAge) {
 		return c, true
 	}
-	c, err := h.copies.read(ctx, id, maxAge)
+	c, err := h.copies.read(ctx, id, maxAge > 0)
 	if err != nil {
 		return group.RecordCopy{}, false
 	}
--- a/internal/owner/refresh.go
+++ b/internal/owner/refresh.go
@@ -17,6 +17,9 @@
 	recordHedgeDelay = 150 * time.Millisecond
 	// linkedReaders is how many linked instances that don't own the group are asked for the record.
 	linkedReaders = 3
+	// singleOwners is how many other owners are asked one by one for a fresh record before the rest: each of those asked
+	// may read the store, which may only be slow.
+	singleOwners = 2
 )
 
 // How an owner learns the record; each step begins when the one before has failed, or after recordHedgeDelay:
@@ -24,6 +27,7 @@
 //	renewal by another owner ──▶ first owner ──┐
 //	any other need ────────────────────────────┴──▶ store ──▶ other owners ──▶ other linked instances
 //
+// For a fresh record two other owners are asked one by one before the rest.
 // The first answer counts; a read of the store goes on and is applied as well.
 
 // ask asks one source for the record and reports whether the record was applied.
@@ -79,6 +83,11 @@
 		steps, others = append(steps, g.askPeers(others[:1], maxAge)), others[1:]
 	}
 	steps = append(steps, []ask{g.askStore(maxAge)})
+	if maxAge < group.SharedRecordAge {
+		for range min(singleOwners, max(len(others)-1, 0)) {
+			steps, others = append(steps, g.askPeers(others[:1], maxAge)), others[1:]
+		}
+	}
 	if len(others) > 0 {
 		steps = append(steps, g.askPeers(others, maxAge))
 	}
@@ -94,14 +103,12 @@
 
 // askStore reads the record from the store. Whoever needs a fresh one joins no read that has begun.
 func (g *Group) askStore(maxAge time.Duration) ask {
-	if maxAge < group.SharedRecordAge {
-		maxAge = 0
-	}
+	join := maxAge >= group.SharedRecordAge
 	return func(context.Context) bool {
 		// It is applied even if a peer has answered before.
 		ctx, cancel := context.WithTimeout(g.tomb.Context(context.Background()), recordTimeout)
 		defer cancel()
-		c, err := g.conf.copies.read(ctx, g.conf.ID, maxAge)
+		c, err := g.conf.copies.read(ctx, g.conf.ID, join)
 		if err != nil {
 			g.conf.copies.count(fromStore, "failed")
 			return false
@@ -116,6 +123,7 @@
 	var asks []ask
 	for _, id := range ids {
 		asks = append(asks, func(ctx context.Context) bool {
+			sent := clock.Now()
 			c, ok := g.conf.ReadRecord(ctx, id, g.conf.ID, maxAge)
 			if !ok {
 				result := "failed"
@@ -125,8 +133,8 @@
 				g.conf.copies.count(fromPeer, result)
 				return false
 			}
-			// A copy that tells nothing new is no answer.
-			return g.applyRecord(c, fromPeer)
+			// A copy that tells nothing new, or is from a slow read that was begun too early, is no answer.
+			return g.applyRecord(c, fromPeer) && !c.Asked.Before(group.PeerReadTime(sent, maxAge))
 		})
 	}
 	return asks
--- a/internal/owner/refresh_test.go
+++ b/internal/owner/refresh_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -21,14 +22,23 @@
 	claimStore
 	reads atomic.Int64
 	delay time.Duration
+	// slow makes reads take slowReadTime instead.
+	slow atomic.Bool
 }
 
+// slowReadTime is longer than two other sources of a record are waited for.
+const slowReadTime = 320 * time.Millisecond
+
 func (s *slowStore) Get(ctx context.Context, kind objs.Kind, name string) (objs.Object, error) {
 	s.reads.Add(1)
+	delay := s.delay
+	if s.slow.Load() {
+		delay = slowReadTime
+	}
 	select {
 	case <-ctx.Done():
 		return objs.Object{}, ctx.Err()
-	case <-time.After(s.delay):
+	case <-time.After(delay):
 	}
 	return s.claimStore.Get(ctx, kind, name)
 }
@@ -124,46 +134,86 @@
 // others what it has read.
 func TestOwnersShareReadsOfRecord(t *testing.T) {
 	s := &slowStore{}
-	c := groupOf("a", "b", "c")
-	centers := membr.Centers{}
-	for at, center := range []ident.CenterID{"x", "y", "z"} {
-		c.Servers[at].Center = center
+	hosts := startOwners(t, s, "x", "y", "z")
+	const window = 6 * time.Second
+	before := s.reads.Load()
+	time.Sleep(window)
+	reads, most := s.reads.Load()-before, int64(window/group.SharedRecordAge)
+	if reads > most || reads == 0 {
+		t.Errorf("%d reads in %v, want 1 to %d", reads, window, most)
+	}
+	t.Logf("%d reads in %v by %d owners", reads, window, len(hosts))
+	eventually(t, "all owners hold a lease", func() bool { return holdLeases(hosts) })
+}
+
+// TestSlowStoreIsReadOnceByEachOwner guards against reads that multiply when the store is slow, because each owner asks
+// instances that read the store as well.
+func TestSlowStoreIsReadOnceByEachOwner(t *testing.T) {
+	s := &slowStore{}
+	hosts := startOwners(t, s, "u", "v", "w", "x", "y", "z")
+	s.slow.Store(true)
+	before := s.reads.Load()
+	var refreshed sync.WaitGroup
+	for _, h := range hosts {
+		refreshed.Go(func() { h.Group("g").refreshRecord(group.FreshRecordAge) })
+	}
+	refreshed.Wait()
+	reads := s.reads.Load() - before
+	t.Logf("%d reads by %d owners", reads, len(hosts))
+	if reads > 12 || reads < int64(len(hosts)) {
+		t.Errorf("%d reads by %d owners, want at least one each and 12 at most", reads, len(hosts))
+	}
+}
+
+// holdLeases reports whether no owner needs the record.
+func holdLeases(hosts map[ident.InstanceID]*Host) bool {
+	for _, h := range hosts {
+		if _, needed := h.Group("g").tracker.needsRecord(clock.Now()); needed {
+			return false
+		}
+	}
+	return true
+}
+
+// startOwners starts an owner of a group in each of the data centres, with linked instances of its own, and waits until
+// all hold a lease.
+func startOwners(t *testing.T, s plat.Store, ids ...ident.CenterID) map[ident.InstanceID]*Host {
+	t.Helper()
+	c, centers := groupOf(), membr.Centers{}
+	hosts, all, d := map[ident.InstanceID]*Host{}, map[ident.InstanceID]*Host{}, newProofDriver()
+	for at, center := range ids {
+		server := groupOf(ident.ServerID("abcdef"[at : at+1])).Servers[0]
+		server.Center = center
+		c.Servers = append(c.Servers, server)
+		if d.states[server.ID] == nil {
+			d.states[server.ID] = &group.Status{Server: server.ID, Term: 1, LogTerm: 1, Received: 1, Applied: 1}
+		}
 		centers[center] = []membr.Member{{ID: ident.InstanceID("i" + center), Center: center}}
 	}
-	hosts, d := map[ident.InstanceID]*Host{}, newProofDriver()
 	for center, members := range centers {
 		config := testGroupConfig(d, s)
+		var linked []ident.InstanceID
+		for n := range linkedReaders {
+			linked = append(linked, ident.InstanceID(fmt.Sprintf("linked-%s-%d", center, n)))
+			all[linked[n]] = NewHost(HostConfig{Store: s, Now: clock.Now})
+		}
 		hosts[members[0].ID] = NewHost(HostConfig{
-			Self: members[0].ID, Center: center, Claimant: group.Claimant(members[0].ID), Driver: d, Store: s, Journal: config.Journal, Random: config.Random, Now: config.Now,
+			LinkedPeers: func() []ident.InstanceID { return linked },
+			Self:        members[0].ID, Center: center, Claimant: group.Claimant(members[0].ID), Driver: d, Store: s, Journal: config.Journal, Random: config.Random, Now: config.Now,
 			ReadRecord: func(ctx context.Context, from ident.InstanceID, g ident.GroupID, maxAge time.Duration) (group.RecordCopy, bool) {
 				sent := clock.Now()
-				c, ok := hosts[from].ReadRecord(ctx, g, maxAge)
+				c, ok := all[from].ReadRecord(ctx, g, maxAge)
 				c.Asked = group.PeerReadTime(sent, c.AgeOn(sent))
 				return c, ok
 			},
 		})
+		all[members[0].ID] = hosts[members[0].ID]
 	}
 	snapshot := conf.NewSnapshot(conf.Config{Defaults: testGroupConfig(d, s).Defaults, Groups: map[ident.GroupID]conf.Group{"g": c}}, 1)
 	for _, h := range hosts {
 		h.Reconcile(snapshot, centers)
 		t.Cleanup(h.Stop)
 	}
-	held := func() bool {
-		for _, h := range hosts {
-			if _, needed := h.Group("g").tracker.needsRecord(clock.Now()); needed {
-				return false
-			}
-		}
-		return true
-	}
-	eventually(t, "all owners hold a lease", held)
-	const window = 6 * time.Second
-	before := s.reads.Load()
-	time.Sleep(window)
-	reads, most := s.reads.Load()-before, int64(window/group.SharedRecordAge)
-	if reads > most || reads == 0 {
-		t.Errorf("%d reads in %v, want 1 to %d", reads, window, most)
-	}
-	t.Logf("%d reads in %v by %d owners", reads, window, len(hosts))
-	eventually(t, "all owners hold a lease", held)
+	eventually(t, "all owners hold a lease", func() bool { return holdLeases(hosts) })
+	return hosts
 }
