--- a/internal/owner/conns.go
+++ b/internal/owner/conns.go
@@ -124,8 +124,7 @@
 		if p.usable(c) {
 			return c
 		}
-		c.Close()
-		p.open--
+		p.closeConn(c)
 	}
 	return nil
 }
@@ -133,6 +132,11 @@
 // evict closes an idle connection; the caller holds mu.
 func (p *pool) evict(c *pooledConn) {
 	p.idle = slices.DeleteFunc(p.idle, func(other *pooledConn) bool { return other == c })
+	p.closeConn(c)
+}
+
+// closeConn closes an open connection and no longer counts it; the caller holds mu.
+func (p *pool) closeConn(c *pooledConn) {
 	c.Close()
 	p.open--
 	p.room.Closed(p.conf.now())
@@ -149,14 +153,19 @@
 	if p.open >= p.limit || p.dialing[customer] >= waiting || p.closed || p.conf.now().Before(p.fullUntil) {
 		return false
 	}
-	if !p.hasRoom(0) {
+	if !p.hasRoom() {
 		p.countWithheld()
 		return false
 	}
+	p.startDial(customer)
+	return true
+}
+
+// startDial starts opening a connection for a customer; the caller holds mu.
+func (p *pool) startDial(customer ident.CustomerID) {
 	p.open++
 	p.dialing[customer]++
 	go p.dial(customer)
-	return true
 }
 
 // dialsInFlight returns how many connections are being opened; the caller holds mu.
@@ -203,6 +212,8 @@
 	if full {
 		p.fullUntil = p.conf.now().Add(serverFullBackoff)
 		if p.open > 0 {
+			// The slot of the handshake is free for a request with an idle connection.
+			p.dispatchWaiting()
 			return
 		}
 	}
@@ -229,8 +240,7 @@
 	delete(p.active, c)
 	c.inTransaction = false
 	if p.closed || p.open > p.limit || !p.usable(c) {
-		c.Close()
-		p.open--
+		p.closeConn(c)
 	} else {
 		c.since = p.conf.now()
 		p.idle = append(p.idle, c)
