confs: ignore removals of before the evacuation in force

Cause: the watcher kept only the names of the evacuated data centres, so the event of a removal that comes again in a later watch ended an evacuation that had begun since. The next change published that to the whole fleet.

Change: the version of each entry is kept, and a removal with a lower one changes nothing.

Result: TestRepeatedRemovalEndsNoEvacuation fails without the change and passes with it; the tests of internal/confs pass.

--- a/internal/confs/evacuations.go
+++ b/internal/confs/evacuations.go
@@ -18,9 +18,10 @@
 // EvacuationWatcher watches the platform's list of evacuated data centres on behalf of the instances of a
 // data centre.
 type EvacuationWatcher struct {
-	Store    plat.Store
-	Cache    *Cache
-	centers  map[ident.CenterID]bool
+	Store plat.Store
+	Cache *Cache
+	// centers has the version of each entry in force.
+	centers  map[ident.CenterID]ident.Version
 	position position
 }
 
@@ -54,11 +55,11 @@
 	for _, id := range w.Cache.Current().Evacuations.Centers {
 		known[id] = true
 	}
-	w.centers = map[ident.CenterID]bool{}
+	w.centers = map[ident.CenterID]ident.Version{}
 	for _, o := range list.Items {
 		id := ident.CenterID(o.Metadata.Name)
 		if known[id] {
-			w.centers[id] = true
+			w.centers[id] = o.Version()
 		}
 		w.apply(objs.Event{Type: objs.Modified, Object: o})
 	}
@@ -67,11 +68,14 @@
 	return nil
 }
 
-// apply applies one entry. One that is malformed is logged and changes nothing.
+// apply applies one entry. One that is malformed is logged and changes nothing. So does a removal of before the entry
+// in force, which a watch may deliver again; a removal may carry the version of the last change.
 func (w *EvacuationWatcher) apply(e objs.Event) {
-	id := ident.CenterID(e.Object.Metadata.Name)
+	id, v := ident.CenterID(e.Object.Metadata.Name), e.Object.Version()
 	if e.Type == objs.Deleted {
-		delete(w.centers, id)
+		if v == 0 || v >= w.centers[id] {
+			delete(w.centers, id)
+		}
 		return
 	}
 	var fields map[string]json.RawMessage
@@ -79,7 +83,7 @@
 		klog.ErrorS(err, "malformed entry in the list of evacuated data centres", "name", id, "spec", string(e.Object.Spec))
 		return
 	}
-	w.centers[id] = true
+	w.centers[id] = v
 }
 
 // publish passes the list to the cache.
--- a/internal/confs/evacuations_test.go
+++ b/internal/confs/evacuations_test.go
@@ -12,13 +12,20 @@
 	"geraniumseam.dev/pkg/objs"
 )
 
+// evacuationEvent is an event of the list of evacuated data centres.
+func evacuationEvent(kind objs.EventType, id, spec string, revision ident.Revision) objs.Event {
+	return objs.Event{Type: kind, Object: evacuationObject(id, spec, revision)}
+}
+
+func evacuationObject(id, spec string, revision ident.Revision) objs.Object {
+	version := strconv.FormatUint(uint64(ident.NewVersion(1, revision)), 10)
+	return objs.Object{Kind: objs.Evacuations, Metadata: objs.Metadata{Name: id, ResourceVersion: version}, Spec: []byte(spec)}
+}
+
 // TestEvacuationsAreFollowed guards against an evacuation that is missed, outlives its end, or is changed by a malformed
 // entry, a repeated event or a list of an earlier epoch.
 func TestEvacuationsAreFollowed(t *testing.T) {
-	event := func(kind objs.EventType, id, spec string, revision ident.Revision) objs.Event {
-		version := strconv.FormatUint(uint64(ident.NewVersion(1, revision)), 10)
-		return objs.Event{Type: kind, Object: objs.Object{Kind: objs.Evacuations, Metadata: objs.Metadata{Name: id, ResourceVersion: version}, Spec: []byte(spec)}}
-	}
+	event := evacuationEvent
 	steps := []struct {
 		events []objs.Event
 		want   []ident.CenterID
@@ -60,3 +67,31 @@
 		t.Errorf("journal: got %v, want %v", kinds, want)
 	}
 }
+
+// TestRepeatedRemovalEndsNoEvacuation guards against an evacuation that ends everywhere because the event of an earlier
+// removal comes again, and against one that does not end because its entry was malformed when it was removed.
+func TestRepeatedRemovalEndsNoEvacuation(t *testing.T) {
+	event := evacuationEvent
+	for name, c := range map[string]struct {
+		events [][]objs.Event
+		want   []ident.CenterID
+	}{
+		"comes again": {[][]objs.Event{{event(objs.Added, "b", "{}", 11)}, {event(objs.Deleted, "b", "{}", 12)}, {event(objs.Added, "b", "{}", 13)}, {event(objs.Deleted, "b", "{}", 12), event(objs.Added, "c", "{}", 14)}}, []ident.CenterID{"b", "c"}},
+		"comes again with the version of the change before": {[][]objs.Event{{event(objs.Added, "b", "{}", 11)}, {event(objs.Deleted, "b", "{}", 11)}, {event(objs.Added, "b", "{}", 13)}, {event(objs.Deleted, "b", "{}", 11), event(objs.Added, "c", "{}", 14)}}, []ident.CenterID{"b", "c"}},
+		"removed":                 {[][]objs.Event{{event(objs.Added, "b", "{}", 11), event(objs.Added, "c", "{}", 12)}, {event(objs.Deleted, "b", "{}", 11), event(objs.Deleted, "c", "{}", 13)}}, nil},
+		"removed while malformed": {[][]objs.Event{{event(objs.Added, "b", "{}", 11)}, {event(objs.Modified, "b", "null", 12)}, {event(objs.Deleted, "b", "null", 13)}}, nil},
+	} {
+		store := &eventStore{events: c.events}
+		store.show(ident.NewVersion(1, 10))
+		cache := NewCache(jrnl.New(jrnl.Config{Capacity: 10, Now: time.Now}), time.Now)
+		w := &EvacuationWatcher{Store: store, Cache: cache}
+		for range len(c.events) + 1 {
+			if err := w.Step(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if got := cache.Current().Evacuations.Centers; !slices.Equal(got, c.want) {
+			t.Errorf("%s: got %v, want %v", name, got, c.want)
+		}
+	}
+}
