confs: leave a list with a malformed entry to the peers at first

Cause: an instance without a list of evacuated data centres that read a malformed change of a valid entry left the entry out, and published that with the newest version, which ended the evacuation in the whole fleet.

Change: such a list is not published for 1.5 s, so that peers deliver theirs, in which the earlier entry is in force. After that it is, so that a new fleet gets a list.

Result: TestMalformedEntryWaitsForPeers fails without the change and passes with it; the tests of internal/confs pass.

--- a/internal/confs/evacuations.go
+++ b/internal/confs/evacuations.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"slices"
 	"strings"
+	"time"
 
+	"github.com/juju/errors"
 	"k8s.io/klog/v2"
 
 	"geraniumseam.dev/internal/jrnl"
@@ -23,8 +25,15 @@
 	// centers has the version of each entry in force.
 	centers  map[ident.CenterID]ident.Version
 	position position
+	// undecidedSince is when a list with a malformed entry was first read while none was known; zero if that is over.
+	undecidedSince time.Time
 }
 
+// malformedListWait is how long a list with a malformed entry is not published while none is known: the entry may be a
+// change of a valid one, which stays in force, and only peers know that. It is shorter than the time for
+// which an instance without a list owns no groups.
+const malformedListWait = 1500 * time.Millisecond
+
 // Step reads the list if that is due, otherwise runs one watch. It returns the error of the platform call.
 func (w *EvacuationWatcher) Step(ctx context.Context) error {
 	if !w.position.mayContinue() {
@@ -51,39 +60,53 @@
 		return err
 	}
 	// Peers may have delivered a newer list since this instance last watched the platform.
+	current := w.Cache.Current().Evacuations
 	known := map[ident.CenterID]bool{}
-	for _, id := range w.Cache.Current().Evacuations.Centers {
+	for _, id := range current.Centers {
 		known[id] = true
 	}
 	w.centers = map[ident.CenterID]ident.Version{}
+	malformed := false
 	for _, o := range list.Items {
 		id := ident.CenterID(o.Metadata.Name)
 		if known[id] {
 			w.centers[id] = o.Version()
 		}
-		w.apply(objs.Event{Type: objs.Modified, Object: o})
+		malformed = !w.apply(objs.Event{Type: objs.Modified, Object: o}) || malformed
+	}
+	if malformed && current.Version == 0 {
+		now := w.Cache.now()
+		if w.undecidedSince.IsZero() {
+			w.undecidedSince = now
+		}
+		if now.Sub(w.undecidedSince) < malformedListWait {
+			return errors.New("the list of evacuated data centres has a malformed entry, and no peer has delivered the list yet")
+		}
 	}
+	w.undecidedSince = time.Time{}
 	w.position.listed(list.Version())
 	w.publish()
 	return nil
 }
 
-// apply applies one entry. One that is malformed is logged and changes nothing. So does a removal of before the entry
-// in force, which a watch may deliver again; a removal may carry the version of the last change.
-func (w *EvacuationWatcher) apply(e objs.Event) {
+// apply applies one entry. It reports false for one that is malformed, which is logged and changes nothing. A removal of
+// before the entry in force, which a watch may deliver again, changes nothing either; a removal may carry the version
+// of the last change.
+func (w *EvacuationWatcher) apply(e objs.Event) bool {
 	id, v := ident.CenterID(e.Object.Metadata.Name), e.Object.Version()
 	if e.Type == objs.Deleted {
 		if v == 0 || v >= w.centers[id] {
 			delete(w.centers, id)
 		}
-		return
+		return true
 	}
 	var fields map[string]json.RawMessage
 	if err := json.Unmarshal(e.Object.Spec, &fields); err != nil || fields == nil || id == "" {
 		klog.ErrorS(err, "malformed entry in the list of evacuated data centres", "name", id, "spec", string(e.Object.Spec))
-		return
+		return false
 	}
 	w.centers[id] = v
+	return true
 }
 
 // publish passes the list to the cache.
--- a/internal/confs/evacuations_test.go
+++ b/internal/confs/evacuations_test.go
@@ -95,3 +95,33 @@
 		}
 	}
 }
+
+// TestMalformedEntryWaitsForPeers guards against an evacuation that ends everywhere because an instance without a list
+// reads a malformed change of its entry, and against a fleet that never gets a list because of one malformed entry.
+func TestMalformedEntryWaitsForPeers(t *testing.T) {
+	now := time.Now()
+	start := func() (*Cache, *EvacuationWatcher) {
+		store := &eventStore{}
+		store.show(ident.NewVersion(1, 13))
+		store.list.Items = []objs.Object{evacuationObject("b", `"x"`, 13), evacuationObject("c", "{}", 12)}
+		cache := NewCache(jrnl.New(jrnl.Config{Capacity: 10, Now: time.Now}), func() time.Time { return now })
+		w := &EvacuationWatcher{Store: store, Cache: cache}
+		if err := w.Step(t.Context()); err == nil || cache.Current().Evacuations.Version != 0 {
+			t.Fatalf("without a list: error %v, %+v, want an error and no list", err, cache.Current().Evacuations)
+		}
+		return cache, w
+	}
+	want := func(cache *Cache, w *EvacuationWatcher, centers ...ident.CenterID) {
+		t.Helper()
+		err := w.Step(t.Context())
+		if got := cache.Current().Evacuations; err != nil || got.Version != ident.NewVersion(1, 13) || !slices.Equal(got.Centers, centers) {
+			t.Errorf("got %+v, %v, want %v", got, err, centers)
+		}
+	}
+	cache, w := start()
+	cache.OfferEvacuations(conf.Evacuations{Version: ident.NewVersion(1, 12), Centers: []ident.CenterID{"b"}}, "a peer")
+	want(cache, w, "b", "c")
+	cache, w = start()
+	now = now.Add(malformedListWait)
+	want(cache, w, "c")
+}
