owner: obey an evacuation as soon as it is known

Cause: the evacuated data centres were updated only by Reconcile, which runs in the loop that also reads the list of instances. While the store hangs, that loop waits for up to 2 s, and work went on to the servers.

Change: the callback of a new list adds the evacuations that have begun to those that the owner checks before it sends. Those that have ended follow with Reconcile, as their servers count as cold from then on. An older list does not replace a newer one.

--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -306,9 +306,10 @@
 // Error implements error.
 func (e *NotReadyError) Error() string { return "not ready: " + e.Reason }
 
-// onConfigChange applies a new configuration to the sessions and the view of the fleet, and
+// onConfigChange applies a new configuration to the work sent to servers, the sessions and the view of the fleet, and
 // propagates its version to the peers.
 func (i *Instance) onConfigChange(s *conf.Snapshot) {
+	i.host.UpdateEvacuations(s.Evacuations)
 	i.members.changed()
 	i.callers.recheck(s)
 	i.hub.SendHeartbeats(i.tomb.Context(context.Background()), i.members.propagatesTo)
--- a/internal/owner/evacuees_test.go
+++ b/internal/owner/evacuees_test.go
@@ -79,3 +79,24 @@
 		t.Errorf("committed %t, %d transactions closed, want 1", d.committed, d.closed)
 	}
 }
+
+// TestListOfEvacuationsBetweenReconciliations guards against an evacuation that ends for as long as a reconciliation uses a
+// snapshot of before it, and begins anew afterwards, so that open transactions go on for longer; and against one that
+// ends before its servers count as cold.
+func TestListOfEvacuationsBetweenReconciliations(t *testing.T) {
+	h := startLeaverHost(t)
+	older := h.snapshot
+	h.UpdateEvacuations(conf.Evacuations{Version: 1, Centers: []ident.CenterID{"z"}})
+	h.Reconcile(older, h.owners)
+	if !h.evacuees.has("z") {
+		t.Error("an older list has ended the evacuation")
+	}
+	h.snapshot = older.WithEvacuations(conf.Evacuations{Version: 2})
+	h.UpdateEvacuations(h.snapshot.Evacuations)
+	if !h.evacuees.has("z") {
+		t.Error("the evacuation has ended before the reconciliation")
+	}
+	if h.Reconcile(h.snapshot, h.owners); h.evacuees.has("z") {
+		t.Error("the evacuation has not ended")
+	}
+}
--- a/internal/owner/host.go
+++ b/internal/owner/host.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -68,9 +69,11 @@
 	faults     *connFaults
 	leavers    *leavers
 	evacuees   *evacuees
-	changes    *changes
-	copies     *recordCopies
-	room       *roomCounters
+	// evacuations is the version of the list that evacuees has; mu guards it.
+	evacuations ident.Version
+	changes     *changes
+	copies      *recordCopies
+	room        *roomCounters
 }
 
 // retryBudgetCeiling is the largest number of retries that the retry budget accumulates.
@@ -106,7 +109,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.leavers.update(s.Groups)
-	h.evacuees.update(s.Evacuations.Centers)
+	h.applyEvacuations(s.Evacuations.Version, s.Evacuations.Centers)
 	old := *h.groups.Load()
 	next := map[ident.GroupID]*hostedGroup{}
 	var ended []*Group
@@ -136,6 +139,25 @@
 	}
 }
 
+// UpdateEvacuations applies the evacuations that have begun to the work that is sent from now on. The rest, such as the
+// change of a primary, follows with the next Reconcile, which a store that does not answer may delay by seconds. So do
+// evacuations that have ended, as servers count as cold from then on.
+func (h *Host) UpdateEvacuations(e conf.Evacuations) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	centers := slices.AppendSeq(slices.Clone(e.Centers), maps.Keys(*h.evacuees.since.Load()))
+	h.applyEvacuations(e.Version, centers)
+}
+
+// applyEvacuations applies a list unless a newer one has been applied; the caller holds mu.
+func (h *Host) applyEvacuations(v ident.Version, centers []ident.CenterID) {
+	if v < h.evacuations {
+		return
+	}
+	h.evacuations = v
+	h.evacuees.update(centers)
+}
+
 func ownerPlace(owners []membr.Member, rank int) Place {
 	p := Place{Rank: rank}
 	for _, m := range owners {
