group: replace an evacuated primary whose vote is needed

Cause: canHandOver left the primary out of the majority that must answer. In an asynchronous group of two servers, or of three with one silent, an evacuated primary was never replaced, although it answers and can be sealed.

Change: the primary counts, except in synchronous groups, where only the replicas hold every acknowledged write. A leaving primary still doesn't count.

The other tests of internal/rule/group were not run to their end.

--- a/internal/rule/group/detect.go
+++ b/internal/rule/group/detect.go
@@ -41,14 +41,15 @@
 }
 
 // canHandOver reports whether the servers that stay and answer are a majority, so that a
-// leaving primary can be replaced.
+// leaving or evacuated primary can be replaced. An evacuated primary stays a member and can be sealed, so it counts
+// itself, except in a synchronous group, where only the replicas hold every acknowledged write.
 func (m *Machine) canHandOver(now time.Time) bool {
 	staying := 0
 	if m.conf.Synchronous {
 		staying++ // the replicas alone hold every acknowledged write, so one server fewer must answer
 	}
 	for id, s := range m.servers {
-		if id != m.primary && !m.leaving[id] && m.isAnswering(now, s) {
+		if (id != m.primary || !m.conf.Synchronous) && !m.leaving[id] && m.isAnswering(now, s) {
 			staying++
 		}
 	}
--- a/internal/rule/group/evacuated_test.go
+++ b/internal/rule/group/evacuated_test.go
@@ -80,3 +80,43 @@
 		}
 	}
 }
+
+// TestEvacuatedPrimaryCountsTowardsMajority guards against an evacuated primary that is never replaced because the others
+// alone are no majority, and against a claim that no majority can answer.
+func TestEvacuatedPrimaryCountsTowardsMajority(t *testing.T) {
+	for name, c := range map[string]struct {
+		servers []ident.ServerID
+		polled  []ident.ServerID
+		want    bool
+	}{
+		"two servers":                   {[]ident.ServerID{"p", "a"}, []ident.ServerID{"p", "a"}, true},
+		"three servers, one silent":     {[]ident.ServerID{"p", "a", "b"}, []ident.ServerID{"p", "a"}, true},
+		"four servers, two silent":      {[]ident.ServerID{"p", "a", "b", "c"}, []ident.ServerID{"p", "a"}, false},
+		"two servers, one of them gone": {[]ident.ServerID{"p", "a"}, []ident.ServerID{"p"}, false},
+	} {
+		h := newFencedHarness(t, c.servers...)
+		poll := func() {
+			for _, id := range c.polled {
+				h.poll(id, map[bool]Role{true: Primary, false: Replica}[id == "p"], 7)
+			}
+		}
+		h.advance(2*synchTiming.Silence, poll)
+		h.m.SetEvacuated(map[ident.ServerID]bool{"p": true})
+		claim, claims := find[Claim](h.advance(synchTiming.StepTime, poll))
+		if claims != c.want {
+			t.Errorf("%s: claim %t, want %t", name, claims, c.want)
+		}
+		if !claims {
+			continue
+		}
+		h.step(Claimed{Term: claim.Record.Term, Granted: true, Record: claim.Record})
+		h.sealed(claim.Record.Term, "p")
+		actions := h.step(Tick{})
+		for _, id := range c.polled {
+			actions = append(actions, h.sealed(claim.Record.Term, id)...)
+		}
+		if order, _ := find[Promote](actions); order.Server != "a" {
+			t.Errorf("%s: ordered %q to lead, want a", name, order.Server)
+		}
+	}
+}
