owner: end pinned sessions outside their home regions

Cause: the home regions were checked only where a server is chosen, so a session pinned to a connection stayed there, also outside a transaction, after the regions had changed.

Change: its next request outside a transaction ends the session's connection before anything is sent, as an evacuation does.

Result: TestPinnedSessionFollowsItsHomeRegions fails without the check and passes with it; the tests of internal/owner about pinned sessions, transactions, evacuations, home regions and cold servers pass.

--- a/internal/owner/pinned_test.go
+++ b/internal/owner/pinned_test.go
@@ -8,7 +8,9 @@
 	"geraniumseam.dev/internal/clock"
 	"geraniumseam.dev/internal/fault"
 	"geraniumseam.dev/internal/proto"
+	"geraniumseam.dev/internal/rule/conf"
 	"geraniumseam.dev/internal/rule/fair"
+	"geraniumseam.dev/pkg/ident"
 	"geraniumseam.dev/pkg/stmt"
 )
 
@@ -104,3 +106,25 @@
 		t.Errorf("idle: %x, want %x only", ids, uint64(inside.id))
 	}
 }
+
+// TestPinnedSessionFollowsItsHomeRegions guards against a pinned session that goes on outside its home regions after these
+// have changed, and against an open transaction that ends because of that.
+func TestPinnedSessionFollowsItsHomeRegions(t *testing.T) {
+	for _, c := range []struct {
+		status, region string
+		want           fault.Reason
+	}{{"I", "elsewhere", fault.TransactionLost}, {"I", "here", fault.None}, {"T", "elsewhere", fault.None}} {
+		d := &scriptedDriver{fakeDriver: newDriver()}
+		g := startGroup(t, d, &claimStore{})
+		eventually(t, "the primary is known", func() bool { id, _ := g.Primary(); return id == "a" })
+		s := g.at("a")
+		g.conf.Regions = map[ident.CenterID]string{s.Center: "here"}
+		tx := openOn(t, g, s, false)
+		tx.pinned, tx.conn.txStatus = true, c.status[0]
+		d.setEnds([]string{"done " + c.status})
+		r := runKind(g, Work{Kind: stmt.Set, Tx: tx.id, Home: conf.HomeRegions{}.And([]string{c.region}), Request: proto.Request{NeverCommits: true}})
+		if r.Reason != c.want || (r.Outcome == fault.NotSent) != (c.want != fault.None) || g.Holds(tx.id) != (c.want == fault.None) {
+			t.Errorf("status %s, home region %s: %s %s, held %t, want %s", c.status, c.region, r.Outcome, r.Reason, g.Holds(tx.id), c.want)
+		}
+	}
+}
--- a/internal/owner/tx.go
+++ b/internal/owner/tx.go
@@ -150,17 +150,10 @@
 		t.mu.Unlock()
 		return notSent(fault.TransactionLost)
 	}
-	_, admitted := g.awaitCold(ctx, t.server, untilDeadline(ctx))
-	if !admitted {
+	if refusal, admitted := g.admitInTx(ctx, w, t); !admitted {
 		t.mu.Unlock()
 		g.End(w.Tx)
-		return g.refuseCold(fault.TransactionLost, 0)
-	}
-	if g.mustEnd(t) {
-		t.mu.Unlock()
-		g.conf.evacuees.ended.Inc()
-		g.End(w.Tx)
-		return notSent(fault.TransactionLost)
+		return refusal
 	}
 	buffer := &bufferSink{}
 	t.pinned = t.pinned || w.Pin
@@ -190,6 +183,24 @@
 	return g.finishInTx(ctx, w, t, answer, term, wrote, wasOpen, buffer, sink)
 }
 
+// admitInTx waits until a request may be sent to the server of its transaction or pinned connection. If that has to end
+// instead, it returns the refusal; the caller holds t.mu.
+func (g *Group) admitInTx(ctx context.Context, w *Work, t *transaction) (Result, bool) {
+	// Outside a transaction, a pinned session follows a change of its home regions.
+	if !t.isOpen() && !g.mayRunAt(w, t.server) {
+		g.conf.evacuees.foreign.Inc()
+		return notSent(fault.TransactionLost), false
+	}
+	if _, admitted := g.awaitCold(ctx, t.server, untilDeadline(ctx)); !admitted {
+		return g.refuseCold(fault.TransactionLost, 0), false
+	}
+	if g.mustEnd(t) {
+		g.conf.evacuees.ended.Inc()
+		return notSent(fault.TransactionLost), false
+	}
+	return Result{}, true
+}
+
 // failedInTx returns the result of a request whose transaction lost its connection. The server
 // rolls an open transaction back unless the request may have ended it.
 func failedInTx(ctx context.Context, w *Work, wasOpen, readsOnly bool, err error) Result {
