owner: end the wait for a cold server when it is evacuated

Cause: a request that waited for its place at a cold server checked only afterwards whether the server had been evacuated. A request of a transaction took a place before that check, and held the transaction's lock up to its deadline.

Change: the check comes before a place is taken, and every 100 ms while the request waits.

--- a/internal/owner/cold.go
+++ b/internal/owner/cold.go
@@ -16,6 +16,10 @@
 // heartbeats and the propagation.
 const coldReportTime = 3 * time.Second
 
+// coldCheckInterval is how often work that waits for a cold server checks whether it may still be sent there: a small
+// part of the 5 s within which an evacuation takes effect.
+const coldCheckInterval = 100 * time.Millisecond
+
 // coldLimits are the limits of a group for its cold servers.
 type coldLimits struct {
 	// rate is this owner's part of the requests a second to a cold server; 0 means no limit.
@@ -87,10 +91,27 @@
 	}
 }
 
-// awaitCold waits until a request may be sent to a server, at most for the given time; only a cold server makes it wait.
-// It returns the delay after which to retry if it reports false.
-func (g *Group) awaitCold(ctx context.Context, s *server, maxWait time.Duration) (time.Duration, bool) {
+// admit waits until work that has a connection to a server may be sent there. If it may not, it reports false and
+// returns the end of the attempt; retired is the reason if the server gets no new work.
+func (g *Group) admit(ctx context.Context, w *Work, s *server, retired fault.Reason) (attempt, bool) {
+	isRetired := func() bool { return g.isRetired(s) }
+	after, admitted := g.awaitCold(ctx, s, g.maxQueueWait(ctx, w), isRetired)
+	switch {
+	case isRetired():
+		return attempt{result: notSent(retired), retryable: true, uncharged: true}, false
+	case !admitted:
+		return attempt{result: g.refuseCold(fault.QueueLate, after)}, false
+	}
+	return attempt{}, true
+}
+
+// awaitCold waits until a request may be sent to a server, at most for the given time and until stops reports true; only
+// a cold server makes it wait. It returns the delay after which to retry if it reports false.
+func (g *Group) awaitCold(ctx context.Context, s *server, maxWait time.Duration, stops func() bool) (time.Duration, bool) {
 	limits, now := g.coldLimits.Load(), g.conf.Now()
+	if stops() {
+		return 0, false
+	}
 	if limits.rate == 0 {
 		return 0, true
 	}
@@ -105,15 +126,23 @@
 		g.conf.evacuees.cold.WithLabelValues("refused").Inc()
 		return wait, false
 	}
-	timer := time.NewTimer(wait)
+	timer, check := time.NewTimer(wait), time.NewTicker(coldCheckInterval)
 	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		g.conf.evacuees.cold.WithLabelValues("refused").Inc()
-		return 0, false
-	case <-g.tomb.Dying():
-		return 0, false
-	case <-timer.C:
+	defer check.Stop()
+	for waiting := true; waiting; {
+		select {
+		case <-ctx.Done():
+			g.conf.evacuees.cold.WithLabelValues("refused").Inc()
+			return 0, false
+		case <-g.tomb.Dying():
+			return 0, false
+		case <-check.C:
+			if stops() {
+				return 0, false
+			}
+		case <-timer.C:
+			waiting = false
+		}
 	}
 	g.conf.evacuees.cold.WithLabelValues("sent").Inc()
 	return 0, true
--- a/internal/owner/read.go
+++ b/internal/owner/read.go
@@ -187,13 +187,9 @@
 		}
 		return attempt{result: Result{Outcome: fault.NotSent, Reason: got.reason, RetryAfter: got.retryAfter, Evidence: got.evidence}, retryable: retryable}
 	}
-	if after, admitted := g.awaitCold(ctx, s, g.maxQueueWait(ctx, w)); !admitted {
+	if refusal, admitted := g.admit(ctx, w, s, fault.NoServer); !admitted {
 		s.pool.release(got.conn)
-		return attempt{result: g.refuseCold(fault.QueueLate, after)}
-	}
-	if g.isRetired(s) {
-		s.pool.release(got.conn)
-		return attempt{result: notSent(fault.NoServer), retryable: true, uncharged: true}
+		return refusal
 	}
 	return g.readOnConn(ctx, w, s, got.conn, replica, floor, sink)
 }
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -187,13 +187,9 @@
 		retryable := got.reason == fault.ConnectFailed || got.reason == fault.ServerFull
 		return attempt{result: Result{Outcome: fault.NotSent, Reason: got.reason, RetryAfter: got.retryAfter}, retryable: retryable, uncharged: true}
 	}
-	if after, admitted := g.awaitCold(ctx, s, g.maxQueueWait(ctx, w)); !admitted {
+	if refusal, admitted := g.admit(ctx, w, s, fault.NoPrimary); !admitted {
 		s.pool.release(got.conn)
-		return attempt{result: g.refuseCold(fault.QueueLate, after)}
-	}
-	if g.isRetired(s) {
-		s.pool.release(got.conn)
-		return attempt{result: notSent(fault.NoPrimary), retryable: true, uncharged: true}
+		return refusal
 	}
 	buffer := &bufferSink{}
 	request := w.Request
--- a/internal/owner/tx.go
+++ b/internal/owner/tx.go
@@ -191,12 +191,14 @@
 		g.conf.evacuees.foreign.Inc()
 		return notSent(fault.TransactionLost), false
 	}
-	if _, admitted := g.awaitCold(ctx, t.server, untilDeadline(ctx)); !admitted {
-		return g.refuseCold(fault.TransactionLost, 0), false
-	}
-	if g.mustEnd(t) {
+	ended := func() bool { return g.mustEnd(t) }
+	_, admitted := g.awaitCold(ctx, t.server, untilDeadline(ctx), ended)
+	switch {
+	case ended():
 		g.conf.evacuees.ended.Inc()
 		return notSent(fault.TransactionLost), false
+	case !admitted:
+		return g.refuseCold(fault.TransactionLost, 0), false
 	}
 	return Result{}, true
 }
