--- a/internal/rule/admit/cold.go
+++ b/internal/rule/admit/cold.go
@@ -6,8 +6,8 @@
 // that may exist, whether it exists or not.
 func ColdPart(perSecond float64, owners int) float64 { return perSecond / float64(max(owners, 1)) }
 
-// ColdLimiter spaces the requests of one owner to a cold server. What it doesn't use is lost, so that owners together
-// exceed the rate by at most one request each in any second.
+// ColdLimiter spaces the requests of one owner to a cold server. What it doesn't use is lost, so that as many owners
+// as ColdPart counts exceed the rate by at most one request each in any second.
 type ColdLimiter struct {
 	// next is the time of the next request.
 	next time.Time
