--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -185,7 +185,7 @@
 	got := s.pool.acquire(ctx, flowOf(w), w.Weight, g.maxQueueWait(ctx, w))
 	if got.conn == nil {
 		retryable := got.reason == fault.ConnectFailed || got.reason == fault.ServerFull
-		return attempt{result: Result{Outcome: fault.NotSent, Reason: got.reason, RetryAfter: got.retryAfter}, retryable: retryable, uncharged: true}
+		return attempt{result: Result{Outcome: fault.NotSent, Reason: got.reason, RetryAfter: got.retryAfter, Evidence: got.evidence}, retryable: retryable, uncharged: true}
 	}
 	if refusal, admitted := g.admit(ctx, w, s, fault.NoPrimary); !admitted {
 		s.pool.release(got.conn)
--- a/internal/rule/admit/cold.go
+++ b/internal/rule/admit/cold.go
@@ -23,6 +23,7 @@
 	if wait > maxWait {
 		return wait - maxWait, false
 	}
-	l.next = now.Add(wait + time.Duration(float64(time.Second)/perSecond))
+	// A very small rate must not overflow the time of the next request.
+	l.next = now.Add(wait + time.Duration(min(float64(time.Second)/perSecond, float64(time.Hour))))
 	return wait, true
 }
