--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -26,7 +26,11 @@
 	result := g.run(ctx, w, sink)
 	result.PrimaryCenter = g.primaryCenter()
 	if result.Outcome != fault.Done {
+		own := result.Evidence
 		result.Evidence = g.evidence()
+		if own != "" {
+			result.Evidence += "; " + own
+		}
 		if w.Home.Restricted {
 			result.Evidence += fmt.Sprintf("; it may run only in the regions %q", w.Home.Names)
 		}
