--- a/internal/rule/share/lost.go
+++ b/internal/rule/share/lost.go
@@ -37,15 +37,24 @@
 }
 
 // lostEntries returns the entries of a data centre whose leases are not known.
-func (a *Allocator) lostEntries() map[Shard]Entries {
+func (a *Allocator) lostEntries(params LeaseParams) map[Shard]Entries {
 	shards := map[Shard]Entries{}
 	for shard := range Shard(Shards) {
-		// Who is in the grace period holds its reserve until that ends, so the reserve counts in full.
-		shards[shard] = Entries{lostHolder: Entry{Part: Whole, Reserve: Whole, Renewal: uint64(a.epoch)}}
+		shards[shard] = Entries{lostHolder: Entry{Part: Whole, Reserve: params.lostReserve(Whole), Renewal: uint64(a.epoch)}}
 	}
 	return shards
 }
 
+// lostReserve returns how much of a lost part may still be spent once the leases of before the restore have ended.
+// Who was in the grace period at the restore holds its reserve until that ends. If that is no later than the
+// leases, only the reserves of those remain, and their parts were at most the whole.
+func (p LeaseParams) lostReserve(part Part) Part {
+	if p.Grace <= 2*p.Lease {
+		return p.reserved(part)
+	}
+	return part
+}
+
 // with returns a copy of the table with the entries of one more data centre.
 func (t Table) with(center ident.CenterID, shards map[Shard]Entries) Table {
 	t.Centers = maps.Clone(t.Centers)
--- a/internal/rule/share/share_test.go
+++ b/internal/rule/share/share_test.go
@@ -365,6 +365,14 @@
 // earlier tables, without leases that it had granted since.
 func TestPartsNeverExceedTheWholeAfterRestores(t *testing.T) { checkParts(t, true) }
 
+// TestPartsNeverExceedTheWholeAfterRestoresWithShortGrace is the same for a grace period that ends no later than a
+// lease after the lease, with which only the reserve of a lost part is counted after the lease.
+func TestPartsNeverExceedTheWholeAfterRestoresWithShortGrace(t *testing.T) {
+	defer func(before LeaseParams) { testParams = before }(testParams)
+	testParams.Grace, testParams.Reserve = 2*testParams.Lease, Whole/2
+	checkParts(t, true)
+}
+
 func checkParts(t *testing.T, restores bool) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := &tableModel{
--- a/internal/rule/share/table.go
+++ b/internal/rule/share/table.go
@@ -129,11 +129,11 @@
 // requester was granted more before.
 func (a *Allocator) Renew(now time.Time, stored Table, params LeaseParams, requests []Request) (Table, []Grant) {
 	if a.isCopy(stored, requests) {
-		stored = Table{Centers: map[ident.CenterID]map[Shard]Entries{unlistedCenters: a.lostEntries()}}
+		stored = Table{Centers: map[ident.CenterID]map[Shard]Entries{unlistedCenters: a.lostEntries(params)}}
 	}
 	for center := range centersOf(stored, requests) {
 		if _, listed := stored.Centers[center]; !listed && len(stored.Centers[unlistedCenters]) > 0 {
-			stored = stored.with(center, a.lostEntries())
+			stored = stored.with(center, a.lostEntries(params))
 		}
 	}
 	a.observe(now, stored)
@@ -203,7 +203,7 @@
 		}
 		if counting && !known {
 			lost.Part = max(0, lost.Part-r.Usable)
-			lost.Reserve = lost.Part
+			lost.Reserve = params.lostReserve(lost.Part)
 			next[lostHolder] = lost
 			total -= bounds[lostHolder]
 			bounds[lostHolder] = min(bounds[lostHolder], lost.Part)
