--- a/internal/confs/evacuations.go
+++ b/internal/confs/evacuations.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
 
-	"github.com/juju/errors"
 	"k8s.io/klog/v2"
 
 	"geraniumseam.dev/internal/jrnl"
@@ -80,7 +80,7 @@
 			w.undecidedSince = now
 		}
 		if now.Sub(w.undecidedSince) < malformedListWait {
-			return errors.New("the list of evacuated data centres has a malformed entry, and no peer has delivered the list yet")
+			return &MalformedListError{Waited: now.Sub(w.undecidedSince)}
 		}
 	}
 	w.undecidedSince = time.Time{}
@@ -89,6 +89,18 @@
 	return nil
 }
 
+// MalformedListError reports that the platform's list of evacuated data centres has a malformed entry while no peer has
+// delivered a list.
+type MalformedListError struct {
+	// Waited is how long a peer has been waited for.
+	Waited time.Duration
+}
+
+// Error implements error.
+func (e *MalformedListError) Error() string {
+	return fmt.Sprintf("the list of evacuated data centres has a malformed entry, and no peer has delivered the list in %v", e.Waited.Round(time.Millisecond))
+}
+
 // apply applies one entry. It reports false for one that is malformed, which is logged and changes nothing. A removal of
 // before the entry in force, which a watch may deliver again, changes nothing either; a removal may carry the version
 // of the last change.
