--- /dev/null
+++ b/review/kit-2/backend.go
@@ -0,0 +1,297 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// run is one statement of a client that a backend has run.
+type run struct{ id, server, service, tenant, text string }
+
+// group is one service: a primary and its replicas, with synchronous_replicas = 1. Replicas receive a
+// commit at once and apply it at once.
+type group struct {
+	mu      sync.Mutex
+	service string
+	servers []*server
+	runs    []run
+	signed  int
+}
+
+type server struct {
+	group    *group
+	id       string
+	zone     string
+	address  string
+	listener net.Listener
+	primary  bool
+	term     int
+	// sealed is the term up to which the server receives nothing (PAUSE).
+	sealed, number, conns int
+	data                  map[string]string
+	born                  int64
+}
+
+func newGroup(service string, zones []string) *group {
+	g := &group{service: service}
+	for i, zone := range zones {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			panic(err)
+		}
+		s := &server{group: g, id: fmt.Sprintf("i-%s%d", service, i), zone: zone, address: l.Addr().String(), listener: l, primary: i == 0, term: 1, data: map[string]string{}, born: time.Now().UnixMilli()}
+		g.servers = append(g.servers, s)
+		go s.accept()
+	}
+	return g
+}
+
+// register writes the entries of the group's servers every heartbeat until the program ends.
+func (g *group) register(st *store, heartbeat time.Duration) {
+	for sequence := 1; ; sequence++ {
+		for _, s := range g.servers {
+			g.mu.Lock()
+			role := "replica"
+			if s.primary {
+				role = "primary"
+			}
+			entry := map[string]any{
+				"service": g.service, "address": s.address, "zone": s.zone, "version": "1", "slots": 3, "state": "ready",
+				"cold_remaining_ms": 0, "sequence": sequence, "born": s.born, "database_role": role,
+			}
+			g.mu.Unlock()
+			st.set("servers", s.id, entry)
+		}
+		time.Sleep(heartbeat)
+	}
+}
+
+func (g *group) promote(id string) bool {
+	for _, s := range g.servers {
+		if s.id != id {
+			continue
+		}
+		go func() {
+			time.Sleep(300 * time.Millisecond)
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			if s.primary {
+				return
+			}
+			for _, o := range g.servers {
+				o.term, o.primary, o.sealed = o.term+1, o == s, 0
+			}
+		}()
+		return true
+	}
+	return false
+}
+
+func (g *group) ran(id string) []run {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var found []run
+	for _, r := range g.runs {
+		if r.id == id {
+			found = append(found, r)
+		}
+	}
+	return found
+}
+
+func (s *server) accept() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		go s.serve(c)
+	}
+}
+
+// session is one connection to a server.
+type session struct {
+	server   *server
+	tenant   string
+	state    byte
+	writes   [][2]string
+	prepared map[string][2]string
+}
+
+func (s *server) serve(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReaderSize(c, 64<<10)
+	line, err := readMessage(r)
+	if err != nil {
+		return
+	}
+	f := strings.SplitN(line, " ", 4)
+	if len(f) < 3 || f[0] != "START" || f[1] != s.group.service || len(f) == 4 && f[3] != s.id {
+		fmt.Fprintf(c, "ERROR MISROUTED %s\r\n", s.id)
+		return
+	}
+	s.group.mu.Lock()
+	s.conns++
+	s.group.mu.Unlock()
+	defer func() {
+		s.group.mu.Lock()
+		s.conns--
+		s.group.mu.Unlock()
+	}()
+	q := &session{server: s, tenant: f[2], state: 'I', prepared: map[string][2]string{}}
+	fmt.Fprintf(c, "READY I %s\r\n", s.position())
+	for {
+		line, err := readMessage(r)
+		if err != nil || line == "TERMINATE" {
+			return
+		}
+		f := strings.SplitN(line, " ", 3)
+		if len(f) < 3 || f[0] != "QUERY" {
+			return
+		}
+		time.Sleep(2 * time.Millisecond)
+		s.group.mu.Lock()
+		answer := q.run(f[1], f[2])
+		s.group.mu.Unlock()
+		if _, err := c.Write([]byte(fmt.Sprintf("%sREADY %c %s\r\n", answer, q.state, s.position()))); err != nil {
+			return
+		}
+	}
+}
+
+func (s *server) position() string { return fmt.Sprintf("%d.%d", s.term, s.number) }
+
+func readMessage(r *bufio.Reader) (string, error) {
+	var line strings.Builder
+	for {
+		part, err := r.ReadString('\n')
+		line.WriteString(part)
+		if err != nil {
+			return "", err
+		}
+		if text := line.String(); strings.HasSuffix(text, "\r\n") {
+			return text[:len(text)-2], nil
+		}
+	}
+}
+
+// run runs one statement; the group is locked.
+func (q *session) run(id, text string) string {
+	s := q.server
+	if rest, found := strings.CutPrefix(text, "AFTER "); found {
+		position, statement, _ := strings.Cut(rest, " ")
+		t, n, _ := strings.Cut(position, ".")
+		term, _ := strconv.Atoi(t)
+		number, _ := strconv.Atoi(n)
+		if term > s.term || number > s.number {
+			return "ERROR LAGGING " + s.id + "\r\n"
+		}
+		text = statement
+	}
+	f := strings.SplitN(text, " ", 4)
+	arg := func(i int) string {
+		if i < len(f) {
+			return f[i]
+		}
+		return ""
+	}
+	switch f[0] {
+	case "STATUS":
+	case "PAUSE":
+		if term, _ := strconv.Atoi(arg(1)); !s.primary && term > s.term {
+			s.sealed = term
+		}
+	case "RESUME":
+		s.sealed = 0
+	case "DEMOTE":
+		if term, _ := strconv.Atoi(arg(1)); s.primary && term > s.term {
+			s.primary = false
+		}
+	case "SET", "RESET", "DEALLOCATE":
+		return "COMPLETE -\r\n"
+	case "PREPARE":
+		q.prepared[arg(1)] = [2]string{arg(2), arg(3)}
+		return "COMPLETE -\r\n"
+	case "BEGIN":
+		if arg(1) != "READ" && !s.primary {
+			return "ERROR READONLY " + s.id + "\r\n"
+		}
+		q.state = 'T'
+		return "COMPLETE -\r\n"
+	case "ROLLBACK":
+		q.state, q.writes = 'I', nil
+		return "COMPLETE -\r\n"
+	case "COMMIT":
+		q.apply(q.writes)
+		q.state, q.writes = 'I', nil
+		return q.done(id, text, "")
+	case "READ":
+		return q.done(id, text, s.data[arg(1)])
+	case "WRITE":
+		return q.write(id, text, arg(1), strings.Join(f[2:], " "))
+	case "EXECUTE":
+		p, known := q.prepared[arg(1)]
+		if !known {
+			return "ERROR NOSUCHNAME " + s.id + "\r\n"
+		}
+		if p[0] == "READ" {
+			return q.done(id, text, s.data[arg(2)])
+		}
+		return q.write(id, text, arg(2), arg(3))
+	default:
+		return "ERROR MALFORMED " + s.id + "\r\n"
+	}
+	role := "replica"
+	if s.primary {
+		role = "primary"
+	}
+	return fmt.Sprintf("ROW %s %d %s %d 0 0 %d\r\nCOMPLETE -\r\n", role, s.term, s.position(), s.sealed, s.conns)
+}
+
+func (q *session) write(id, text, item, data string) string {
+	s := q.server
+	if !s.primary {
+		if q.state == 'T' {
+			q.state = 'E'
+		}
+		return "ERROR READONLY " + s.id + "\r\n"
+	}
+	if q.state == 'T' {
+		q.writes = append(q.writes, [2]string{item, data})
+	} else {
+		q.apply([][2]string{{item, data}})
+	}
+	return q.done(id, text, "")
+}
+
+// apply commits writes at the primary and hands them to the replicas.
+func (q *session) apply(writes [][2]string) {
+	if len(writes) == 0 {
+		return
+	}
+	for _, s := range q.server.group.servers {
+		s.number++
+		for _, w := range writes {
+			s.data[w[0]] = w[1]
+		}
+	}
+}
+
+func (q *session) done(id, text, row string) string {
+	g := q.server.group
+	g.signed++
+	if len(text) > 200 {
+		text = fmt.Sprintf("%s... (%d bytes)", text[:40], len(text))
+	}
+	g.runs = append(g.runs, run{id, q.server.id, g.service, q.tenant, text})
+	answer := fmt.Sprintf("COMPLETE sig.%x.%s\r\n", g.signed, id)
+	if row != "" {
+		answer = "ROW " + row + "\r\n" + answer
+	}
+	return answer
+}
