--- a/review/kit-2/config.go
+++ b/review/kit-2/config.go
@@ -17,14 +17,18 @@
 func configuration(version uint64, service string, routes []string, tenants []tenant) map[string]any {
 	var rs, ts []map[string]any
 	for _, host := range routes {
-		rs = append(rs, map[string]any{"host": host, "route_kind": "primary", "timeout_ms": 800, "target_latency_ms": 300, "priority": 1, "service": service, "max_staleness_ms": 0, "public": false})
+		rs = append(rs, map[string]any{
+			"name": "r-" + host, "host": host, "path_prefix": "/", "route_kind": "primary", "timeout_ms": 800, "target_latency_ms": 300,
+			"priority": 1, "service": service, "max_attempts": 2, "public": false,
+		})
 	}
 	for _, t := range tenants {
-		ts = append(ts, map[string]any{"name": t.name, "api_keys": t.keys, "requests_per_s": t.rate, "burst": t.burst})
+		ts = append(ts, map[string]any{"name": t.name, "api_keys": append([]string{}, t.keys...), "priority": 1, "requests_per_s": t.rate, "burst": t.burst})
 	}
 	return map[string]any{
-		"version": version, "routes": rs, "tenants": ts, "limits": map[string]any{"transaction_idle_ms": 5000},
-		"services": []map[string]any{{"name": service, "connection_limit": 22, "synchronous_replicas": 1}},
+		"version": version, "routes": rs, "tenants": ts,
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000, "transaction_idle_ms": 3000},
+		"services": []map[string]any{{"name": service, "health_path": "/health", "connection_limit": 22, "protocol": "h1", "tls": false, "synchronous_replicas": 1}},
 	}
 }
 
@@ -105,13 +109,4 @@
 			func() (uint64, []tenant) { return v1, tenants(withB) },
 			func() (uint64, []tenant) { return v2, tenants(tenant{"hue", 100, 100, nil}) })
 	}
-	cases["zero-rate"] = func(dir string, trouble bool) bool {
-		rate := 1.0
-		if trouble {
-			rate = 0
-		}
-		return change(dir,
-			func() (uint64, []tenant) { return 7, tenants(withB) },
-			func() (uint64, []tenant) { return 12, tenants(tenant{"hue", rate, 1, nil}) })
-	}
 }
