--- a/review/kit-2/backend.go
+++ b/review/kit-2/backend.go
@@ -21,6 +21,9 @@
 	servers []*server
 	runs    []run
 	signed  int
+	// rising is the server that is about to lead, leaders are the orders that made a server lead.
+	rising  *server
+	leaders []order
 }
 
 type server struct {
@@ -35,6 +38,9 @@
 	sealed, number, conns int
 	data                  map[string]string
 	born                  int64
+	// down is set while the server has crashed; open has its connections.
+	down bool
+	open map[net.Conn]bool
 }
 
 func newGroup(service string, zones []string) *group {
@@ -44,7 +50,7 @@
 		if err != nil {
 			panic(err)
 		}
-		s := &server{group: g, id: fmt.Sprintf("i-%s%d", service, i), zone: zone, address: l.Addr().String(), listener: l, primary: i == 0, term: 1, data: map[string]string{}, born: time.Now().UnixMilli()}
+		s := &server{group: g, id: fmt.Sprintf("i-%s%d", service, i), zone: zone, address: l.Addr().String(), listener: l, primary: i == 0, term: 1, data: map[string]string{}, born: time.Now().UnixMilli(), open: map[net.Conn]bool{}}
 		g.servers = append(g.servers, s)
 		go s.accept()
 	}
@@ -56,6 +62,10 @@
 	for sequence := 1; ; sequence++ {
 		for _, s := range g.servers {
 			g.mu.Lock()
+			if s.down {
+				g.mu.Unlock()
+				continue
+			}
 			role := "replica"
 			if s.primary {
 				role = "primary"
@@ -71,27 +81,45 @@
 	}
 }
 
-func (g *group) promote(id string) bool {
+// promote makes a server lead the next term some hundred ms later; it reports false if the server isn't running. An
+// order for the server that leads, or is about to, changes nothing.
+func (g *group) promote(id string, by order) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	for _, s := range g.servers {
-		if s.id != id {
+		if s.id != id || s.down {
 			continue
 		}
-		go func() {
-			time.Sleep(300 * time.Millisecond)
-			g.mu.Lock()
-			defer g.mu.Unlock()
-			if s.primary {
-				return
-			}
-			for _, o := range g.servers {
-				o.term, o.primary, o.sealed = o.term+1, o == s, 0
-			}
-		}()
+		if s.primary || g.rising == s {
+			return true
+		}
+		g.rising = s
+		time.AfterFunc(300*time.Millisecond, func() { g.lead(s, by) })
 		return true
 	}
 	return false
 }
 
+func (g *group) lead(s *server, by order) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.rising != s {
+		return
+	}
+	g.rising = nil
+	term := 0
+	for _, o := range g.servers {
+		term = max(term, o.term)
+	}
+	for _, o := range g.servers {
+		if !o.down {
+			o.term, o.primary, o.sealed = term+1, o == s, 0
+		}
+	}
+	g.leaders = append(g.leaders, by)
+	note("platform: %s leads term %d by the order of %s, token %d", s.id, term+1, by.holder, by.token)
+}
+
 func (g *group) ran(id string) []run {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -104,6 +132,31 @@
 	return found
 }
 
+// crash ends a server for good, as the loss of its process would; its entry expires after three heartbeats.
+func (s *server) crash(st *store, heartbeat time.Duration) {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	s.down = true
+	s.listener.Close()
+	for c := range s.open {
+		c.Close()
+	}
+	note("backend: %s crashes", s.id)
+	time.AfterFunc(3*heartbeat, func() { st.remove("servers", s.id) })
+}
+
+// primaryServer returns the running primary, nil if there is none.
+func (g *group) primaryServer() *server {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range g.servers {
+		if s.primary && !s.down {
+			return s
+		}
+	}
+	return nil
+}
+
 func (s *server) accept() {
 	for {
 		c, err := s.listener.Accept()
@@ -136,10 +189,16 @@
 		return
 	}
 	s.group.mu.Lock()
+	if s.down {
+		s.group.mu.Unlock()
+		return
+	}
 	s.conns++
+	s.open[c] = true
 	s.group.mu.Unlock()
 	defer func() {
 		s.group.mu.Lock()
+		delete(s.open, c)
 		s.conns--
 		s.group.mu.Unlock()
 	}()
@@ -275,6 +334,9 @@
 		return
 	}
 	for _, s := range q.server.group.servers {
+		if s.down || s != q.server && s.sealed > q.server.term {
+			continue
+		}
 		s.number++
 		for _, w := range writes {
 			s.data[w[0]] = w[1]
--- a/review/kit-2/config.go
+++ b/review/kit-2/config.go
@@ -32,6 +32,14 @@
 	}
 }
 
+// withoutSynchronous returns the configuration for a service that has no synchronous replicas.
+func withoutSynchronous(c map[string]any) map[string]any {
+	for _, s := range c["services"].([]map[string]any) {
+		s["synchronous_replicas"] = 0
+	}
+	return c
+}
+
 // change is a case in which the operator replaces one configuration by a second one, which adds a route and takes a
 // key away. It reports whether every instance handles requests by the second one after the bound.
 func change(dir string, first, second func() (uint64, []tenant)) bool {
--- a/review/kit-2/store.go
+++ b/review/kit-2/store.go
@@ -246,7 +246,8 @@
 			return
 		}
 		note("platform: POST /promotion %s by %s, token %s", body.ID, r.Header.Get("X-Geraniumseam-Duty-Holder"), r.Header.Get("X-Geraniumseam-Fencing-Token"))
-		if !g.promote(body.ID) {
+		token, _ := strconv.ParseUint(r.Header.Get("X-Geraniumseam-Fencing-Token"), 10, 64)
+		if !g.promote(body.ID, order{r.Header.Get("X-Geraniumseam-Duty-Holder"), token, body.ID}) {
 			reply(w, http.StatusConflict, nil)
 			return
 		}
@@ -254,6 +255,13 @@
 	})
 }
 
+// order is an accepted POST /promotion.
+type order struct {
+	holder string
+	token  uint64
+	server string
+}
+
 func fatal(format string, args ...any) {
 	note(format, args...)
 	panic(couldNotRun(fmt.Sprintf(format, args...)))
