--- a/review/kit-2/backend.go
+++ b/review/kit-2/backend.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -21,6 +22,10 @@
 	servers []*server
 	runs    []run
 	signed  int
+	// keepsNone is set if runs aren't recorded.
+	keepsNone bool
+	// lag is how long after it has received a commit a replica applies it.
+	lag time.Duration
 	// rising is the server that is about to lead, leaders are the orders that made a server lead.
 	rising  *server
 	leaders []order
@@ -41,46 +46,88 @@
 	// down is set while the server has crashed; open has its connections.
 	down bool
 	open map[net.Conn]bool
+	// state is ready or draining.
+	state string
+	// pending has the times of the commits that a replica has received and not applied.
+	pending []time.Time
 }
 
 func newGroup(service string, zones []string) *group {
 	g := &group{service: service}
 	for i, zone := range zones {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			panic(err)
-		}
-		s := &server{group: g, id: fmt.Sprintf("i-%s%d", service, i), zone: zone, address: l.Addr().String(), listener: l, primary: i == 0, term: 1, data: map[string]string{}, born: time.Now().UnixMilli(), open: map[net.Conn]bool{}}
-		g.servers = append(g.servers, s)
-		go s.accept()
+		g.join(zone).primary = i == 0
 	}
 	return g
 }
 
+// join starts a server, which has the log of the primary.
+func (g *group) join(zone string) *server {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := &server{
+		group: g, id: fmt.Sprintf("i-%s%d", g.service, len(g.servers)), zone: zone, address: l.Addr().String(), listener: l, term: 1,
+		data: map[string]string{}, born: time.Now().UnixMilli(), open: map[net.Conn]bool{}, state: "ready",
+	}
+	for _, o := range g.servers {
+		if o.primary && !o.down {
+			s.term, s.number = o.term, o.number
+			for item, data := range o.data {
+				s.data[item] = data
+			}
+		}
+	}
+	g.servers = append(g.servers, s)
+	go s.accept()
+	return s
+}
+
+// leave ends a server that has drained; its entry is removed.
+func (s *server) leave(st *store) {
+	s.group.mu.Lock()
+	s.down = true
+	s.listener.Close()
+	for c := range s.open {
+		c.Close()
+	}
+	s.group.mu.Unlock()
+	st.remove("servers", s.id)
+}
+
 // register writes the entries of the group's servers every heartbeat until the program ends.
 func (g *group) register(st *store, heartbeat time.Duration) {
 	for sequence := 1; ; sequence++ {
-		for _, s := range g.servers {
-			g.mu.Lock()
-			if s.down {
-				g.mu.Unlock()
-				continue
-			}
-			role := "replica"
-			if s.primary {
-				role = "primary"
-			}
-			entry := map[string]any{
-				"service": g.service, "address": s.address, "zone": s.zone, "version": "1", "slots": 3, "state": "ready",
-				"cold_remaining_ms": 0, "sequence": sequence, "born": s.born, "database_role": role,
-			}
-			g.mu.Unlock()
-			st.set("servers", s.id, entry)
+		g.mu.Lock()
+		servers := slices.Clone(g.servers)
+		g.mu.Unlock()
+		for _, s := range servers {
+			s.list(st, sequence)
 		}
 		time.Sleep(heartbeat)
 	}
 }
 
+// list writes the entry of a server.
+func (s *server) list(st *store, sequence int) {
+	g := s.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if s.down {
+		return
+	}
+	role := "replica"
+	if s.primary {
+		role = "primary"
+	}
+	st.set("servers", s.id, map[string]any{
+		"service": g.service, "address": s.address, "zone": s.zone, "version": "1", "slots": 3, "state": s.state,
+		"cold_remaining_ms": 0, "sequence": sequence, "born": s.born, "database_role": role,
+	})
+}
+
 // promote makes a server lead the next term some hundred ms later; it reports false if the server isn't running. An
 // order for the server that leads, or is about to, changes nothing.
 func (g *group) promote(id string, by order) bool {
@@ -203,7 +250,12 @@
 		s.group.mu.Unlock()
 	}()
 	q := &session{server: s, tenant: f[2], state: 'I', prepared: map[string][2]string{}}
-	fmt.Fprintf(c, "READY I %s\r\n", s.position())
+	s.group.mu.Lock()
+	hello := fmt.Sprintf("READY I %s\r\n", s.position())
+	s.group.mu.Unlock()
+	if _, err := c.Write([]byte(hello)); err != nil {
+		return
+	}
 	for {
 		line, err := readMessage(r)
 		if err != nil || line == "TERMINATE" {
@@ -216,14 +268,29 @@
 		time.Sleep(2 * time.Millisecond)
 		s.group.mu.Lock()
 		answer := q.run(f[1], f[2])
+		answer += fmt.Sprintf("READY %c %s\r\n", q.state, s.position())
 		s.group.mu.Unlock()
-		if _, err := c.Write([]byte(fmt.Sprintf("%sREADY %c %s\r\n", answer, q.state, s.position()))); err != nil {
+		if _, err := c.Write([]byte(answer)); err != nil {
 			return
 		}
 	}
 }
 
-func (s *server) position() string { return fmt.Sprintf("%d.%d", s.term, s.number) }
+// position is how far the server has applied its log, received how far it has received it. A replica applies what it has
+// received after the group's lag.
+func (s *server) position() string { return fmt.Sprintf("%d.%d", s.term, s.applied()) }
+
+func (s *server) received() string { return fmt.Sprintf("%d.%d", s.term, s.number) }
+
+func (s *server) applied() int {
+	if s.primary || s.group.lag == 0 {
+		return s.number
+	}
+	for len(s.pending) > 0 && time.Since(s.pending[0]) >= s.group.lag {
+		s.pending = s.pending[1:]
+	}
+	return s.number - len(s.pending)
+}
 
 func readMessage(r *bufio.Reader) (string, error) {
 	var line strings.Builder
@@ -247,7 +314,7 @@
 		t, n, _ := strings.Cut(position, ".")
 		term, _ := strconv.Atoi(t)
 		number, _ := strconv.Atoi(n)
-		if term > s.term || number > s.number {
+		if term > s.term || number > s.applied() {
 			return "ERROR LAGGING " + s.id + "\r\n"
 		}
 		text = statement
@@ -309,7 +376,7 @@
 	if s.primary {
 		role = "primary"
 	}
-	return fmt.Sprintf("ROW %s %d %s %d 0 0 %d\r\nCOMPLETE -\r\n", role, s.term, s.position(), s.sealed, s.conns)
+	return fmt.Sprintf("ROW %s %d %s %d 0 0 %d\r\nCOMPLETE -\r\n", role, s.term, s.received(), s.sealed, s.conns)
 }
 
 func (q *session) write(id, text, item, data string) string {
@@ -338,6 +405,10 @@
 			continue
 		}
 		s.number++
+		s.pending = append(s.pending, time.Now())
+		if s.primary || s.group.lag == 0 {
+			s.pending = nil
+		}
 		for _, w := range writes {
 			s.data[w[0]] = w[1]
 		}
@@ -350,7 +421,9 @@
 	if len(text) > 200 {
 		text = fmt.Sprintf("%s... (%d bytes)", text[:40], len(text))
 	}
-	g.runs = append(g.runs, run{id, q.server.id, g.service, q.tenant, text})
+	if !g.keepsNone {
+		g.runs = append(g.runs, run{id, q.server.id, g.service, q.tenant, text})
+	}
 	answer := fmt.Sprintf("COMPLETE sig.%x.%s\r\n", g.signed, id)
 	if row != "" {
 		answer = "ROW " + row + "\r\n" + answer
