owner: have the dialect, not the number of replicas, decide who needs a recorded claim

Cause: synchronous_replicas chose the promotion protocol. Without them the machine took the servers for ones that check claimants by themselves, which needs no recorded claim and numbers none. The platform's servers never check a claimant: PAUSE and DEMOTE of two claimants both succeed.

Change: proto.Driver.Fenced says of which kind a dialect's servers are; machine, claims, orders, record reads and acknowledgements follow it. A service of one server, whose lease no replica can extend, is proven by the record alone.

The machine's flag is renamed, tests that chose the mode by the number of replicas now choose it by the driver.

--- a/internal/owner/change_test.go
+++ b/internal/owner/change_test.go
@@ -249,7 +249,7 @@
 		"does not answer":       {sealed: sealed, now: sealed, down: true},
 		"demoted":               {sealed: demoted, now: demoted, want: true},
 		"demoted, started anew": {sealed: demoted, now: group.Status{Server: "b"}},
-		"not synchronous":       {want: true},
+		"not fenced":            {want: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := newDriver()
--- a/internal/owner/coordinate.go
+++ b/internal/owner/coordinate.go
@@ -20,7 +20,7 @@
 func (g *Group) coordinate() error {
 	machine := group.New(group.Config{
 		Servers: g.serverIDs(), Claimant: g.conf.Claimant, Holder: g.conf.Self, Rank: g.place.Load().Rank, Timing: timing(g.defaults.Load()),
-		Synchronous: g.conf.Group.Synchronous > 0,
+		Fenced: g.conf.Driver.Fenced(),
 	})
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -96,7 +96,7 @@
 }
 
 // claimTimeDivisor divides the step time to give the timeout for recording a claim on the
-// platform. After it, an attempt goes on without a recorded claim; in a synchronous group
+// platform. After it, an attempt goes on without a recorded claim; in a fenced group
 // it is abandoned.
 const claimTimeDivisor = 2
 
@@ -104,13 +104,13 @@
 	ctx, cancel := context.WithTimeout(g.tomb.Context(context.Background()), g.defaults.Load().StepTime/claimTimeDivisor)
 	defer cancel()
 	result := group.Claimed{Term: a.Record.Term}
-	synchronous := g.conf.Group.Synchronous > 0
+	fenced := g.conf.Driver.Fenced()
 	restored := func() bool {
 		epoch, _, _ := g.conf.Epochs.Current()
-		return synchronous && epoch != a.Epoch
+		return fenced && epoch != a.Epoch
 	}
 	evaluate := func(stored group.Record, v ident.Version) (group.Record, bool) {
-		r, granted := a.Evaluate(stored, max(v, ident.NewVersion(a.Epoch, 0)), synchronous)
+		r, granted := a.Evaluate(stored, max(v, ident.NewVersion(a.Epoch, 0)), fenced)
 		return r, granted && !restored()
 	}
 	asked := clock.Now()
@@ -240,7 +240,7 @@
 	if err != nil {
 		return
 	}
-	if promoted && g.conf.Group.Synchronous == 0 {
+	if promoted && !g.conf.Driver.Fenced() {
 		_, _ = g.refreshStatus(ctx, s)
 	}
 	g.postEvent(group.Promoted{Term: a.Term, Server: a.Server, OK: promoted})
--- a/internal/owner/coordinate_test.go
+++ b/internal/owner/coordinate_test.go
@@ -56,7 +56,7 @@
 func TestHandOverGoesOnAfterRefusedSeal(t *testing.T) {
 	d := &sealDriver{fakeDriver: newDriver(), refuse: "a"}
 	c := testGroupConfig(d, &claimStore{})
-	c.Group.Synchronous, c.Group.Servers[0].Leaving = 0, true
+	d.unfenced, c.Group.Servers[0].Leaving = true, true
 	c.Defaults.StepTime = time.Minute
 	startGroupWith(t, c)
 	eventually(t, "the leaving primary is asked", func() bool { return d.asked("a") })
@@ -163,10 +163,10 @@
 // TestResultsUnderWayAreBounded lets all seals and orders of a group go unanswered for a minute, and checks how
 // many results can wait for the state machine at once.
 func TestResultsUnderWayAreBounded(t *testing.T) {
-	for _, synchronous := range []bool{false, true} {
+	for _, fenced := range []bool{false, true} {
 		limits := testGroupConfig(nil, nil).Defaults
 		ids := []ident.ServerID{"a", "b", "c"}
-		m := group.New(group.Config{Servers: ids, Claimant: "i", Timing: timing(&limits), Synchronous: synchronous})
+		m := group.New(group.Config{Servers: ids, Claimant: "i", Timing: timing(&limits), Fenced: fenced})
 		now := time.Unix(1000, 0)
 		m.Step(now, group.Polled{Status: group.Status{Server: "a", Role: group.Primary, Term: 1, LogTerm: 1}})
 		var started []time.Time
@@ -195,7 +195,7 @@
 			most = max(most, len(started))
 		}
 		if bound := 2 * (len(ids) + 3); most > bound || claims < 10 {
-			t.Errorf("synchronous %t: up to %d results under way with %d claims, want at most %d, fewer than the queue holds", synchronous, most, claims, bound)
+			t.Errorf("fenced %t: up to %d results under way with %d claims, want at most %d, fewer than the queue holds", fenced, most, claims, bound)
 		}
 	}
 }
@@ -215,8 +215,9 @@
 // while the platform is down.
 func TestOutageOfStoreIsNotFloodedWithPublications(t *testing.T) {
 	store := &countingStore{}
-	c := testGroupConfig(newDriver(), store)
-	c.Group.Synchronous = 0
+	d := newDriver()
+	d.unfenced = true
+	c := testGroupConfig(d, store)
 	startGroupWith(t, c)
 	eventually(t, "the primary is published", func() bool { return store.reads.Load() > 0 })
 	time.Sleep(publishInterval / 2)
--- a/internal/owner/floor_test.go
+++ b/internal/owner/floor_test.go
@@ -17,7 +17,7 @@
 // was never acknowledged and that no log holds after a change of primary. Unless it is
 // replaced, replicas refuse the read.
 func TestFloorOfEarlierTermIsRebased(t *testing.T) {
-	tr := newTracker(false)
+	tr := newTracker(nil)
 	tr.grow(3)
 	start := clock.Now()
 	reportAll := func(after time.Duration, term ident.Term, leader int, position ident.Position) {
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -169,8 +169,12 @@
 	if c.evacuees == nil {
 		c.evacuees = newEvacuees(c.Now, nil)
 	}
+	var lease *group.TermLease
+	if c.Driver.Fenced() {
+		lease = group.NewTermLease(group.LeaseConfig{Asynchronous: c.Group.Synchronous == 0})
+	}
 	g := &Group{
-		conf: c, tracker: newTracker(c.Group.Synchronous > 0),
+		conf: c, tracker: newTracker(lease),
 		events: make(chan group.Event, eventQueueSize), txs: map[TxID]*transaction{},
 		jitterRand: rand.New(rand.NewPCG(c.Random.Uint64(), c.Random.Uint64())),
 	}
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -34,7 +34,7 @@
 // startOrdering records that orders of a claim are under way, and reports whether they may be sent: the
 // claim is still the last one, and nobody claims from now on.
 func (g *Group) startOrdering(ctx context.Context, a group.Promote) bool {
-	if g.conf.Group.Synchronous == 0 {
+	if !g.conf.Driver.Fenced() {
 		return true
 	}
 	start := func(kept group.Record, _ ident.Version) (group.Record, bool) { return kept.StartOrdering(a.Claim) }
@@ -85,7 +85,7 @@
 	if unsettled {
 		g.orders.markUnsettled()
 	}
-	if g.conf.Group.Synchronous == 0 || !g.orders.settled() {
+	if !g.conf.Driver.Fenced() || !g.orders.settled() {
 		return
 	}
 	g.tomb.Go(func() error {
--- a/internal/owner/primary.go
+++ b/internal/owner/primary.go
@@ -15,7 +15,7 @@
 // answer the reads of a transaction, so a transaction needs one that is known to have
 // still been the primary when the request arrived.
 func (g *Group) primaryFor(ctx context.Context, w *Work, arrived time.Time) (*server, Result) {
-	if w.Kind == stmt.Begin && g.conf.Group.Synchronous > 0 {
+	if w.Kind == stmt.Begin && g.conf.Driver.Fenced() {
 		return g.awaitLeasedPrimary(ctx, w, arrived)
 	}
 	return g.awaitPrimary(ctx, w)
@@ -126,7 +126,7 @@
 // too long.
 func (g *Group) isRetired(s *server) bool { return g.isEvacuated(s) || g.conf.leavers.done(s.ID) }
 
-// canWrite reports whether a primary is answering. In a synchronous group its term must also be leased, since its
+// canWrite reports whether a primary is answering. In a fenced group its term must also be leased, since its
 // writes could not be acknowledged otherwise.
 func (g *Group) canWrite(v *view, r *report) bool {
 	if v.lease != nil && (v.lease.Term != v.term || !v.lease.Valid(clock.Now())) {
--- a/internal/owner/record.go
+++ b/internal/owner/record.go
@@ -37,7 +37,7 @@
 func (g *Group) readRecordIfNeeded() {
 	now := clock.Now()
 	r := &g.records
-	if g.conf.Group.Synchronous == 0 || r.running.Load() {
+	if !g.conf.Driver.Fenced() || r.running.Load() {
 		return
 	}
 	if term := g.tracker.current.Load().lease.Term; term != r.term {
--- a/internal/owner/refresh_test.go
+++ b/internal/owner/refresh_test.go
@@ -45,7 +45,9 @@
 
 // recordAsker is a group that reads its record when it is told to, from the store and from the peer that answers.
 func recordAsker(t *testing.T, s plat.Store, answering ident.InstanceID) *Group {
-	c := testGroupConfig(newDriver(), s)
+	d := newDriver()
+	d.unfenced = true
+	c := testGroupConfig(d, s)
 	c.Group = conf.Group{Connections: 20, Slots: 3}
 	c.Place = Place{Rank: 1, Owners: []ident.InstanceID{"first", "i", "third"}}
 	c.LinkedPeers = func() []ident.InstanceID { return []ident.InstanceID{"first", "linked"} }
--- a/internal/owner/roster_test.go
+++ b/internal/owner/roster_test.go
@@ -34,6 +34,8 @@
 	beforeDial func(ident.CustomerID)
 	// change alters the statuses that the servers report.
 	change func(*group.Status)
+	// unfenced is set if the servers check claimants themselves.
+	unfenced bool
 }
 
 func (d *fakeDriver) setDown(id ident.ServerID, down bool) {
@@ -63,6 +65,7 @@
 
 func (*fakeDriver) PerCustomer() bool { return true }
 func (*fakeDriver) ChecksFloor() bool { return true }
+func (d *fakeDriver) Fenced() bool    { return !d.unfenced }
 
 func (*fakeDriver) Promote(_ context.Context, _ proto.Conn, _ proto.Target, o proto.PromotionOrder) (proto.Promotion, error) {
 	return proto.Promotion{Accepted: o.ClaimValid()}, nil
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -59,7 +59,7 @@
 	return text
 }
 
-// describeLease describes what the term lease of a synchronous group rests on.
+// describeLease describes what the term lease of a fenced group rests on.
 func describeLease(l *group.LeaseState) string {
 	now := clock.Now()
 	state := "ended"
@@ -297,11 +297,11 @@
 // after the write; it returns None then, and otherwise the reason why the write is unconfirmed. The term
 // is that of the lease under which the request was sent.
 func (g *Group) awaitReplicated(ctx context.Context, w *Work, s group.Status, term ident.Term) fault.Reason {
-	synchronous := g.conf.Group.Synchronous > 0
+	fenced := g.conf.Driver.Fenced()
 	switch {
-	case !synchronous && s.Role != group.Primary:
+	case !fenced && s.Role != group.Primary:
 		return fault.PrimaryReplaced
-	case synchronous && s.LogTerm < term:
+	case fenced && s.LogTerm < term:
 		// Nothing has been written in the primary's term yet.
 		return fault.None
 	}
@@ -323,7 +323,7 @@
 }
 
 // leasedTerm returns the term whose primary the server is under the term lease, 0 if it is not or the group
-// is not synchronous.
+// is not fenced.
 func (g *Group) leasedTerm(s *server) ident.Term {
 	l := g.tracker.current.Load().lease
 	if l == nil || l.Primary != s.ID {
@@ -339,7 +339,7 @@
 	witnessPatience = 100 * time.Millisecond
 )
 
-// awaitProof is await for a view that proves that a write is replicated. In a synchronous group whose record
+// awaitProof is await for a view that proves that a write is replicated. In a fenced group whose record
 // has been read lately one replica can, so the others are polled only if it does not.
 func (g *Group) awaitProof(ctx context.Context, satisfied func(*view) bool) bool {
 	v := g.tracker.current.Load()
--- a/internal/owner/view.go
+++ b/internal/owner/view.go
@@ -32,7 +32,7 @@
 	// primary is the index of the primary with the highest term, or noPrimary.
 	primary int
 	term    ident.Term
-	// lease is what the term lease of a synchronous group has proved; nil in other groups.
+	// lease is what the term lease of a fenced group has proved; nil in other groups.
 	lease *group.LeaseState
 }
 
@@ -46,7 +46,7 @@
 
 	mu   sync.Mutex
 	ages route.AgeTracker
-	// lease is nil unless the group is synchronous.
+	// lease is nil unless the group is fenced.
 	lease *group.TermLease
 	// published is called with each new view; it may be nil and must not block or use the tracker.
 	published func(*view)
@@ -54,11 +54,12 @@
 	changed chan struct{}
 }
 
-func newTracker(synchronous bool) *tracker {
-	t := &tracker{changed: make(chan struct{})}
+// newTracker returns a tracker with the term lease of a fenced group, or nil.
+func newTracker(lease *group.TermLease) *tracker {
+	t := &tracker{lease: lease, changed: make(chan struct{})}
 	first := &view{primary: noPrimary}
-	if synchronous {
-		t.lease, first.lease = group.NewTermLease(), &group.LeaseState{}
+	if lease != nil {
+		first.lease = &group.LeaseState{}
 	}
 	t.current.Store(first)
 	return t
@@ -153,7 +154,7 @@
 // position: since that time a majority of servers, the primary included, has been polled
 // and has reported the primary's term, not sealed for a later one.
 //
-// In a synchronous group the term lease confirms it instead.
+// In a fenced group the term lease confirms it instead.
 func (v *view) confirmed() (time.Time, ident.Floor, bool) {
 	if v.primary == noPrimary {
 		return time.Time{}, ident.Floor{}, false
--- a/internal/pgcon/conn.go
+++ b/internal/pgcon/conn.go
@@ -31,6 +31,9 @@
 // ChecksFloor implements proto.Driver.
 func (*Driver) ChecksFloor() bool { return false }
 
+// Fenced implements proto.Driver: a server refuses the orders of all but the claimant that has sealed it last.
+func (*Driver) Fenced() bool { return false }
+
 // The SQLSTATEs too_many_connections and read_only_sql_transaction.
 const (
 	codeTooManyConnections = "53300"
--- a/internal/proto/conn.go
+++ b/internal/proto/conn.go
@@ -34,6 +34,9 @@
 	PerCustomer() bool
 	// ChecksFloor reports whether servers check Request.RequiredFloor.
 	ChecksFloor() bool
+	// Fenced reports whether servers count terms themselves and know no claimants, so that orders to lead need the
+	// fencing token of a recorded claim.
+	Fenced() bool
 	// Promote makes a sealed server the primary of the term.
 	Promote(ctx context.Context, c Conn, t Target, o PromotionOrder) (Promotion, error)
 }
--- a/internal/rule/group/attempt.go
+++ b/internal/rule/group/attempt.go
@@ -24,7 +24,7 @@
 // publishMissingRecord stores a primary that the platform's record lacks because the
 // platform was down during the promotion or the claimant died before it could publish.
 func (m *Machine) publishMissingRecord() []Action {
-	if m.primary == "" || m.conf.Rank != 0 || m.conf.Synchronous {
+	if m.primary == "" || m.conf.Rank != 0 || m.conf.Fenced {
 		return nil
 	}
 	if m.record.Term > m.term || m.record.Term == m.term && m.record.Settled {
@@ -68,7 +68,7 @@
 // claimRecord returns the record that claims the attempt's term.
 func (m *Machine) claimRecord() Record {
 	r := Record{Term: m.attemptTerm, Primary: m.primary, Claimant: m.conf.Claimant, Holder: m.conf.Holder, ReplacedTerm: m.latestTerm()}
-	if m.conf.Synchronous {
+	if m.conf.Fenced {
 		for _, id := range m.conf.Servers {
 			r.Candidates = append(r.Candidates, m.member(id))
 		}
@@ -86,19 +86,19 @@
 		return []Action{m.journalEntry(ClaimNotRecorded, m.primary, "the platform's store has come back from an older copy; claims that it has lost may still be in use")}
 	}
 	if !e.Granted && !e.PlatformDown {
-		if m.conf.Synchronous {
+		if m.conf.Fenced {
 			m.learnRecord(now, e.Record, e.Version)
 		} else {
 			m.record = e.Record
 		}
 		m.abandonAttempt(now)
-		if m.conf.Synchronous {
+		if m.conf.Fenced {
 			m.claimNotBefore = now.Add(claimBackoff)
 		}
 		return []Action{m.journalEntry(ClaimLost, m.primary, fmt.Sprintf("the platform's record already names claimant %s for term %d", e.Record.Claimant, e.Record.Term))}
 	}
 	var actions []Action
-	if e.PlatformDown && m.conf.Synchronous {
+	if e.PlatformDown && m.conf.Fenced {
 		// The servers know no claimants, so without the platform's record two instances
 		// could both order a promotion.
 		m.abandonAttempt(now)
@@ -119,7 +119,7 @@
 		m.abandonAttempt(now)
 		return append(actions, m.journalEntry(SealFailed, absent.Server, "it is a member of the group and not on this instance's list of servers, so it cannot be sealed"))
 	}
-	if m.avoids(m.primary) && m.isPrimaryAnswering(now) && !m.conf.Synchronous {
+	if m.avoids(m.primary) && m.isPrimaryAnswering(now) && !m.conf.Fenced {
 		m.phase, m.stepDeadline, m.drainTargetKnown = draining, now.Add(m.conf.Timing.StepTime), false
 		return append(actions, m.seal(m.primary))
 	}
@@ -129,13 +129,13 @@
 // seal returns the action that seals a server for the attempt.
 func (m *Machine) seal(id ident.ServerID) Seal {
 	held := m.attemptTerm
-	if m.conf.Synchronous {
+	if m.conf.Fenced {
 		held = m.claimed.ReplacedTerm + 1
 	}
 	return Seal{Server: id, Term: m.attemptTerm, Held: held, Claimant: m.conf.Claimant}
 }
 
-// startSealing seals every server that stays or, in a synchronous group, every replica. Servers in evacuated data
+// startSealing seals every server that stays or, in a fenced group, every replica. Servers in evacuated data
 // centres are passed over where the others that answer are a majority.
 func (m *Machine) startSealing(now time.Time) []Action {
 	m.phase, m.stepDeadline, m.serverJoined = sealing, now.Add(m.conf.Timing.StepTime), false
@@ -151,7 +151,7 @@
 	}
 	var actions []Action
 	for _, id := range m.conf.Servers {
-		if !passOver(id) && !m.conf.Synchronous || m.conf.Synchronous && id != m.primary {
+		if !passOver(id) && !m.conf.Fenced || m.conf.Fenced && id != m.primary {
 			actions = append(actions, m.seal(id))
 		}
 	}
@@ -179,7 +179,7 @@
 	if m.phase != sealing || e.Term != m.attemptTerm || !e.OK {
 		return nil
 	}
-	if m.conf.Synchronous && e.Status.Term > m.claimed.ReplacedTerm {
+	if m.conf.Fenced && e.Status.Term > m.claimed.ReplacedTerm {
 		m.abandonAttempt(now)
 		return []Action{m.journalEntry(SealFailed, e.Status.Server, fmt.Sprintf("it is in term %d already, and the claim was to replace term %d", e.Status.Term, m.claimed.ReplacedTerm))}
 	}
@@ -201,11 +201,11 @@
 		m.abandonAttempt(now)
 		return []Action{m.journalEntry(SealFailed, m.primary, "none of the sealed servers was known when the claim was made")}
 	}
-	if m.conf.Synchronous && successor.Received < m.requiredPosition() {
+	if m.conf.Fenced && successor.Received < m.requiredPosition() {
 		m.abandonAttempt(now)
 		return []Action{m.journalEntry(SealFailed, successor.Server, fmt.Sprintf("it has received up to position %s, but a successor must have received up to %s", successor.Received, m.requiredPosition()))}
 	}
-	if member, found := m.unsealedMember(); m.conf.Synchronous && found {
+	if member, found := m.unsealedMember(); m.conf.Fenced && found {
 		m.abandonAttempt(now)
 		return []Action{m.journalEntry(SealFailed, member.Server, "it is a member of the group, and has left this instance's list or started again since the claim")}
 	}
@@ -213,7 +213,7 @@
 	m.phase, m.stepDeadline = promoting, now.Add(m.conf.Timing.StepTime)
 	var until, notBefore time.Time
 	var sealed Status
-	if m.conf.Synchronous {
+	if m.conf.Fenced {
 		sealed = successor
 		notBefore = m.lastSealAt.Add(LeaseWait)
 		until = m.claimedAt.Add(claimValidity)
@@ -242,7 +242,7 @@
 		m.abandonAttempt(now)
 		return []Action{m.journalEntry(SealFailed, e.Server, "it was not promoted: it is sealed for a later term, has left the group or has started again since it was sealed, or the platform refused the order, or the claim expired")}
 	}
-	if m.conf.Synchronous {
+	if m.conf.Fenced {
 		m.phase = idle
 		return m.handleOrderAccepted(now, e)
 	}
--- a/internal/rule/group/claims_test.go
+++ b/internal/rule/group/claims_test.go
@@ -18,7 +18,7 @@
 
 func newHarness(t *testing.T) *harness {
 	h := &harness{t: t, now: time.Unix(1000, 0)}
-	h.m = New(Config{Servers: []ident.ServerID{"p", "a", "b"}, Claimant: "me", Timing: synchTiming, Synchronous: true})
+	h.m = New(Config{Servers: []ident.ServerID{"p", "a", "b"}, Claimant: "me", Timing: synchTiming, Fenced: true})
 	h.advance(postPromotionHold, func() {
 		h.poll("p", Primary, 7)
 		h.poll("a", Replica, 7)
@@ -259,7 +259,7 @@
 func TestNewOwnerReplacesListedPrimary(t *testing.T) {
 	for _, listed := range []ident.ServerID{"p", "a", ""} {
 		h := &harness{t: t, now: time.Unix(1000, 0)}
-		h.m = New(Config{Servers: []ident.ServerID{"p", "a", "b"}, Claimant: "me", Timing: synchTiming, Synchronous: true})
+		h.m = New(Config{Servers: []ident.ServerID{"p", "a", "b"}, Claimant: "me", Timing: synchTiming, Fenced: true})
 		h.m.SetListed(listed)
 		claim, claimed := find[Claim](h.advance(6*time.Second, h.reportPrimaryDown))
 		if claimed != (listed == "p") {
@@ -312,7 +312,7 @@
 // and left the list, before the present owners had reached it.
 func TestGroupWithoutListedPrimaryGetsOne(t *testing.T) {
 	h := &harness{t: t, now: time.Unix(1000, 0)}
-	h.m = New(Config{Servers: []ident.ServerID{"a", "b"}, Claimant: "me", Timing: synchTiming, Synchronous: true})
+	h.m = New(Config{Servers: []ident.ServerID{"a", "b"}, Claimant: "me", Timing: synchTiming, Fenced: true})
 	h.step(Recorded{Record: Record{Members: threeMembers()}, Version: 1})
 	replicas := func() { h.poll("a", Replica, 7); h.poll("b", Replica, 9) }
 	actions := h.advance(missingPrimaryDelay-100*time.Millisecond, replicas)
--- a/internal/rule/group/detect.go
+++ b/internal/rule/group/detect.go
@@ -34,7 +34,7 @@
 	if p.status.Role != Primary {
 		return fmt.Sprintf("it reports that it is a replica in term %d", p.status.Term), m.countAnswering(now) >= Majority(len(m.servers))
 	}
-	if m.conf.Synchronous && !m.unreplicatedSince.IsZero() && now.Sub(m.unreplicatedSince) > m.conf.Timing.Silence && m.countAnswering(now) >= Majority(len(m.servers)) {
+	if m.conf.Fenced && !m.unreplicatedSince.IsZero() && now.Sub(m.unreplicatedSince) > m.conf.Timing.Silence && m.countAnswering(now) >= Majority(len(m.servers)) {
 		return fmt.Sprintf("no replica has received its position %s, which it reached %v ago", m.unreplicated, now.Sub(m.unreplicatedSince).Round(time.Millisecond)), true
 	}
 	return m.checkAbandonedSeal(now, p)
@@ -42,14 +42,14 @@
 
 // canHandOver reports whether the servers that stay and answer are a majority, so that a
 // leaving or evacuated primary can be replaced. An evacuated primary stays a member and can be sealed, so it counts
-// itself, except in a synchronous group, where only the replicas hold every acknowledged write.
+// itself, except in a fenced group, where only the replicas hold every acknowledged write.
 func (m *Machine) canHandOver(now time.Time) bool {
 	staying := 0
-	if m.conf.Synchronous {
+	if m.conf.Fenced {
 		staying++ // the replicas alone hold every acknowledged write, so one server fewer must answer
 	}
 	for id, s := range m.servers {
-		if (id != m.primary || !m.conf.Synchronous) && !m.leaving[id] && m.isAnswering(now, s) {
+		if (id != m.primary || !m.conf.Fenced) && !m.leaving[id] && m.isAnswering(now, s) {
 			staying++
 		}
 	}
@@ -90,7 +90,7 @@
 }
 
 // majoritySeal returns the highest term for which servers are sealed, if those that are not sealed
-// above the current term are no majority; otherwise 0. Sealed replicas of a synchronous group are
+// above the current term are no majority; otherwise 0. Sealed replicas of a fenced group are
 // released instead.
 func (m *Machine) majoritySeal() ident.Term {
 	following, highest := 0, ident.Term(0)
@@ -100,7 +100,7 @@
 		}
 		highest = max(highest, s.status.Sealed)
 	}
-	if m.conf.Synchronous || following >= Majority(len(m.servers)) {
+	if m.conf.Fenced || following >= Majority(len(m.servers)) {
 		return 0
 	}
 	return highest
@@ -108,7 +108,7 @@
 
 // checkUnknownPrimary reports whether a server must be promoted while no primary is known.
 func (m *Machine) checkUnknownPrimary(now time.Time) (string, bool) {
-	if m.conf.Synchronous {
+	if m.conf.Fenced {
 		if evidence, lost := m.checkListedPrimary(now); lost {
 			return evidence, true
 		}
@@ -172,7 +172,7 @@
 
 // suspicionDelay returns how long a primary may be unreachable before it is suspected.
 func (m *Machine) suspicionDelay(p *server) time.Duration {
-	if p.refused && m.conf.Synchronous {
+	if p.refused && m.conf.Fenced {
 		return m.conf.Timing.Silence / refusedSilenceDivisor
 	}
 	return m.conf.Timing.Silence
@@ -185,8 +185,8 @@
 	if silence < m.suspicionDelay(p) || !p.newConnFailed {
 		return "", false
 	}
-	if m.conf.Synchronous {
-		return m.checkUnreachableSynchronous(now, silence)
+	if m.conf.Fenced {
+		return m.checkUnreachableFenced(now, silence)
 	}
 	hearing, answering := m.countHearingPrimary(now)
 	if answering < Majority(len(m.servers)) {
@@ -202,10 +202,10 @@
 	return "", false
 }
 
-// checkUnreachableSynchronous decides for a synchronous group, whose replicas do not report
+// checkUnreachableFenced decides for a fenced group, whose replicas do not report
 // whether they hear from the primary: no other instance may reach it either, unless the
 // silence has lasted for pathSilenceFactor times PathSilence.
-func (m *Machine) checkUnreachableSynchronous(now time.Time, silence time.Duration) (string, bool) {
+func (m *Machine) checkUnreachableFenced(now time.Time, silence time.Duration) (string, bool) {
 	if !m.noPeerReachesPrimary(now) && silence < pathSilenceFactor*m.conf.Timing.PathSilence {
 		return "", false
 	}
--- a/internal/rule/group/doc.go
+++ b/internal/rule/group/doc.go
@@ -11,6 +11,6 @@
 // platform's record and the views of other instances only make failover faster and
 // prevent needless ones.
 //
-// In a synchronous group the servers count terms themselves and know no claimants.
+// In a fenced group the servers count terms themselves and know no claimants.
 // There a promotion also needs a claim that the platform has recorded.
 package group
--- a/internal/rule/group/event.go
+++ b/internal/rule/group/event.go
@@ -16,13 +16,13 @@
 	Claimant Claimant       `json:"claimant"`
 	// Settled is set once the primary has been promoted in the term.
 	Settled bool `json:"settled"`
-	// Claim numbers the claims of a synchronous group; ReplacedTerm is the term whose
+	// Claim numbers the claims of a fenced group; ReplacedTerm is the term whose
 	// primary the claim is to replace.
 	Claim        uint64     `json:"claim,omitempty"`
 	ReplacedTerm ident.Term `json:"from,omitempty"`
 	// Earlier counts the claims before this one that were to replace the same term.
 	Earlier int `json:"earlier,omitempty"`
-	// Members are the servers of a synchronous group that a claim has to seal, except the primary.
+	// Members are the servers of a fenced group that a claim has to seal, except the primary.
 	// Only what a member has received counts for acknowledgements.
 	Members []Member `json:"members,omitempty"`
 	// Former are members that are being removed: claims have to seal them, but they prove nothing any more.
@@ -70,7 +70,7 @@
 // Recorded reports the record that is stored on the platform; zero if it is unknown.
 type Recorded struct {
 	Record Record
-	// Version is the version of the record's object; 0 if the group is not synchronous.
+	// Version is the version of the record's object; 0 if the group is not fenced.
 	Version ident.Version
 }
 
@@ -133,7 +133,7 @@
 type Seal struct {
 	Server ident.ServerID
 	Term   ident.Term
-	// Held is Term, or in a synchronous group the term that its next primary will lead, since the
+	// Held is Term, or in a fenced group the term that its next primary will lead, since the
 	// promotion ends seals up to that term only.
 	Held     ident.Term
 	Claimant Claimant
@@ -147,7 +147,7 @@
 	Claim    uint64
 	// Fence is the number that the order carries.
 	Fence uint64
-	// Sealed is what the server reported when it was sealed, in a synchronous group.
+	// Sealed is what the server reported when it was sealed, in a fenced group.
 	Sealed Status
 	// NotBefore is the earliest time to send the order, so that read leases at the old
 	// primary have expired; zero means at once.
--- a/internal/rule/group/lease.go
+++ b/internal/rule/group/lease.go
@@ -54,13 +54,14 @@
 	trusted bool
 }
 
-// TermLease is an instance's proof that a synchronous group's term has not ended. It relies on two
+// TermLease is an instance's proof that a fenced group's term has not ended. It relies on two
 // facts: a claim orders no promotion before it has sealed every member but the primary, and no
 // promotion takes effect within PromotionTime of any of these seals. So while the lease is
 // valid, a member that is seen unsealed extends it, and what a member has received is in the
 // log of every later primary. A record that is not read again expires, since its members may be removed: first
 // for one member by itself, then for all together. A TermLease is not safe for concurrent use.
 type TermLease struct {
+	conf    LeaseConfig
 	servers map[ident.ServerID]Member
 	leaving map[ident.ServerID]bool
 	states  map[ident.ServerID]*witness
@@ -89,9 +90,16 @@
 	proven map[ident.Term]ident.Position
 }
 
+// LeaseConfig configures a TermLease.
+type LeaseConfig struct {
+	// Asynchronous is set if the primary acknowledges writes that no replica has received. What it has is then
+	// proven while it is the only member.
+	Asynchronous bool
+}
+
 // NewTermLease returns a TermLease that knows of no server.
-func NewTermLease() *TermLease {
-	return &TermLease{states: map[ident.ServerID]*witness{}, proven: map[ident.Term]ident.Position{}}
+func NewTermLease(c LeaseConfig) *TermLease {
+	return &TermLease{conf: c, states: map[ident.ServerID]*witness{}, proven: map[ident.Term]ident.Position{}}
 }
 
 // SetServers replaces the list of servers, and the set of those that are about to leave.
@@ -274,9 +282,21 @@
 func (l *TermLease) confirm(p Poll) {
 	if p.Status.Role == Primary && p.Status.Term == l.term && p.Status.Sealed <= l.term {
 		l.confirmed, l.confirmedAsked = p.Status, p.Asked
+		if l.conf.Asynchronous && l.primaryIsAlone() {
+			l.proven[l.term] = max(l.proven[l.term], p.Status.Received)
+		}
 	}
 }
 
+// primaryIsAlone reports whether no member could show by its seal that a claim has begun, so that only the record
+// extends the lease.
+func (l *TermLease) primaryIsAlone() bool {
+	if !l.recordKnown {
+		return false
+	}
+	return !slices.ContainsFunc(l.record.sealedByClaims(), func(s Member) bool { return s.Server != l.primary })
+}
+
 // witnessOf returns what is known of a member; nil if it is not listed or has never answered.
 func (l *TermLease) witnessOf(member Member) *witness {
 	w := l.states[member.Server]
@@ -319,6 +339,9 @@
 	if l.term == 0 || !l.recordKnown || !now.Before(l.until) {
 		return FreshRecordAge, true
 	}
+	if l.conf.Asynchronous && l.primaryIsAlone() && !now.Before(l.until.Add(-PromotionTime/2)) {
+		return FreshRecordAge, true
+	}
 	for id, s := range l.servers {
 		w := l.states[id]
 		if w == nil || !w.known || id == l.primary {
--- a/internal/rule/group/lease_test.go
+++ b/internal/rule/group/lease_test.go
@@ -17,7 +17,7 @@
 
 // newWatched returns a lease that is valid from a record that lists three members.
 func newWatched(now time.Time) *watched {
-	w := &watched{lease: NewTermLease(), now: now.Add(-2 * time.Millisecond)}
+	w := &watched{lease: NewTermLease(LeaseConfig{}), now: now.Add(-2 * time.Millisecond)}
 	w.lease.SetServers(threeMembers(), nil)
 	w.pollAll()
 	w.now = now.Add(-time.Millisecond)
--- a/internal/rule/group/lists_broken_test.go
+++ b/internal/rule/group/lists_broken_test.go
@@ -77,7 +77,7 @@
 		if name == "answers-passed-on-at-once" {
 			return passOnAtOnce{}
 		}
-		return &brokenAcks{proven: proven{lease: NewTermLease()}, name: name}
+		return &brokenAcks{proven: proven{lease: NewTermLease(LeaseConfig{})}, name: name}
 	})
 	m.ageNotCounted = name == "age-not-counted"
 	m.alter = func(_ int, e Event) Event { return breakEvent(name, e) }
--- a/internal/rule/group/lists_model_test.go
+++ b/internal/rule/group/lists_model_test.go
@@ -411,7 +411,7 @@
 	t.Parallel()
 	promotions, writes, failed, first := 0, 0, 0, ""
 	for seed := range uint64(synchSchedules) {
-		m := newListsModel(seed, plan, func(*listsModel, *listsInstance) acknowledger { return &proven{lease: NewTermLease()} })
+		m := newListsModel(seed, plan, func(*listsModel, *listsInstance) acknowledger { return &proven{lease: NewTermLease(LeaseConfig{})} })
 		if v := m.run(synchSteps); v != "" {
 			failed++
 			if first == "" {
--- a/internal/rule/group/machine.go
+++ b/internal/rule/group/machine.go
@@ -16,9 +16,9 @@
 	Timing Timing
 	// Rank orders the instances that watch the group: rank 0 acts first. SetRank changes it.
 	Rank int
-	// Synchronous is set if the primary acknowledges a write once any one replica has
-	// received it and the servers count terms themselves.
-	Synchronous bool
+	// Fenced is set if the servers count terms themselves and know no claimants, so that a promotion needs a
+	// recorded claim, whose fencing token its orders carry.
+	Fenced bool
 }
 
 // peerViewLifetime is how long another instance's view of a server stays valid.
@@ -181,7 +181,7 @@
 // epoch the store has lost records: they are published again, and no claim is made until
 // those that it may have lost have expired.
 func (m *Machine) SetEpoch(e ident.Epoch, since time.Time) {
-	if e > m.epoch && !m.conf.Synchronous {
+	if e > m.epoch && !m.conf.Fenced {
 		m.record = Record{}
 	}
 	if e > m.epoch && m.epochKnown {
@@ -192,7 +192,7 @@
 
 // mayClaim reports whether no earlier claim, order or restore forbids a claim.
 func (m *Machine) mayClaim(now time.Time) bool {
-	if !m.conf.Synchronous {
+	if !m.conf.Fenced {
 		return !now.Before(m.claimNotBefore)
 	}
 	otherClaims := m.record.Claimant != m.conf.Claimant && m.record.ReplacedTerm >= m.latestTerm() && now.Before(m.claimSeenAt.Add(claimBackoff))
@@ -253,7 +253,7 @@
 	known.status, known.known = s, true
 	known.answeredAt, known.missingSince, known.newConnFailed, known.refused = now, time.Time{}, false, false
 	var actions []Action
-	if m.conf.Synchronous {
+	if m.conf.Fenced {
 		m.trackReplication(now)
 		m.updateRequired(e)
 	}
@@ -273,23 +273,23 @@
 
 // acceptPrimary makes a server that reports a later term the group's primary.
 func (m *Machine) acceptPrimary(now time.Time, s Status) []Action {
-	if holdUntil := now.Add(postPromotionHold); m.conf.Synchronous && m.claimNotBefore.Before(holdUntil) {
+	if holdUntil := now.Add(postPromotionHold); m.conf.Fenced && m.claimNotBefore.Before(holdUntil) {
 		m.claimNotBefore = holdUntil
 	}
 	m.term, m.primary, m.suspected = s.Term, s.Server, false
 	m.required, m.requiredUnknown, m.primaryGoneAt = s.Received, false, time.Time{}
 	m.unreplicatedSince, m.abandonedSealSince = time.Time{}, time.Time{}
-	if m.phase != idle && (m.attemptTerm <= s.Term || m.conf.Synchronous) {
+	if m.phase != idle && (m.attemptTerm <= s.Term || m.conf.Fenced) {
 		m.phase = idle
 	}
 	return []Action{m.journalEntry(Confirmed, s.Server, fmt.Sprintf("it reports that it is the primary of term %d at position %s", s.Term, s.Received))}
 }
 
 // repoint makes a server follow the primary if it is in an earlier term or has lost
-// contact with its upstream; in a synchronous group, only a primary of an earlier term.
+// contact with its upstream; in a fenced group, only a primary of an earlier term.
 func (m *Machine) repoint(now time.Time, s Status) []Action {
 	stale := s.Term < m.term || s.Role == Replica && s.UpstreamSilence > m.conf.Timing.Silence
-	if m.conf.Synchronous {
+	if m.conf.Fenced {
 		stale = s.Term < m.term && s.Role == Primary
 	}
 	if !stale || s.Server == m.primary || m.primary == "" || m.suspected || s.Sealed > m.term {
@@ -334,7 +334,7 @@
 
 func (m *Machine) handleRecord(now time.Time, e Recorded) []Action {
 	r := e.Record
-	if m.conf.Synchronous {
+	if m.conf.Fenced {
 		m.learnRecord(now, r, e.Version)
 		return nil
 	}
@@ -365,7 +365,7 @@
 		m.suspected, m.suspectedSince = true, now
 		actions = append(actions, m.journalEntry(Suspected, m.primary, evidence))
 	}
-	if m.conf.Synchronous && !m.canPromote(now) {
+	if m.conf.Fenced && !m.canPromote(now) {
 		return actions
 	}
 	stagger := time.Duration(m.conf.Rank) * m.conf.Timing.Stagger
--- a/internal/rule/group/member.go
+++ b/internal/rule/group/member.go
@@ -114,7 +114,7 @@
 // if they have started again, otherwise in two steps, since an instance may go on with them that does not reach
 // the platform's store.
 func (m *Machine) changeMembers(now time.Time) []Action {
-	if !m.conf.Synchronous || m.primary == "" && m.missingPrimarySince.IsZero() {
+	if !m.conf.Fenced || m.primary == "" && m.missingPrimarySince.IsZero() {
 		return nil
 	}
 	change := ChangeMembers{Term: m.term, Claim: m.record.Claim, ClaimExpired: m.claimExpired(now), Epoch: m.epoch}
--- a/internal/rule/group/rejoin_model_test.go
+++ b/internal/rule/group/rejoin_model_test.go
@@ -152,7 +152,7 @@
 	for seed := range uint64(synchSchedules) {
 		m := newSynchModel(seed, "", false)
 		m.rejoin = &rejoin{reconnect: reconnect}
-		m.leases = []*TermLease{NewTermLease(), NewTermLease(), NewTermLease()}
+		m.leases = []*TermLease{NewTermLease(LeaseConfig{}), NewTermLease(LeaseConfig{}), NewTermLease(LeaseConfig{})}
 		m.intercept = func(at int, a Action) bool {
 			change, ok := a.(ChangeMembers)
 			if ok {
--- a/internal/rule/group/script_test.go
+++ b/internal/rule/group/script_test.go
@@ -171,7 +171,7 @@
 // and of the record, and what its lease proves then. Times are in milliseconds.
 func TestTermLeaseScripts(t *testing.T) {
 	playScripts(t, "testdata/lease.script", func() func(scriptLine) string {
-		lease := NewTermLease()
+		lease := NewTermLease(LeaseConfig{})
 		return func(l scriptLine) string {
 			now := 0
 			switch l.words[0] {
@@ -223,7 +223,7 @@
 // and of the record, and which change of members it asks for. Times are in milliseconds.
 func TestMemberScripts(t *testing.T) {
 	playScripts(t, "testdata/member.script", func() func(scriptLine) string {
-		m := New(Config{Claimant: "i", Timing: synchTiming, Synchronous: true})
+		m := New(Config{Claimant: "i", Timing: synchTiming, Fenced: true})
 		return func(l scriptLine) string {
 			var actions []Action
 			switch l.words[0] {
--- a/internal/rule/group/servers.go
+++ b/internal/rule/group/servers.go
@@ -48,7 +48,7 @@
 func (m *Machine) SetListed(id ident.ServerID) { m.listedPrimary = id }
 
 // SetLeaving sets the servers that are about to be removed from the group. A primary
-// among them is replaced. They are not promoted themselves, except in a synchronous
+// among them is replaced. They are not promoted themselves, except in a fenced
 // group if one is more advanced than every server that stays.
 func (m *Machine) SetLeaving(leaving map[ident.ServerID]bool) { m.leaving = leaving }
 
--- a/internal/rule/group/synch.go
+++ b/internal/rule/group/synch.go
@@ -98,7 +98,7 @@
 // promotion while its primary is still active.
 func (m *Machine) releaseStaleSeal(now time.Time, known *server) []Action {
 	s := known.status
-	if !m.conf.Synchronous || s.Role != Replica || s.Sealed <= m.term {
+	if !m.conf.Fenced || s.Role != Replica || s.Sealed <= m.term {
 		known.sealedSince = time.Time{}
 		return nil
 	}
@@ -151,7 +151,7 @@
 // hasSealQuorum reports whether the sealed servers are certain to hold every
 // acknowledged write and to prevent new acknowledgements in the old term.
 func (m *Machine) hasSealQuorum() bool {
-	if !m.conf.Synchronous {
+	if !m.conf.Fenced {
 		sealed := 0
 		for id := range m.servers {
 			if _, ok := m.sealed[id]; ok {
@@ -182,7 +182,7 @@
 // one of them can succeed it. The attempt is abandoned if none can, or if a server has
 // joined in the meantime.
 func (m *Machine) sealPrimary(now time.Time) []Action {
-	if !m.conf.Synchronous || m.primary == "" || !m.answeredLastPoll(m.primary) {
+	if !m.conf.Fenced || m.primary == "" || !m.answeredLastPoll(m.primary) {
 		return nil
 	}
 	old := m.servers[m.primary].status
@@ -210,13 +210,13 @@
 	return s != nil && s.known && s.missingSince.IsZero()
 }
 
-// successor chooses the server to promote: the most advanced one. In a synchronous group it is a
+// successor chooses the server to promote: the most advanced one. In a fenced group it is a
 // candidate of the claim, and among equals a server that stays is preferred to one that leaves, and both to one in
 // an evacuated data centre. The
 // primary, which has been demoted by then, succeeds itself only if no other is in its term and has the
 // required position.
 func (m *Machine) successor(statuses []Status) Status {
-	if !m.conf.Synchronous {
+	if !m.conf.Fenced {
 		return m.mostAdvanced(statuses)
 	}
 	successor, demoted := Status{}, Status{}
@@ -266,9 +266,9 @@
 // another claimant was first, or if orders of another holder may be under way. Claim numbers follow the
 // versions, so that no number is used again after a restore has lost the record of a claim. A holder keeps its
 // fence in one epoch, so that an order of its own that comes late carries no lower one.
-func (c Claim) Evaluate(kept Record, version ident.Version, synchronous bool) (Record, bool) {
+func (c Claim) Evaluate(kept Record, version ident.Version, fenced bool) (Record, bool) {
 	r := c.Record
-	if !synchronous {
+	if !fenced {
 		return r, kept.Term < r.Term || kept.Claimant == r.Claimant
 	}
 	if kept.Claimant != r.Claimant && kept.ReplacedTerm >= r.ReplacedTerm && kept.Claim > c.LastClaim {
--- a/internal/rule/group/synch_model_test.go
+++ b/internal/rule/group/synch_model_test.go
@@ -116,7 +116,7 @@
 		m.servers = append(m.servers, &synchServer{id: id, term: 1})
 		name := Claimant(fmt.Sprintf("m%d", at))
 		m.claimants = append(m.claimants, name)
-		m.machines = append(m.machines, New(Config{Servers: ids, Claimant: name, Rank: at, Timing: synchTiming, Synchronous: true}))
+		m.machines = append(m.machines, New(Config{Servers: ids, Claimant: name, Rank: at, Timing: synchTiming, Fenced: true}))
 	}
 	m.servers[0].role = Primary
 	return m
