confs: use what the platform has accepted, without the entries that can't be served

The users' platform accepts by rules of its own and hears of no refusal. In the same way one field that could not be decoded, as 2500.5 for a whole number, cost the whole version.

Change: the head says whether another authority has accepted the configuration. Such a one is in force but for entries that can't be served, and those that need them; each is in the log and counted (configuration-entry-omitted). Our own configurations are checked as before, and the log of a refusal names the mistakes.

--- a/internal/confs/cache.go
+++ b/internal/confs/cache.go
@@ -59,8 +59,9 @@
 	c.callbacks = append(c.callbacks, f)
 }
 
-// Offer puts a configuration to use if it is newer than the current one, complete and
-// valid, and reports whether it did. The version in use never decreases.
+// Offer puts a configuration to use if it is newer than the current one, complete and valid, and
+// reports whether it did. One that another authority has accepted is used without the entries that
+// can't be served. The version in use never decreases.
 func (c *Cache) Offer(b Bundle, source string) bool {
 	c.mu.Lock()
 	if b.Version <= c.bundle.Version || b.Version == c.rejected {
@@ -68,15 +69,22 @@
 		return false
 	}
 	config, err := b.Config()
-	mistakes := 0
-	if err == nil {
-		mistakes = len(conf.Check(&config))
+	var mistakes, omitted []conf.Mistake
+	switch {
+	case err != nil:
+	case b.Head.Accepted:
+		omitted = append(slices.Clone(b.Head.Omitted), conf.Omit(&config)...)
+	default:
+		mistakes = conf.Check(&config)
 	}
-	if err != nil || mistakes > 0 {
+	if err != nil || len(mistakes) > 0 {
 		if err == nil {
 			c.rejected = b.Version
 		}
 		c.mu.Unlock()
+		if len(mistakes) > 0 {
+			err = &InvalidError{Mistakes: mistakes}
+		}
 		c.logRejection(b, err, source)
 		return false
 	}
@@ -90,6 +98,9 @@
 		Kind: jrnl.ConfigInForce, Version: b.Version,
 		Evidence: "learnt from " + source + "; written by " + b.Head.Author + ": " + b.Head.Reason,
 	})
+	for _, m := range omitted {
+		c.journal.Add(jrnl.Event{Kind: jrnl.EntryOmitted, Version: b.Version, Evidence: m.Error() + "; the rest is in force"})
+	}
 	for _, f := range callbacks {
 		f(snapshot)
 	}
@@ -197,11 +208,7 @@
 
 // logRejection logs why a configuration was rejected.
 func (c *Cache) logRejection(b Bundle, err error, source string) {
-	evidence := "the configuration is invalid"
-	if err != nil {
-		evidence = err.Error()
-	}
-	c.journal.Add(jrnl.Event{Kind: jrnl.ConfigRefused, Version: b.Version, Evidence: evidence + "; learnt from " + source})
+	c.journal.Add(jrnl.Event{Kind: jrnl.ConfigRefused, Version: b.Version, Evidence: err.Error() + "; learnt from " + source})
 }
 
 // withListedPages returns the bundle without the pages that its head does not list.
--- a/internal/jrnl/event.go
+++ b/internal/jrnl/event.go
@@ -58,6 +58,7 @@
 	MalformedAnswer               // malformed-answer
 	EvacuationBegun               // evacuation-begun
 	EvacuationEnded               // evacuation-ended
+	EntryOmitted                  // configuration-entry-omitted
 	Other                         // other
 	kindCount
 )
--- a/internal/jrnl/kind_string.go
+++ b/internal/jrnl/kind_string.go
@@ -52,13 +52,14 @@
 	_ = x[MalformedAnswer-41]
 	_ = x[EvacuationBegun-42]
 	_ = x[EvacuationEnded-43]
-	_ = x[Other-44]
-	_ = x[kindCount-45]
+	_ = x[EntryOmitted-44]
+	_ = x[Other-45]
+	_ = x[kindCount-46]
 }
 
-const _Kind_name = "instance-startedinstance-stoppingrequest-refusedrequest-retriedoutcome-unknownprimary-suspectedprimary-recoveredterm-claimedclaim-lostclaim-without-platformmajority-sealedseal-failedserver-promotedprimary-confirmedserver-repointedtail-discardedconfiguration-in-forceconfiguration-refusedcallers-of-withdrawn-key-endedplatform-lostplatform-backshare-changedtokens-movedpeer-joinedpeer-lostowner-changedserver-leavingsurplus-answersession-movedconnection-silentincident-unwrittenservers-listedrequest-slowplatform-restoredanswer-lostserver-sealedserver-not-sealedseal-releasedorder-sentsuperseded-answermembers-changedmalformed-answerevacuation-begunevacuation-endedotherkindCount"
+const _Kind_name = "instance-startedinstance-stoppingrequest-refusedrequest-retriedoutcome-unknownprimary-suspectedprimary-recoveredterm-claimedclaim-lostclaim-without-platformmajority-sealedseal-failedserver-promotedprimary-confirmedserver-repointedtail-discardedconfiguration-in-forceconfiguration-refusedcallers-of-withdrawn-key-endedplatform-lostplatform-backshare-changedtokens-movedpeer-joinedpeer-lostowner-changedserver-leavingsurplus-answersession-movedconnection-silentincident-unwrittenservers-listedrequest-slowplatform-restoredanswer-lostserver-sealedserver-not-sealedseal-releasedorder-sentsuperseded-answermembers-changedmalformed-answerevacuation-begunevacuation-endedconfiguration-entry-omittedotherkindCount"
 
-var _Kind_index = [...]uint16{0, 16, 33, 48, 63, 78, 95, 112, 124, 134, 156, 171, 182, 197, 214, 230, 244, 266, 287, 317, 330, 343, 356, 368, 379, 388, 401, 415, 429, 442, 459, 477, 491, 503, 520, 531, 544, 561, 574, 584, 601, 616, 632, 648, 664, 669, 678}
+var _Kind_index = [...]uint16{0, 16, 33, 48, 63, 78, 95, 112, 124, 134, 156, 171, 182, 197, 214, 230, 244, 266, 287, 317, 330, 343, 356, 368, 379, 388, 401, 415, 429, 442, 459, 477, 491, 503, 520, 531, 544, 561, 574, 584, 601, 616, 632, 648, 664, 691, 696, 705}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/internal/review/logs.go
+++ b/internal/review/logs.go
@@ -130,7 +130,7 @@
 	switch e.Kind {
 	case jrnl.Refused, jrnl.Retried, jrnl.OutcomeUnknown, jrnl.RequestSlow, jrnl.AnswerLost:
 		return false
-	case jrnl.ShareChanged, jrnl.ConfigInForce, jrnl.ConfigRefused, jrnl.PlatformLost, jrnl.PlatformBack, jrnl.PlatformRestored, jrnl.Started, jrnl.Stopping, jrnl.CallersEnded:
+	case jrnl.ShareChanged, jrnl.ConfigInForce, jrnl.ConfigRefused, jrnl.EntryOmitted, jrnl.PlatformLost, jrnl.PlatformBack, jrnl.PlatformRestored, jrnl.Started, jrnl.Stopping, jrnl.CallersEnded:
 		return instances[e.Instance]
 	case jrnl.PeerJoined, jrnl.PeerLost:
 		return instances[e.Instance]
--- a/internal/review/review.go
+++ b/internal/review/review.go
@@ -173,6 +173,7 @@
 	jrnl.SealFailed: "abandoned this failover attempt", jrnl.ServerPromoted: "promoted a server", jrnl.PrimaryConfirmed: "confirmed the new primary",
 	jrnl.ServerRepointed: "repointed a server to the new primary", jrnl.TailDiscarded: "made a server discard writes that no majority had received",
 	jrnl.ConfigInForce: "put a configuration in force", jrnl.ConfigRefused: "rejected a configuration and kept the old one",
+	jrnl.EntryOmitted: "left an entry of the configuration out, which it can't serve",
 	jrnl.CallersEnded: "closed callers' connections", jrnl.PlatformLost: "lost contact with the platform", jrnl.PlatformBack: "reached the platform again",
 	jrnl.PlatformRestored: "found the platform restored from an older copy",
 	jrnl.ShareChanged:     "changed its share of the rate limits", jrnl.PeerJoined: "connected to an instance", jrnl.PeerLost: "lost the connection to an instance",
--- a/internal/rule/conf/check.go
+++ b/internal/rule/conf/check.go
@@ -23,9 +23,9 @@
 
 // Mistake is one validation error of a configuration.
 type Mistake struct {
-	Section string
-	Key     string
-	Want    string
+	Section string `json:"section"`
+	Key     string `json:"key"`
+	Want    string `json:"want"`
 }
 
 // Error implements error.
@@ -36,7 +36,9 @@
 
 // checker collects mistakes.
 type checker struct {
-	conf     *Config
+	conf *Config
+	// accepted is set if another authority has accepted the configuration: only what can't be served is a mistake.
+	accepted bool
 	mistakes []Mistake
 }
 
@@ -63,10 +65,13 @@
 		k.exception(name, e)
 	}
 	for id, center := range c.Centers {
-		k.name("center", string(id))
-		k.want(center.Part > 0, "center "+string(id), "part", "a whole number above 0")
+		k.center(id, center)
 	}
 	k.servers()
+	return k.sorted()
+}
+
+func (k *checker) sorted() []Mistake {
 	slices.SortFunc(k.mistakes, func(a, b Mistake) int { return strings.Compare(a.Error(), b.Error()) })
 	return k.mistakes
 }
@@ -79,6 +84,10 @@
 }
 
 func (k *checker) name(kind, name string) {
+	if k.accepted {
+		k.want(name != "", kind+" "+name, "name", "a name")
+		return
+	}
 	ok := name != "" && len(name) <= maxName
 	for _, c := range name {
 		ok = ok && (c >= 'a' && c <= 'z' || c >= '0' && c <= '9' || c == '-' || c == '.' || c == '_')
@@ -98,11 +107,21 @@
 	k.want(d.Poll*3 <= d.Silence, "defaults", "silence", "at least three times poll")
 }
 
+func (k *checker) center(id ident.CenterID, c Center) {
+	k.name("center", string(id))
+	k.want(c.Part > 0, "center "+string(id), "part", "a whole number above 0")
+}
+
 func (k *checker) group(id ident.GroupID, g Group) {
 	section := "group " + string(id)
 	k.name("group", string(id))
 	k.want(len(g.Servers) > 0 || g.Listed, section, "servers", "at least one NAME@CENTER/ADDRESS")
-	k.want(g.Connections >= 2, section, "connections", "a whole number, at least 2")
+	// An owner polls over one connection and serves requests over another, but manages with one.
+	minConnections := 2
+	if k.accepted {
+		minConnections = 1
+	}
+	k.want(g.Connections >= minConnections, section, "connections", fmt.Sprintf("a whole number, at least %d", minConnections))
 	k.want(g.ColdRate >= 0 && g.ColdTime >= 0, section, "cold-rate", "requests a second, not negative")
 	k.want(g.Slots >= 1, section, "slots", "a whole number above 0")
 	for _, s := range g.Servers {
@@ -152,7 +171,7 @@
 func (k *checker) customer(id ident.CustomerID, c Customer) {
 	section := "customer " + string(id)
 	k.name("customer", string(id))
-	k.want(c.Rate > 0, section, "rate", "requests a second, above 0")
+	k.want(c.Rate > 0 || c.Rate == 0 && k.accepted, section, "rate", "requests a second, above 0")
 	k.want(c.Burst >= 1, section, "burst", "requests, at least 1")
 	k.want(c.RestartAllowance >= 0, section, "restart", "requests, not negative")
 	k.want(!slices.Contains(c.Regions, ""), section, "regions", "names of regions")
--- a/internal/rule/conf/pages.go
+++ b/internal/rule/conf/pages.go
@@ -25,6 +25,11 @@
 	Pages  []PageName `json:"pages"`
 	Author string     `json:"author"`
 	Reason string     `json:"reason,omitempty"`
+	// Accepted is set if another authority has accepted the configuration, which is then in force without the
+	// entries that can't be served. Any other is in force only without a mistake.
+	Accepted bool `json:"accepted,omitempty"`
+	// Omitted are the entries of an accepted configuration that no page has, as they could not be translated.
+	Omitted []Mistake `json:"omitted,omitempty"`
 }
 
 // Schema is the version of the page format.
