--- a/internal/bench/faults.go
+++ b/internal/bench/faults.go
@@ -194,7 +194,7 @@
 		return err.Error(), noHeal
 	}
 	for _, m := range s.fleet.Members() {
-		for m.Instance.Snapshot().Version < version && ctx.Err() == nil {
+		for m.Instance.Snapshot().Version.Before(version) && ctx.Err() == nil {
 			time.Sleep(5 * time.Millisecond)
 		}
 	}
--- a/internal/cmds/config.go
+++ b/internal/cmds/config.go
@@ -35,7 +35,7 @@
 	if err != nil {
 		return conf.Config{}, b, err
 	}
-	if b.Version == 0 {
+	if b.Version.IsZero() {
 		return conf.New(), b, nil
 	}
 	loaded, err := b.Config()
--- a/internal/cmds/evacuate.go
+++ b/internal/cmds/evacuate.go
@@ -41,7 +41,7 @@
 	if err != nil {
 		return err
 	}
-	if b.Version > 0 && !conf.NewSnapshot(config, b.Version).KnowsCenter(ident.CenterID(name)) {
+	if !b.Version.IsZero() && !conf.NewSnapshot(config, b.Version).KnowsCenter(ident.CenterID(name)) {
 		return &NotFoundError{Kind: "data centre", Name: name}
 	}
 	spec, err := json.Marshal(map[string]string{"reason": c.String("reason")})
@@ -69,7 +69,7 @@
 	if err != nil {
 		return err
 	}
-	if err := s.Delete(ctx, objs.Evacuations, name, 0); err != nil {
+	if err := s.Delete(ctx, objs.Evacuations, name, ident.Version{}); err != nil {
 		return err
 	}
 	p.print("end of the evacuation of %s accepted\n", name)
--- a/internal/confs/accepted_test.go
+++ b/internal/confs/accepted_test.go
@@ -10,6 +10,7 @@
 
 	"geraniumseam.dev/internal/jrnl"
 	"geraniumseam.dev/internal/rule/conf"
+	"geraniumseam.dev/pkg/ident"
 )
 
 // bundleOf returns a bundle of the configuration.
@@ -20,7 +21,7 @@
 		t.Fatal(err)
 	}
 	head.Accepted = accepted
-	return Bundle{Version: 1, Head: head, Pages: pages}
+	return Bundle{Version: ident.VersionOf(1), Head: head, Pages: pages}
 }
 
 // eventCounts returns the values of geraniumseam_events_total by kind.
--- a/internal/confs/cache.go
+++ b/internal/confs/cache.go
@@ -44,7 +44,7 @@
 // NewCache returns a Cache with an empty configuration of version 0. Ages are measured with now.
 func NewCache(j *jrnl.Journal, now func() time.Time) *Cache {
 	c := &Cache{journal: j, now: now, left: map[ident.ServerID]departure{}, bundle: Bundle{Pages: map[conf.PageName][]byte{}}}
-	c.base = conf.NewSnapshot(conf.New(), 0)
+	c.base = conf.NewSnapshot(conf.New(), ident.Version{})
 	c.current.Store(c.base)
 	return c
 }
@@ -64,7 +64,7 @@
 // can't be served. The version in use never decreases.
 func (c *Cache) Offer(b Bundle, source string) bool {
 	c.mu.Lock()
-	if b.Version <= c.bundle.Version || b.Version == c.rejected {
+	if !c.bundle.Version.Before(b.Version) || b.Version == c.rejected {
 		c.mu.Unlock()
 		return false
 	}
@@ -113,7 +113,7 @@
 	c.mu.Lock()
 	// Expired entries are removed from a list without a new version.
 	fewer := l.Version == c.listing.Version && l.Count() < c.listing.Count()
-	if l.Version <= c.listing.Version && !fewer {
+	if !c.listing.Version.Before(l.Version) && !fewer {
 		c.mu.Unlock()
 		return false
 	}
@@ -173,7 +173,7 @@
 
 // beginEpoch notes the epoch of a list; the caller holds mu.
 func (c *Cache) beginEpoch(epoch ident.Epoch) {
-	if epoch > c.listEpoch && c.listing.Version != 0 {
+	if epoch > c.listEpoch && !c.listing.Version.IsZero() {
 		c.copyUntil = clock.Now().Add(copyLifetime)
 	}
 	c.listEpoch = max(c.listEpoch, epoch)
@@ -195,7 +195,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	d, left := c.left[id]
-	writtenSince := v.Epoch() == d.list.Epoch() && v > d.list
+	writtenSince := v.Epoch() == d.list.Epoch() && d.list.Before(v)
 	return left && incarnation <= d.incarnation && !writtenSince
 }
 
--- a/internal/confs/confs_test.go
+++ b/internal/confs/confs_test.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"path"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -62,7 +61,7 @@
 func TestConcurrentApplyHasOneWinner(t *testing.T) {
 	p, s := newClient(t)
 	ctx := testContext(t)
-	base, err := Apply(ctx, s, configWithCustomers(1), 0, "first", "begin")
+	base, err := Apply(ctx, s, configWithCustomers(1), ident.Version{}, "first", "begin")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -137,11 +136,11 @@
 func TestOvertakenChangeIsNotReportedAsNotApplied(t *testing.T) {
 	p, other := newClient(t)
 	ctx := testContext(t)
-	base, err := Apply(ctx, other, configWithCustomers(1), 0, "first", "begin")
+	base, err := Apply(ctx, other, configWithCustomers(1), ident.Version{}, "first", "begin")
 	if err != nil {
 		t.Fatal(err)
 	}
-	applied := ident.Version(0)
+	applied := ident.Version{}
 	s := plat.New(plat.Config{
 		URL: p.URL(), CallTimeout: time.Second, Attempts: 3, Backoff: retry.Backoff{Initial: time.Millisecond, Max: 5 * time.Millisecond}, Random: rand.New(rand.NewPCG(1, 1)),
 		Transport: &overtaken{replace: func() {
@@ -195,7 +194,7 @@
 		t.Run(name, func(t *testing.T) {
 			p, other := newClient(t)
 			ctx := testContext(t)
-			base, err := Apply(ctx, other, configWithCustomers(2), 0, "first", "begin")
+			base, err := Apply(ctx, other, configWithCustomers(2), ident.Version{}, "first", "begin")
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -220,7 +219,7 @@
 				t.Fatal(err)
 			}
 			b, err := Load(ctx, other)
-			if err != nil || b.Version <= changed {
+			if err != nil || !changed.Before(b.Version) {
 				t.Fatalf("version %d, %v; want one after %d", b.Version, err, changed)
 			}
 			if c, err := b.Config(); err != nil || len(c.Customers) != 2 {
@@ -235,10 +234,10 @@
 func TestVersionNeverDecreases(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		k := NewCache(jrnl.New(jrnl.Config{Capacity: 10, Now: time.Now}), time.Now)
-		highest := ident.Version(0)
+		highest := ident.Version{}
 		for range rapid.IntRange(1, 30).Draw(t, "offers") {
-			version := ident.Version(rapid.IntRange(1, 20).Draw(t, "version"))
-			c := configWithCustomers(int(version))
+			version := ident.VersionOf(uint64(rapid.IntRange(1, 20).Draw(t, "version")))
+			c := configWithCustomers(int(version.Revision()))
 			if rapid.IntRange(0, 4).Draw(t, "invalid") == 0 {
 				c.Customers["a"] = conf.Customer{}
 			}
@@ -251,11 +250,11 @@
 			}
 			k.Offer(Bundle{Version: version, Head: head, Pages: pages}, "test")
 			now := k.Current()
-			if now.Version < highest {
-				t.Fatalf("version decreased from %d to %d", highest, now.Version)
+			if now.Version.Before(highest) {
+				t.Fatalf("version decreased from %s to %s", highest, now.Version)
 			}
-			if now.Version > 0 && len(now.Customers) != int(now.Version) {
-				t.Fatalf("version %d is incomplete: %d customers", now.Version, len(now.Customers))
+			if !now.Version.IsZero() && len(now.Customers) != int(now.Version.Revision()) {
+				t.Fatalf("version %s is incomplete: %d customers", now.Version, len(now.Customers))
 			}
 			highest = now.Version
 		}
@@ -269,7 +268,7 @@
 	ctx := testContext(t)
 	k := NewCache(jrnl.New(jrnl.Config{Capacity: 100, Now: time.Now}), time.Now)
 	r := &Relay{Store: s, Cache: k, WatchTime: 100 * time.Millisecond}
-	version := ident.Version(0)
+	version := ident.Version{}
 	for round := range 4 {
 		p.Faults().Outage.Store(round == 2)
 		if round == 2 {
@@ -299,7 +298,7 @@
 func (s *copyStore) List(context.Context, objs.Kind) (objs.List, error) { return s.list, nil }
 
 func (s *copyStore) show(v ident.Version, servers ...objs.Server) {
-	s.list = objs.List{Metadata: objs.ListMetadata{ResourceVersion: strconv.FormatUint(uint64(v), 10)}}
+	s.list = objs.List{Metadata: objs.ListMetadata{ResourceVersion: v.ResourceVersion()}}
 	for _, server := range servers {
 		spec, err := json.Marshal(server)
 		if err != nil {
@@ -350,7 +349,7 @@
 	s.events = s.events[1:]
 	for _, e := range next {
 		f(e)
-		after = max(after, e.Object.Version())
+		after = ident.Latest(after, e.Object.Version())
 	}
 	return after, nil
 }
@@ -363,7 +362,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		version := strconv.FormatUint(uint64(ident.NewVersion(1, revision)), 10)
+		version := ident.NewVersion(1, revision).ResourceVersion()
 		return objs.Event{Type: kind, Object: objs.Object{Kind: objs.Servers, Metadata: objs.Metadata{Name: id, ResourceVersion: version}, Spec: spec}}
 	}
 	first := []objs.Event{event(objs.Modified, "a", objs.Live, 11), event(objs.Modified, "b", objs.Live, 12)}
@@ -406,7 +405,7 @@
 	if err != nil {
 		return objs.List{}, err
 	}
-	version := strconv.FormatUint(uint64(s.bundle.Version), 10)
+	version := s.bundle.Version.ResourceVersion()
 	list := objs.List{Metadata: objs.ListMetadata{ResourceVersion: version}}
 	list.Items = append(list.Items, objs.Object{Kind: objs.Configurations, Metadata: objs.Metadata{Name: HeadName, ResourceVersion: version}, Spec: spec})
 	for name, content := range s.bundle.Pages {
@@ -470,9 +469,9 @@
 			t.Fatal(err)
 		}
 	}
-	load(bundle(2, 8))
+	load(bundle(2, ident.VersionOf(8)))
 	now = now.Add(time.Hour)
-	load(bundle(1, 7))
+	load(bundle(1, ident.VersionOf(7)))
 	if customers := len(cache.Current().Customers); customers != 2 || cache.SinceConfirmed() != 0 {
 		t.Fatalf("%d customers in force, confirmed %v ago; want 2, confirmed now", customers, cache.SinceConfirmed())
 	}
@@ -502,7 +501,7 @@
 		t.Errorf("never confirmed, and yet confirmed %v ago", age)
 	}
 	var takes time.Duration
-	store := &lateStore{headStore: headStore{bundle: Bundle{Version: 8, Head: head, Pages: pages}}, pass: func() { now = now.Add(takes) }}
+	store := &lateStore{headStore: headStore{bundle: Bundle{Version: ident.VersionOf(8), Head: head, Pages: pages}}, pass: func() { now = now.Add(takes) }}
 	r := &Relay{Store: store, Cache: cache, WatchTime: time.Second}
 	for _, step := range []struct{ takes, want time.Duration }{
 		{0, 0}, {time.Second, 0}, {7 * time.Second, 6 * time.Second}, {50 * time.Millisecond, 50 * time.Millisecond},
@@ -526,7 +525,7 @@
 	ctx := testContext(t)
 	cache := NewCache(jrnl.New(jrnl.Config{Capacity: 100, Now: time.Now}), time.Now)
 	relays := []*Relay{{Store: s, Cache: cache, WritesAgain: true}, {Store: s, Cache: cache, WritesAgain: true}}
-	version, copied := ident.Version(0), time.Time{}
+	version, copied := ident.Version{}, time.Time{}
 	for customers := 1; customers <= 3; customers++ {
 		var err error
 		if version, err = Apply(ctx, s, configWithCustomers(customers), version, "luz", "more customers"); err != nil {
@@ -586,7 +585,7 @@
 func TestRestoreDuringApplyLosesNoPages(t *testing.T) {
 	p, s := newClient(t)
 	ctx := testContext(t)
-	base, err := Apply(ctx, s, configWithCustomers(1), 0, "luz", "begin")
+	base, err := Apply(ctx, s, configWithCustomers(1), ident.Version{}, "luz", "begin")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/confs/evacuations.go
+++ b/internal/confs/evacuations.go
@@ -74,7 +74,7 @@
 		}
 		malformed = !w.apply(objs.Event{Type: objs.Modified, Object: o}) || malformed
 	}
-	if malformed && current.Version == 0 {
+	if malformed && current.Version.IsZero() {
 		now := w.Cache.now()
 		if w.undecidedSince.IsZero() {
 			w.undecidedSince = now
@@ -107,7 +107,7 @@
 func (w *EvacuationWatcher) apply(e objs.Event) bool {
 	id, v := ident.CenterID(e.Object.Metadata.Name), e.Object.Version()
 	if e.Type == objs.Deleted {
-		if v == 0 || v >= w.centers[id] {
+		if v.IsZero() || !v.Before(w.centers[id]) {
 			delete(w.centers, id)
 		}
 		return true
@@ -135,7 +135,7 @@
 func (c *Cache) OfferEvacuations(e conf.Evacuations, source string) bool {
 	c.mu.Lock()
 	old := c.evacuations
-	if e.Version <= old.Version {
+	if !old.Version.Before(e.Version) {
 		c.mu.Unlock()
 		return false
 	}
@@ -144,14 +144,14 @@
 	c.current.Store(snapshot)
 	callbacks := c.callbacks
 	c.mu.Unlock()
-	if old.Version != 0 && slices.Equal(old.Centers, e.Centers) {
+	if !old.Version.IsZero() && slices.Equal(old.Centers, e.Centers) {
 		return true
 	}
 	evidence := "learnt from " + source + "; evacuated: " + joinCenters(e.Centers) + "; before: " + joinCenters(old.Centers)
 	for _, id := range e.Centers {
 		switch {
 		case slices.Contains(old.Centers, id):
-		case snapshot.Version > 0 && !snapshot.KnowsCenter(id):
+		case !snapshot.Version.IsZero() && !snapshot.KnowsCenter(id):
 			klog.ErrorS(nil, "the list of evacuated data centres names an unknown one", "center", id, "version", e.Version.String())
 		default:
 			c.journal.Add(jrnl.Event{Kind: jrnl.EvacuationBegun, Version: e.Version, Reason: string(id), Evidence: evidence})
--- a/internal/confs/evacuations_test.go
+++ b/internal/confs/evacuations_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strconv"
 	"testing"
 	"time"
 
@@ -18,7 +17,7 @@
 }
 
 func evacuationObject(id, spec string, revision ident.Revision) objs.Object {
-	version := strconv.FormatUint(uint64(ident.NewVersion(1, revision)), 10)
+	version := ident.NewVersion(1, revision).ResourceVersion()
 	return objs.Object{Kind: objs.Evacuations, Metadata: objs.Metadata{Name: id, ResourceVersion: version}, Spec: []byte(spec)}
 }
 
@@ -53,7 +52,7 @@
 	}
 	cache.OfferEvacuations(conf.Evacuations{Version: ident.NewVersion(2, 3), Centers: []ident.CenterID{"f"}}, "a peer")
 	cache.OfferEvacuations(conf.Evacuations{Version: ident.NewVersion(1, 99)}, "a peer")
-	cache.OfferServers(conf.Listing{Version: 1}, "a peer")
+	cache.OfferServers(conf.Listing{Version: ident.VersionOf(1)}, "a peer")
 	if got := cache.Current().Evacuations.Centers; !slices.Equal(got, []ident.CenterID{"f"}) {
 		t.Errorf("got %v after a list of an earlier epoch, want f", got)
 	}
@@ -106,7 +105,7 @@
 		store.list.Items = []objs.Object{evacuationObject("b", `"x"`, 13), evacuationObject("c", "{}", 12)}
 		cache := NewCache(jrnl.New(jrnl.Config{Capacity: 10, Now: time.Now}), func() time.Time { return now })
 		w := &EvacuationWatcher{Store: store, Cache: cache}
-		if err := w.Step(t.Context()); err == nil || cache.Current().Evacuations.Version != 0 {
+		if err := w.Step(t.Context()); err == nil || !cache.Current().Evacuations.Version.IsZero() {
 			t.Fatalf("without a list: error %v, %+v, want an error and no list", err, cache.Current().Evacuations)
 		}
 		return cache, w
--- a/internal/confs/relay.go
+++ b/internal/confs/relay.go
@@ -74,8 +74,8 @@
 	case err != nil:
 		p.valid = false
 	case delivered:
-		*p = position{after: max(p.after, after), valid: true}
-	case after > p.after:
+		*p = position{after: ident.Latest(p.after, after), valid: true}
+	case p.after.Before(after):
 		p.emptyWatches++
 		p.valid = p.emptyWatches < maxEmptyWatches
 	}
@@ -132,7 +132,7 @@
 // later epoch. If another relay or an operator has written since, the watch delivers that.
 func (r *Relay) writeAgain(ctx context.Context, epoch ident.Epoch) {
 	lost := r.Cache.Bundle()
-	if lost.Version <= r.latest.Version || lost.Version.Epoch() >= epoch {
+	if !r.latest.Version.Before(lost.Version) || lost.Version.Epoch() >= epoch {
 		return
 	}
 	evidence := "wrote the configuration in force again, which the platform had lost"
@@ -148,14 +148,14 @@
 // An answer may arrive long after it was given, because the path or this process was held up. So it
 // counts from when the call began, or from the end of the time for which the platform held a watch.
 func (r *Relay) confirm() {
-	if current := r.Cache.Current().Version; r.latest.Version <= current {
+	if current := r.Cache.Current().Version; !current.Before(r.latest.Version) {
 		r.Cache.Confirm(current, r.Cache.now().Sub(r.answeredAt))
 	}
 }
 
 // offer offers the latest configuration received to the cache.
 func (r *Relay) offer() {
-	if current := r.Cache.Current().Version; r.latest.Version < current {
+	if current := r.Cache.Current().Version; r.latest.Version.Before(current) {
 		r.Cache.logRejection(r.latest, &OlderError{Stored: r.latest.Version, InForce: current}, "the platform")
 		return
 	}
--- a/internal/confs/servers.go
+++ b/internal/confs/servers.go
@@ -95,7 +95,7 @@
 	if !seen {
 		known = f.after
 	}
-	if e.Type == objs.Deleted && v < known && seen || e.Type != objs.Deleted && v <= known && v != 0 {
+	if e.Type == objs.Deleted && v.Before(known) && seen || e.Type != objs.Deleted && !known.Before(v) && !v.IsZero() {
 		return false
 	}
 	f.newest[name] = v
--- a/internal/confs/store.go
+++ b/internal/confs/store.go
@@ -47,7 +47,7 @@
 	if e.MayHaveApplied {
 		own = "yours may have been in force in between"
 	}
-	return fmt.Sprintf("configuration %d was replaced by %d, written by %s (%s); %s", e.Base, e.Stored, e.Author, e.Reason, own)
+	return fmt.Sprintf("configuration %s was replaced by %s, written by %s (%s); %s", e.Base, e.Stored, e.Author, e.Reason, own)
 }
 
 // InvalidError reports the mistakes of a configuration, of which nothing was applied.
@@ -95,36 +95,36 @@
 // version. It writes the new pages first, then the head.
 func Apply(ctx context.Context, s plat.Store, c conf.Config, base ident.Version, author, reason string) (ident.Version, error) {
 	if found := conf.Check(&c); len(found) > 0 {
-		return 0, &InvalidError{Mistakes: found}
+		return ident.Version{}, &InvalidError{Mistakes: found}
 	}
 	head, pages, err := conf.Split(c)
 	if err != nil {
-		return 0, err
+		return ident.Version{}, err
 	}
 	head.Author, head.Reason = author, reason
 	old, err := Load(ctx, s)
 	if err != nil {
-		return 0, err
+		return ident.Version{}, err
 	}
 	if old.Version != base {
-		return 0, &ConcurrentChangeError{Base: base, Stored: old.Version, Author: old.Head.Author, Reason: old.Head.Reason}
+		return ident.Version{}, &ConcurrentChangeError{Base: base, Stored: old.Version, Author: old.Head.Author, Reason: old.Head.Reason}
 	}
 	if err := putPages(ctx, s, pages, old); err != nil {
-		return 0, err
+		return ident.Version{}, err
 	}
 	version, err := putHead(ctx, s, head, base)
 	if err != nil {
-		return 0, err
+		return ident.Version{}, err
 	}
 	if version.Epoch() != old.Epoch {
 		// A restore in between may have lost pages, or brought back earlier versions of them.
 		restored, err := Load(ctx, s)
 		if err != nil {
-			return 0, err
+			return ident.Version{}, err
 		}
 		restored.Head = old.Head
 		if err := putPages(ctx, s, pages, restored); err != nil {
-			return 0, err
+			return ident.Version{}, err
 		}
 	}
 	deleteUnusedPages(ctx, s, old, head)
@@ -160,8 +160,8 @@
 // another writer has written since may stay.
 func putPage(ctx context.Context, s plat.Store, name conf.PageName, content []byte, version ident.Version) error {
 	o := objs.Object{Kind: objs.Configurations, Metadata: objs.Metadata{Name: string(name)}, Spec: content}
-	if version != 0 {
-		o.Metadata.ResourceVersion = fmt.Sprint(uint64(version))
+	if !version.IsZero() {
+		o.Metadata.ResourceVersion = version.ResourceVersion()
 	}
 	_, err := s.Put(ctx, o)
 	var failed *plat.Error
@@ -170,8 +170,8 @@
 		return nil
 	case !errors.As(err, &failed):
 		return errors.Trace(err)
-	case version != 0 && (failed.Cause == plat.NotFound || failed.Cause == plat.Conflict && failed.Stored.Version() == 0):
-		return putPage(ctx, s, name, content, 0)
+	case !version.IsZero() && (failed.Cause == plat.NotFound || failed.Cause == plat.Conflict && failed.Stored.Version().IsZero()):
+		return putPage(ctx, s, name, content, ident.Version{})
 	case failed.Cause == plat.Conflict:
 		return nil
 	}
@@ -181,21 +181,21 @@
 func putHead(ctx context.Context, s plat.Store, head conf.Head, base ident.Version) (ident.Version, error) {
 	spec, err := json.Marshal(head)
 	if err != nil {
-		return 0, errors.Trace(err)
+		return ident.Version{}, errors.Trace(err)
 	}
 	o := objs.Object{Kind: objs.Configurations, Metadata: objs.Metadata{Name: HeadName}, Spec: spec}
-	if base != 0 {
-		o.Metadata.ResourceVersion = fmt.Sprint(uint64(base))
+	if !base.IsZero() {
+		o.Metadata.ResourceVersion = base.ResourceVersion()
 	}
 	stored, err := s.Put(ctx, o)
 	var failed *plat.Error
 	if errors.As(err, &failed) && failed.Cause == plat.Conflict {
 		var current conf.Head
 		_ = json.Unmarshal(failed.Stored.Spec, &current)
-		return 0, &ConcurrentChangeError{Base: base, Stored: failed.Stored.Version(), Author: current.Author, Reason: current.Reason, MayHaveApplied: failed.EarlierLost}
+		return ident.Version{}, &ConcurrentChangeError{Base: base, Stored: failed.Stored.Version(), Author: current.Author, Reason: current.Reason, MayHaveApplied: failed.EarlierLost}
 	}
 	if err != nil {
-		return 0, errors.Trace(err)
+		return ident.Version{}, errors.Trace(err)
 	}
 	return stored.Version(), nil
 }
--- a/internal/entry/confirm_test.go
+++ b/internal/entry/confirm_test.go
@@ -7,6 +7,7 @@
 	"geraniumseam.dev/internal/confs"
 	"geraniumseam.dev/internal/jrnl"
 	"geraniumseam.dev/internal/peer"
+	"geraniumseam.dev/pkg/ident"
 )
 
 // TestConfirmationOfPeersAges guards against instances that keep an old configuration in force as they
@@ -24,7 +25,7 @@
 		handlers = append(handlers, (*handler)(m.instance))
 	}
 	a, b := handlers[0], handlers[1]
-	a.configCache.Confirm(0, 0)
+	a.configCache.Confirm(ident.Version{}, 0)
 	for range 100 {
 		for _, pair := range [][2]*handler{{a, b}, {b, a}} {
 			beat := peer.Heartbeat{Checked: pair[0].configCache.SinceConfirmed(), Transit: transit}
--- a/internal/entry/dispatch_test.go
+++ b/internal/entry/dispatch_test.go
@@ -101,7 +101,9 @@
 }
 
 // Heartbeat implements peer.Handler.
-func (*scriptedOwner) Heartbeat(ident.InstanceID) peer.Heartbeat { return peer.Heartbeat{Version: 1} }
+func (*scriptedOwner) Heartbeat(ident.InstanceID) peer.Heartbeat {
+	return peer.Heartbeat{Version: ident.VersionOf(1)}
+}
 
 // HeartbeatFactor implements peer.Handler.
 func (*scriptedOwner) HeartbeatFactor(ident.InstanceID) time.Duration { return 1 }
--- a/internal/entry/evacuation.go
+++ b/internal/entry/evacuation.go
@@ -17,7 +17,7 @@
 
 // lacksEvacuations reports whether the instance still waits for the list of evacuated data centres.
 func (i *Instance) lacksEvacuations(s *conf.Snapshot) bool {
-	if !i.conf.Evacuations || s.Evacuations.Version != 0 {
+	if !i.conf.Evacuations || !s.Evacuations.Version.IsZero() {
 		return false
 	}
 	now := clock.Now()
@@ -28,13 +28,13 @@
 // mayOwn reports whether the instance may own groups: without the list of evacuated data centres, it would run the
 // work of its peers at their servers.
 func (i *Instance) mayOwn(s *conf.Snapshot) bool {
-	return s.Version == 0 || i.conf.Listed && s.Listed == 0 || !i.lacksEvacuations(s)
+	return s.Version.IsZero() || i.conf.Listed && s.Listed.IsZero() || !i.lacksEvacuations(s)
 }
 
 // relayEvacuations keeps the list of evacuated data centres up to date with the platform.
 func (i *Instance) relayEvacuations() error {
 	w := &confs.EvacuationWatcher{Store: i.conf.Store, Cache: i.configCache}
-	known := func() bool { return i.configCache.Current().Evacuations.Version > 0 }
+	known := func() bool { return !i.configCache.Current().Evacuations.Version.IsZero() }
 	return i.follow(known, w.Step)
 }
 
--- a/internal/entry/evacuation_test.go
+++ b/internal/entry/evacuation_test.go
@@ -62,7 +62,7 @@
 		t.Fatal("the list of instances was not asked for")
 	}
 	for at, centers := range [][]ident.CenterID{{"b"}, {"b", "c"}} {
-		i.configCache.OfferEvacuations(conf.Evacuations{Version: ident.Version(at + 1), Centers: centers}, "a peer")
+		i.configCache.OfferEvacuations(conf.Evacuations{Version: ident.VersionOf(uint64(at + 1)), Centers: centers}, "a peer")
 		if got := evacuatedCenters(t, registry); got != len(centers) {
 			t.Errorf("%d data centres count as evacuated, want %d", got, len(centers))
 		}
--- a/internal/entry/gateway.go
+++ b/internal/entry/gateway.go
@@ -172,7 +172,7 @@
 	defer m.mu.Unlock()
 	snapshot := m.instance.configCache.Current()
 	wait := gatewayWait
-	if snapshot.Version == 0 || m.instance.conf.Listed && snapshot.Listed == 0 || m.instance.conf.Evacuations && snapshot.Evacuations.Version == 0 {
+	if snapshot.Version.IsZero() || m.instance.conf.Listed && snapshot.Listed.IsZero() || m.instance.conf.Evacuations && snapshot.Evacuations.Version.IsZero() {
 		wait = startupGatewayWait
 	}
 	if sameCenter || c.isGateway(self) || len(c.gateways) == 0 {
--- a/internal/entry/gateway_test.go
+++ b/internal/entry/gateway_test.go
@@ -70,7 +70,7 @@
 func TestNextUpdateWaitsForGateway(t *testing.T) {
 	view := fleetOf(90)
 	member, remote := view.membersOf(view.ordinary("a")), view.ordinary("b")
-	for version := range ident.Version(3) {
+	for version := range uint64(3) {
 		if member.mayFetch(remote, serversUpdate) {
 			t.Fatalf("update %d was fetched from another data centre at once", version+1)
 		}
@@ -78,7 +78,7 @@
 		if !member.mayFetch(remote, serversUpdate) {
 			t.Fatalf("update %d was not fetched from another data centre although the gateway was late", version+1)
 		}
-		member.instance.configCache.OfferServers(conf.Listing{Version: version + 1}, "instance "+string(remote))
+		member.instance.configCache.OfferServers(conf.Listing{Version: ident.VersionOf(version + 1)}, "instance "+string(remote))
 	}
 }
 
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -65,13 +65,13 @@
 		if m.Transit != peer.UnknownTransit {
 			h.configCache.Confirm(m.Version, max(m.Checked, 0)+m.Transit)
 		}
-		if m.Version > h.configCache.Current().Version && h.members.mayFetch(from, configUpdate) {
+		if h.configCache.Current().Version.Before(m.Version) && h.members.mayFetch(from, configUpdate) {
 			h.fetchConfig(from)
 		}
-		if m.Servers > h.configCache.Current().Listed && h.members.mayFetch(from, serversUpdate) {
+		if h.configCache.Current().Listed.Before(m.Servers) && h.members.mayFetch(from, serversUpdate) {
 			h.fetchServers(from)
 		}
-		if h.conf.Evacuations && m.Evacuations > h.configCache.Current().Evacuations.Version && h.members.mayFetch(from, evacuationsUpdate) {
+		if h.conf.Evacuations && h.configCache.Current().Evacuations.Version.Before(m.Evacuations) && h.members.mayFetch(from, evacuationsUpdate) {
 			h.fetchEvacuations(from)
 		}
 		if h.members.listBehind(m.List, m.ListHash) && h.members.mayFetch(from, membersUpdate) {
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -176,7 +176,7 @@
 	}
 	epochs := plat.NewEpochs()
 	c.Store = plat.Observe(c.Store, epochs)
-	if v := c.SecretObject.Version(); v != 0 {
+	if v := c.SecretObject.Version(); !v.IsZero() {
 		epochs.Observe(v.Epoch(), 0)
 	}
 	i := &Instance{conf: c, epochs: epochs, unlisted: make(chan struct{}, 1), random: newSource(c.Seed), metrics: newMetrics(c.Registry)}
@@ -267,9 +267,9 @@
 func (i *Instance) lacking(open bool) string {
 	s := i.configCache.Current()
 	switch {
-	case s.Version == 0:
+	case s.Version.IsZero():
 		return "no configuration yet"
-	case i.conf.Listed && s.Listed == 0:
+	case i.conf.Listed && s.Listed.IsZero():
 		return "no list of backend servers yet"
 	case i.lacksEvacuations(s):
 		return "no list of evacuated data centres yet"
--- a/internal/entry/list.go
+++ b/internal/entry/list.go
@@ -59,7 +59,7 @@
 func (m *members) applyList(version ident.Version, found []membr.Member) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if version < m.listVersion {
+	if version.Before(m.listVersion) {
 		return
 	}
 	m.listVersion, m.unlistedSeen = version, false
@@ -78,7 +78,7 @@
 // registration lacks it or shows another address, as after a restore of the platform.
 func (m *members) checkOwnEntry(version ident.Version, found []membr.Member) {
 	conf := &m.instance.conf
-	if m.registered == 0 || version < m.registered {
+	if m.registered.IsZero() || version.Before(m.registered) {
 		return
 	}
 	for _, listed := range found {
@@ -113,7 +113,7 @@
 func (m *members) listBehind(version ident.Version, hash uint64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if version <= m.listVersion {
+	if !m.listVersion.Before(version) {
 		return false
 	}
 	if hash == m.listHash {
--- a/internal/entry/malformed_test.go
+++ b/internal/entry/malformed_test.go
@@ -68,7 +68,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := confs.Apply(t.Context(), store, c, 0, "ops", "test"); err != nil {
+	if _, err := confs.Apply(t.Context(), store, c, ident.Version{}, "ops", "test"); err != nil {
 		t.Fatal(err)
 	}
 	i, err := Start(Config{
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -154,11 +154,13 @@
 			continue
 		}
 		status.Instances++
-		status.Least = min(status.Least, version)
+		if version.Before(status.Least) {
+			status.Least = version
+		}
 	}
 	m.mu.Unlock()
 	same := status.Least == m.lastReport.Least && status.Instances == m.lastReport.Instances
-	if same || status.Least == 0 {
+	if same || status.Least.IsZero() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportInterval)
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -55,7 +55,7 @@
 func (i *Instance) relay() error {
 	r := &confs.Relay{Store: i.conf.Store, Cache: i.configCache, WritesAgain: !i.conf.ConfigReadOnly, WatchTime: i.watchTime()}
 	lost := false
-	known := func() bool { return i.configCache.Current().Version > 0 }
+	known := func() bool { return !i.configCache.Current().Version.IsZero() }
 	return i.follow(known, func(ctx context.Context) error {
 		err := r.Step(ctx)
 		if ctx.Err() == nil {
@@ -76,7 +76,7 @@
 // relayServers keeps the list of backend servers up to date with the platform.
 func (i *Instance) relayServers() error {
 	w := &confs.ServerWatcher{Store: i.conf.Store, Cache: i.configCache}
-	known := func() bool { return i.configCache.Current().Listed > 0 }
+	known := func() bool { return !i.configCache.Current().Listed.IsZero() }
 	return i.follow(known, func(ctx context.Context) error {
 		err := w.Step(ctx)
 		// A server whose entry is missing is removed by a later step.
--- a/internal/entry/unrun_test.go
+++ b/internal/entry/unrun_test.go
@@ -47,7 +47,7 @@
 		t.Fatal(err)
 	}
 	i.configCache = confs.NewCache(journal, clock.Now)
-	if !i.configCache.Offer(confs.Bundle{Version: 1, Head: head, Pages: pages}, "test") {
+	if !i.configCache.Offer(confs.Bundle{Version: ident.VersionOf(1), Head: head, Pages: pages}, "test") {
 		t.Fatal(conf.Check(&config))
 	}
 	i.quota = quota.New(quota.Config{
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -132,7 +132,7 @@
 	if f.conf.AdjustConfig != nil {
 		f.conf.AdjustConfig(&c)
 	}
-	if f.version, err = confs.Apply(ctx, f.operatorClient, c, 0, "fleet", "first configuration"); err != nil {
+	if f.version, err = confs.Apply(ctx, f.operatorClient, c, ident.Version{}, "fleet", "first configuration"); err != nil {
 		return errors.Trace(err)
 	}
 	for _, center := range sortedCenters(f.conf.Deployment.Instances) {
@@ -330,11 +330,11 @@
 func (f *Fleet) Change(ctx context.Context, reason string, change func(*conf.Config)) (ident.Version, error) {
 	b, err := confs.Load(ctx, f.operatorClient)
 	if err != nil {
-		return 0, errors.Trace(err)
+		return ident.Version{}, errors.Trace(err)
 	}
 	c, err := b.Config()
 	if err != nil {
-		return 0, errors.Trace(err)
+		return ident.Version{}, errors.Trace(err)
 	}
 	change(&c)
 	return confs.Apply(ctx, f.operatorClient, c, b.Version, "operator", reason)
--- a/internal/fleet/promise_test.go
+++ b/internal/fleet/promise_test.go
@@ -257,7 +257,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	waitFor(t, func() bool { return m.Instance.Snapshot().Version >= version })
+	waitFor(t, func() bool { return !m.Instance.Snapshot().Version.Before(version) })
 	waitFor(t, func() bool { return m.Instance.Callers() == 1 })
 	for name, c := range map[string]*pgx.Conn{"idle": idle, "in a transaction": inside} {
 		_, err := get(t, c, "x")
@@ -581,11 +581,11 @@
 			all := true
 			for _, m := range f.Members() {
 				current := m.Instance.Snapshot().Version
-				if current < highest[m.ID] {
-					t.Fatalf("%s went from version %d back to %d", m.ID, highest[m.ID], current)
+				if current.Before(highest[m.ID]) {
+					t.Fatalf("%s went from version %s back to %s", m.ID, highest[m.ID], current)
 				}
 				highest[m.ID] = current
-				all = all && current >= version
+				all = all && !current.Before(version)
 			}
 			return all
 		})
--- a/internal/jrnl/event.go
+++ b/internal/jrnl/event.go
@@ -102,7 +102,7 @@
 	Group    ident.GroupID    `json:"group,omitempty"`
 	Server   ident.ServerID   `json:"server,omitempty"`
 	Term     ident.Term       `json:"term,omitempty"`
-	Version  ident.Version    `json:"version,omitempty"`
+	Version  ident.Version    `json:"version,omitzero"`
 	Reason   string           `json:"reason,omitempty"`
 	// Outcome is the outcome of a refused or lost request.
 	Outcome  string `json:"outcome,omitempty"`
--- a/internal/jrnl/journal.go
+++ b/internal/jrnl/journal.go
@@ -170,8 +170,8 @@
 	if e.Term != 0 || e.Kind.hasTerm() {
 		attributes = append(attributes, "term", e.Term)
 	}
-	if e.Version != 0 {
-		attributes = append(attributes, "version", uint64(e.Version.Revision()), "epoch", uint32(e.Version.Epoch()))
+	if !e.Version.IsZero() {
+		attributes = append(attributes, "version", uint64(e.Version.Revision()), "epoch", uint64(e.Version.Epoch()))
 	}
 	if e.Count != 0 {
 		attributes = append(attributes, "count", e.Count)
--- a/internal/owner/change.go
+++ b/internal/owner/change.go
@@ -41,7 +41,7 @@
 // changes counts the answers of superseded primaries and holds the version of the list of servers
 // that is in use.
 type changes struct {
-	listed     atomic.Uint64
+	listed     atomic.Pointer[ident.Version]
 	superseded [int(successorSeen) + 1]prometheus.Counter
 }
 
@@ -50,6 +50,7 @@
 		Name: "geraniumseam_superseded_answers_total", Help: "Writes and commits that a primary answered after this instance had learnt of its replacement, by how it had.",
 	}, []string{"seen"})
 	c := &changes{}
+	c.listed.Store(&ident.Version{})
 	for s := range c.superseded {
 		c.superseded[s] = vec.WithLabelValues(sign(s).String())
 	}
@@ -154,7 +155,7 @@
 func (g *Group) describeServers() string {
 	var text strings.Builder
 	if g.conf.changes != nil {
-		fmt.Fprintf(&text, "list %s of servers: ", ident.Version(g.conf.changes.listed.Load()))
+		fmt.Fprintf(&text, "list %s of servers: ", g.conf.changes.listed.Load())
 	}
 	v := g.tracker.current.Load()
 	for i, id := range g.serverIDs() {
--- a/internal/owner/change_test.go
+++ b/internal/owner/change_test.go
@@ -204,7 +204,8 @@
 	eventually(t, "the primary is confirmed", func() bool {
 		return slices.ContainsFunc(g.conf.Journal.Since(time.Time{}), func(e jrnl.Event) bool { return e.Kind == jrnl.PrimaryConfirmed })
 	})
-	g.conf.changes.listed.Store(7)
+	listed := ident.VersionOf(7)
+	g.conf.changes.listed.Store(&listed)
 	g.recordDecision(group.JournalEntry{Decision: group.Claiming, Server: "a", Term: 2, Evidence: "why"})
 	g.seal(group.Seal{Server: "b", Term: 2})
 	d.setDown("c", true)
--- a/internal/owner/coordinate.go
+++ b/internal/owner/coordinate.go
@@ -110,7 +110,7 @@
 		return fenced && epoch != a.Epoch
 	}
 	evaluate := func(stored group.Record, v ident.Version) (group.Record, bool) {
-		r, granted := a.Evaluate(stored, max(v, ident.NewVersion(a.Epoch, 0)), fenced)
+		r, granted := a.Evaluate(stored, ident.Latest(v, ident.NewVersion(a.Epoch, 0)), fenced)
 		return r, granted && !restored()
 	}
 	asked := clock.Now()
--- a/internal/owner/coordinate_test.go
+++ b/internal/owner/coordinate_test.go
@@ -116,7 +116,7 @@
 		group.Claimed{Term: 2},
 		group.Sealed{Term: 2},
 		group.Promoted{Term: 2},
-		group.Recorded{Version: 2},
+		group.Recorded{Version: ident.VersionOf(2)},
 	} {
 		g := &Group{events: make(chan group.Event, 1)}
 		g.postEvent(group.Polled{Status: group.Status{Server: "a"}})
--- a/internal/owner/copies.go
+++ b/internal/owner/copies.go
@@ -104,7 +104,7 @@
 // countApplied counts an answer that an instance applies.
 func (c *recordCopies) countApplied(id ident.GroupID, r group.RecordCopy, from recordSource) {
 	result := "applied"
-	if r.Version < c.known(id).Version {
+	if r.Version.Before(c.known(id).Version) {
 		result = "outdated"
 	} else {
 		c.ages.WithLabelValues(string(from)).Observe(clock.Since(r.Asked).Seconds())
--- a/internal/owner/evacuees_test.go
+++ b/internal/owner/evacuees_test.go
@@ -14,7 +14,7 @@
 
 // evacuate replaces the list of evacuated data centres.
 func (h *leaverHost) evacuate(centers ...ident.CenterID) {
-	h.snapshot = h.snapshot.WithEvacuations(conf.Evacuations{Version: h.snapshot.Evacuations.Version + 1, Centers: centers})
+	h.snapshot = h.snapshot.WithEvacuations(conf.Evacuations{Version: h.snapshot.Evacuations.Version.Next(), Centers: centers})
 	h.Reconcile(h.snapshot, h.owners)
 }
 
@@ -86,12 +86,12 @@
 func TestListOfEvacuationsBetweenReconciliations(t *testing.T) {
 	h := startLeaverHost(t)
 	older := h.snapshot
-	h.UpdateEvacuations(conf.Evacuations{Version: 1, Centers: []ident.CenterID{"z"}})
+	h.UpdateEvacuations(conf.Evacuations{Version: ident.VersionOf(1), Centers: []ident.CenterID{"z"}})
 	h.Reconcile(older, h.owners)
 	if !h.evacuees.has("z") {
 		t.Error("an older list has ended the evacuation")
 	}
-	h.snapshot = older.WithEvacuations(conf.Evacuations{Version: 2})
+	h.snapshot = older.WithEvacuations(conf.Evacuations{Version: ident.VersionOf(2)})
 	h.UpdateEvacuations(h.snapshot.Evacuations)
 	if !h.evacuees.has("z") {
 		t.Error("the evacuation has ended before the reconciliation")
--- a/internal/owner/host.go
+++ b/internal/owner/host.go
@@ -132,7 +132,8 @@
 		}
 	}
 	h.groups.Store(&next)
-	h.changes.listed.Store(uint64(s.Listed))
+	listed := s.Listed
+	h.changes.listed.Store(&listed)
 	h.ownedGauge.Set(float64(len(next)))
 	for _, g := range ended {
 		go g.Stop()
@@ -151,7 +152,7 @@
 
 // applyEvacuations applies a list unless a newer one has been applied; the caller holds mu.
 func (h *Host) applyEvacuations(v ident.Version, centers []ident.CenterID) {
-	if v < h.evacuations {
+	if v.Before(h.evacuations) {
 		return
 	}
 	h.evacuations = v
--- a/internal/owner/proof_test.go
+++ b/internal/owner/proof_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -181,7 +180,7 @@
 		panic(err)
 	}
 	s.object.Spec = spec
-	s.object.Metadata.ResourceVersion = strconv.FormatUint(uint64(s.object.Version())+1, 10)
+	s.object.Metadata.ResourceVersion = s.object.Version().Next().ResourceVersion()
 }
 
 // startProven starts a group whose lease is valid and whose members all count.
@@ -402,5 +401,5 @@
 	}
 	members := []group.Member{{Server: "a"}, {Server: "b"}, {Server: "c"}}
 	spec, err := json.Marshal(group.Record{Claim: 1, ReplacedTerm: 1, Members: members, Candidates: members})
-	return objs.Object{Kind: kind, Metadata: objs.Metadata{Name: name, ResourceVersion: strconv.FormatUint(uint64(ident.NewVersion(1, 9)), 10)}, Spec: spec}, err
+	return objs.Object{Kind: kind, Metadata: objs.Metadata{Name: name, ResourceVersion: ident.NewVersion(1, 9).ResourceVersion()}, Spec: spec}, err
 }
--- a/internal/owner/record.go
+++ b/internal/owner/record.go
@@ -85,7 +85,7 @@
 	for {
 		kept, err := readRecord(ctx, g.conf.Store, g.conf.Epochs, g.conf.ID)
 		if err != nil {
-			return kept.Record, 0, false, err
+			return kept.Record, ident.Version{}, false, err
 		}
 		r, change := evaluate(kept.Record, kept.version)
 		if !change {
@@ -132,7 +132,7 @@
 func (g *Group) writeRecord(ctx context.Context, object objs.Object, r group.Record) (ident.Version, error) {
 	spec, err := json.Marshal(r)
 	if err != nil {
-		return 0, err
+		return ident.Version{}, err
 	}
 	object.Spec = spec
 	written, err := g.conf.Store.Put(ctx, object)
--- a/internal/owner/refresh_test.go
+++ b/internal/owner/refresh_test.go
@@ -56,7 +56,7 @@
 			<-ctx.Done()
 			return group.RecordCopy{}, false
 		}
-		return group.RecordCopy{Version: 7, Asked: clock.Now().Add(-maxAge)}, true
+		return group.RecordCopy{Version: ident.VersionOf(7), Asked: clock.Now().Add(-maxAge)}, true
 	}
 	return startGroupWith(t, c)
 }
@@ -211,7 +211,7 @@
 		})
 		all[members[0].ID] = hosts[members[0].ID]
 	}
-	snapshot := conf.NewSnapshot(conf.Config{Defaults: testGroupConfig(d, s).Defaults, Groups: map[ident.GroupID]conf.Group{"g": c}}, 1)
+	snapshot := conf.NewSnapshot(conf.Config{Defaults: testGroupConfig(d, s).Defaults, Groups: map[ident.GroupID]conf.Group{"g": c}}, ident.VersionOf(1))
 	for _, h := range hosts {
 		h.Reconcile(snapshot, centers)
 		t.Cleanup(h.Stop)
--- a/internal/owner/roster_test.go
+++ b/internal/owner/roster_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -157,7 +156,7 @@
 		s.claims++
 		return o, &plat.Error{Cause: plat.Unreachable}
 	}
-	o.Metadata.ResourceVersion = strconv.FormatUint(uint64(s.object.Version())+1, 10)
+	o.Metadata.ResourceVersion = s.object.Version().Next().ResourceVersion()
 	s.object = o
 	return o, err
 }
--- a/internal/peer/hub_test.go
+++ b/internal/peer/hub_test.go
@@ -78,7 +78,9 @@
 	return nil
 }
 
-func (n *testInstance) Heartbeat(ident.InstanceID) Heartbeat { return Heartbeat{Version: 1} }
+func (n *testInstance) Heartbeat(ident.InstanceID) Heartbeat {
+	return Heartbeat{Version: ident.VersionOf(1)}
+}
 
 func (n *testInstance) HeartbeatFactor(ident.InstanceID) time.Duration { return 1 }
 
@@ -266,7 +268,7 @@
 		t.Fatal(err)
 	}
 	m, err := decode(kindHeartbeat, body)
-	if beat, ok := m.(Heartbeat); err != nil || !ok || beat.Version != 7 {
+	if beat, ok := m.(Heartbeat); err != nil || !ok || beat.Version != ident.VersionOf(7) {
 		t.Errorf("an unknown field: got %+v, %v; want a heartbeat with version 7", m, err)
 	}
 }
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -45,10 +45,10 @@
 	Leaving bool `cbor:"4,keyasint,omitempty"`
 	// List is the version of the sender's list of instances, ListHash the hash of its
 	// content.
-	List     ident.Version `cbor:"5,keyasint,omitempty"`
+	List     ident.Version `cbor:"5,keyasint,omitzero"`
 	ListHash uint64        `cbor:"6,keyasint,omitempty"`
 	// Servers is the version of the sender's list of backend servers.
-	Servers ident.Version `cbor:"7,keyasint,omitempty"`
+	Servers ident.Version `cbor:"7,keyasint,omitzero"`
 	// EpochSeconds is how long the sender has known the platform's epoch, up to
 	// MaxEpochSeconds.
 	EpochSeconds uint8 `cbor:"8,keyasint,omitempty"`
@@ -59,7 +59,7 @@
 	Echo    uint64 `cbor:"10,keyasint,omitempty"`
 	EchoAge uint64 `cbor:"11,keyasint,omitempty"`
 	// Evacuations is the version of the sender's list of evacuated data centres.
-	Evacuations ident.Version `cbor:"12,keyasint,omitempty"`
+	Evacuations ident.Version `cbor:"12,keyasint,omitzero"`
 	// Transit is the longest time that the heartbeat may have been on its way, set by the link that
 	// received it; UnknownTransit if nothing bounds it.
 	Transit time.Duration `cbor:"-"`
@@ -72,7 +72,7 @@
 const MaxEpochSeconds = 60
 
 // Epoch returns the platform's epoch that the sender's lists are of.
-func (b Heartbeat) Epoch() ident.Epoch { return max(b.List, b.Servers).Epoch() }
+func (b Heartbeat) Epoch() ident.Epoch { return ident.Latest(b.List, b.Servers).Epoch() }
 
 // ServerReport reports whether a backend server answers the sender.
 type ServerReport struct {
--- a/internal/plat/answers_test.go
+++ b/internal/plat/answers_test.go
@@ -174,10 +174,10 @@
 				got = append(got, list.Version().String())
 			}
 		case "delete":
-			err = c.Delete(t.Context(), objs.Groups, "a", 7)
+			err = c.Delete(t.Context(), objs.Groups, "a", ident.VersionOf(7))
 		case "watch":
 			var after ident.Version
-			after, err = c.Watch(t.Context(), objs.Groups, 7, time.Second, func(e objs.Event) { got = append(got, e.Object.Version().String()) })
+			after, err = c.Watch(t.Context(), objs.Groups, ident.VersionOf(7), time.Second, func(e objs.Event) { got = append(got, e.Object.Version().String()) })
 			if err == nil {
 				got = append(got, after.String())
 			}
--- a/internal/plat/client.go
+++ b/internal/plat/client.go
@@ -9,7 +9,6 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/juju/errors"
@@ -112,7 +111,7 @@
 		if !errors.As(err, &failed) {
 			return err
 		}
-		if failed.Cause == Conflict && failed.Stored.Version() != 0 && (failed.Stored.Kind != o.Kind || failed.Stored.Metadata.Name != o.Metadata.Name) {
+		if failed.Cause == Conflict && !failed.Stored.Version().IsZero() && (failed.Stored.Kind != o.Kind || failed.Stored.Metadata.Name != o.Metadata.Name) {
 			failed.Cause = Unreachable
 		}
 		if failed.Cause == Conflict && failed.Stored.Operation() == operationID {
@@ -133,7 +132,7 @@
 		return withObject(err, kind, name)
 	}
 	err = c.retry(ctx, "delete", func(ctx context.Context) error {
-		err := c.call(ctx, http.MethodDelete, target+"?resourceVersion="+strconv.FormatUint(uint64(version), 10), nil, nil)
+		err := c.call(ctx, http.MethodDelete, target+"?resourceVersion="+version.ResourceVersion(), nil, nil)
 		if HasCause(err, NotFound) {
 			return nil
 		}
@@ -148,7 +147,7 @@
 	if err != nil {
 		return after, withObject(err, kind, "")
 	}
-	query := fmt.Sprintf("?watch=1&resourceVersion=%d&timeoutSeconds=%g", after, wait.Seconds())
+	query := fmt.Sprintf("?watch=1&resourceVersion=%s&timeoutSeconds=%g", after.ResourceVersion(), wait.Seconds())
 	ctx, cancel := context.WithTimeout(ctx, wait+c.conf.CallTimeout)
 	defer cancel()
 	request, err := newRequest(ctx, http.MethodGet, c.conf.URL+target+query, nil)
@@ -182,7 +181,7 @@
 		if e.Object.Kind != kind || e.Type == objs.Unknown {
 			return after, &Error{Cause: Unreachable, Kind: kind, Detail: "an event of another kind"}
 		}
-		after = max(after, e.Object.Version())
+		after = ident.Latest(after, e.Object.Version())
 		if e.Type == objs.Bookmark {
 			return after, nil
 		}
@@ -242,7 +241,7 @@
 }
 
 func (a *answeredObject) fits() bool {
-	return a.Kind == a.kind && a.Metadata.Name == a.name && a.Version() >= max(a.atLeast, 1)
+	return a.Kind == a.kind && a.Metadata.Name == a.name && !a.Version().IsZero() && !a.Version().Before(a.atLeast)
 }
 
 // answeredList is an answer that has to be a list of objects of a kind.
--- a/internal/plat/client_test.go
+++ b/internal/plat/client_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"geraniumseam.dev/internal/rule/retry"
+	"geraniumseam.dev/pkg/ident"
 	"geraniumseam.dev/pkg/objs"
 	"geraniumseam.dev/stand/platf"
 )
@@ -35,7 +36,7 @@
 	p, c := startPlatform(t)
 	p.Faults().LoseAnswers.Store(1)
 	stored, err := c.Put(context.Background(), object("a", "", `{"term":2}`))
-	if err != nil || stored.Version() == 0 {
+	if err != nil || stored.Version().IsZero() {
 		t.Fatalf("got %+v, %v; want the stored object with its version", stored, err)
 	}
 	if calls := p.Calls(); calls.Writes != 2 {
@@ -78,8 +79,8 @@
 		}
 	}
 	var names []string
-	after, err := c.Watch(context.Background(), objs.Groups, 1, 200*time.Millisecond, func(e objs.Event) { names = append(names, e.Object.Metadata.Name) })
-	if err != nil || after < 3 || len(names) != 2 {
+	after, err := c.Watch(context.Background(), objs.Groups, ident.VersionOf(1), 200*time.Millisecond, func(e objs.Event) { names = append(names, e.Object.Metadata.Name) })
+	if err != nil || after.Before(ident.VersionOf(3)) || len(names) != 2 {
 		t.Fatalf("got events for %v up to version %d, error %v; want b and c", names, after, err)
 	}
 }
--- a/internal/plat/names_test.go
+++ b/internal/plat/names_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"geraniumseam.dev/pkg/ident"
 	"geraniumseam.dev/pkg/objs"
 )
 
@@ -17,7 +18,7 @@
 			stored, err := c.Put(t.Context(), objs.Object{Kind: kind, Metadata: objs.Metadata{Name: name}, Spec: []byte(spec)})
 			if name == "" || name == "." || name == ".." {
 				_, missing := c.Get(t.Context(), kind, name)
-				if removed := c.Delete(t.Context(), kind, name, 0); !HasCause(err, Rejected) || !HasCause(missing, Rejected) || !HasCause(removed, Rejected) {
+				if removed := c.Delete(t.Context(), kind, name, ident.Version{}); !HasCause(err, Rejected) || !HasCause(missing, Rejected) || !HasCause(removed, Rejected) {
 					t.Errorf("%s %q: %v, %v, %v; want Rejected", kind, name, err, missing, removed)
 				}
 				continue
--- a/internal/quota/handover.go
+++ b/internal/quota/handover.go
@@ -81,7 +81,7 @@
 
 // canHandOver reports whether a shard that another instance is to hold can be handed over now.
 func (q *Quota) canHandOver() bool {
-	if q.conf.Static || q.conf.Snapshot().Version == 0 {
+	if q.conf.Static || q.conf.Snapshot().Version.IsZero() {
 		return false
 	}
 	for shard := range share.Shard(share.Shards) {
--- a/internal/quota/lease.go
+++ b/internal/quota/lease.go
@@ -214,7 +214,7 @@
 
 // renewOnce hands over and renews shards once and returns the time until the next renewal.
 func (q *Quota) renewOnce() time.Duration {
-	if q.conf.Snapshot().Version == 0 {
+	if q.conf.Snapshot().Version.IsZero() {
 		return unconfiguredRetryDelay
 	}
 	params := q.params()
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -97,7 +97,7 @@
 	mu     sync.Mutex
 	bucket *share.Bucket
 	// sizedFor identifies the configuration and the parts that the bucket was last sized for.
-	sizedFor uint64
+	sizedFor sizing
 	// restartAdded is set once the tokens allowed after a restart were added.
 	restartAdded bool
 	// home is the data centre that holds most of the rate, if one does.
@@ -214,7 +214,7 @@
 // this instance has been granted those that it is to hold or has waited maxStartupWait for them.
 func (q *Quota) Ready() bool {
 	if q.conf.Static {
-		return q.conf.Snapshot().Version > 0
+		return !q.conf.Snapshot().Version.IsZero()
 	}
 	for shard := range share.Shard(share.Shards) {
 		holders := q.conf.Holders(shard)
@@ -270,11 +270,17 @@
 	return found.(*account)
 }
 
+// sizing identifies what a bucket is sized for: a version of the configuration, and the parts held of the rate.
+type sizing struct {
+	generation uint64
+	version    ident.Version
+}
+
 // resize gives the bucket its part of the customer's rate if the configuration or the parts
 // held have changed; the caller holds the account's mutex.
 func (q *Quota) resize(a *account, now time.Time, customer ident.CustomerID) {
 	s := q.conf.Snapshot()
-	size := q.generation.Load()<<32 | uint64(s.Version)&0xffffffff
+	size := sizing{generation: q.generation.Load(), version: s.Version}
 	if a.sizedFor == size {
 		return
 	}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"geraniumseam.dev/internal/clock"
 	"geraniumseam.dev/internal/fault"
 	"geraniumseam.dev/internal/jrnl"
 	"geraniumseam.dev/internal/plat"
@@ -161,9 +162,9 @@
 	config := conf.New()
 	config.Centers["a"] = conf.Center{Part: 1}
 	config.Defaults.ShareLease = cmp.Or(c.lease, config.Defaults.ShareLease)
-	version := ident.Version(0)
+	version := ident.Version{}
 	if configured {
-		version = 1
+		version = ident.VersionOf(1)
 		for _, customer := range append(customersOfShards(), "house") {
 			config.Customers[customer] = conf.Customer{Rate: rate, Burst: rate, Weight: 1}
 		}
@@ -465,3 +466,31 @@
 		t.Errorf("lent %v tokens from a released part", lent.Amount)
 	}
 }
+
+// TestRateFollowsEveryVersion guards against a changed rate that isn't applied since the low 32 bits of the configuration's version
+// are those of the version before.
+func TestRateFollowsEveryVersion(t *testing.T) {
+	configured := func(number uint64, rate float64) *conf.Snapshot {
+		config := conf.New()
+		config.Centers["a"] = conf.Center{Part: 1}
+		config.Customers["house"] = conf.Customer{Rate: rate, Burst: rate, Weight: 1}
+		return conf.NewSnapshot(config, ident.NewVersion(1, ident.Revision(number)))
+	}
+	snapshot := configured(7, 50)
+	q := &Quota{conf: Config{Center: "a", Static: true, Snapshot: func() *conf.Snapshot { return snapshot }}}
+	now := clock.Now()
+	q.parts[share.ShardOf("house")].Store(&share.Holding{Part: share.Whole, LeaseEnd: now.Add(time.Hour), GraceEnd: now.Add(time.Hour)})
+	a := q.account("house")
+	for _, next := range []struct {
+		number uint64
+		rate   float64
+	}{{7, 50}, {7 + 1<<32, 5}, {7 + 1<<40, 500}, {7 + 1<<63, 20}} {
+		snapshot = configured(next.number, next.rate)
+		q.resize(a, now, "house")
+		// The burst, which is as large as the rate, is full after a minute.
+		now = now.Add(time.Minute)
+		if got := a.bucket.Own(now); float64(got) != next.rate {
+			t.Errorf("version %d: a burst of %v, want %v", next.number, got, next.rate)
+		}
+	}
+}
--- a/internal/review/review.go
+++ b/internal/review/review.go
@@ -199,7 +199,7 @@
 	if e.Term > 0 {
 		fmt.Fprintf(&text, " [term %d]", e.Term)
 	}
-	if e.Version > 0 {
+	if !e.Version.IsZero() {
 		fmt.Fprintf(&text, " [configuration %s]", e.Version)
 	}
 	if e.Outcome != "" {
--- a/internal/review/review_test.go
+++ b/internal/review/review_test.go
@@ -28,7 +28,7 @@
 		{At: at(450), Instance: "south-1", Sequence: 8, Kind: jrnl.OutcomeUnknown, Customer: "dealer", Group: "stock", Reason: "answer-lost", Trace: "south-1-x-1"},
 		{At: at(460), Instance: "south-1", Sequence: 9, Kind: jrnl.Refused, Customer: "dealer", Group: "stock", Reason: "no-primary", Trace: "south-1-x-2"},
 		{At: at(470), Instance: "south-1", Sequence: 10, Kind: jrnl.Refused, Customer: "dealer", Group: "stock", Reason: "no-primary", Trace: "south-1-x-3"},
-		{At: at(0), Instance: "south-1", Sequence: 1, Kind: jrnl.ConfigInForce, Version: 12, Evidence: "learnt from the platform"},
+		{At: at(0), Instance: "south-1", Sequence: 1, Kind: jrnl.ConfigInForce, Version: ident.VersionOf(12), Evidence: "learnt from the platform"},
 	}
 }
 
--- a/internal/rule/conf/bench_test.go
+++ b/internal/rule/conf/bench_test.go
@@ -56,7 +56,7 @@
 				if found := Check(&c); len(found) > 0 {
 					b.Fatal(found)
 				}
-				NewSnapshot(c, 1)
+				NewSnapshot(c, ident.VersionOf(1))
 			}
 			b.ReportMetric(float64(total), "bytes")
 			b.ReportMetric(float64(largest), "bytes/page")
--- a/internal/rule/conf/conf_test.go
+++ b/internal/rule/conf/conf_test.go
@@ -95,7 +95,7 @@
 	c := validConfig()
 	c.Routes["board"] = Route{Service: "stock", Open: "dealer", Worth: 1}
 	c.Services["archive"] = Service{Group: "stock", RoutesOnly: true}
-	s := NewSnapshot(c, 1)
+	s := NewSnapshot(c, ident.VersionOf(1))
 	right := HashKey("secret")
 	for _, test := range []struct {
 		customer ident.CustomerID
@@ -120,13 +120,13 @@
 	}
 	a, _ := s.Authenticate("dealer", "stock", right)
 	delete(c.Keys, "dealer-1")
-	if _, ok := NewSnapshot(c, 2).Revalidate(a); ok {
+	if _, ok := NewSnapshot(c, ident.VersionOf(2)).Revalidate(a); ok {
 		t.Error("Revalidate accepted a withdrawn key")
 	}
 	a, _ = s.Authenticate("", "board", Hash{})
 	c.Customers["visitor"] = Customer{Rate: 1, Burst: 1, Weight: 1}
 	c.Routes["board"] = Route{Service: "stock", Open: "visitor", Worth: 1}
-	if a, ok := NewSnapshot(c, 3).Revalidate(a); !ok || a.Customer != "visitor" {
+	if a, ok := NewSnapshot(c, ident.VersionOf(3)).Revalidate(a); !ok || a.Customer != "visitor" {
 		t.Errorf("an open route counts against visitor now; Revalidate = %+v, %v", a, ok)
 	}
 }
@@ -135,7 +135,7 @@
 	c := validConfig()
 	end := time.Unix(100, 0)
 	c.Exceptions["slow"] = Exception{Scope: "customer/dealer", Default: "read-wait", Value: "1s", Reason: "trial", Owner: "a", Until: end}
-	s := NewSnapshot(c, 1)
+	s := NewSnapshot(c, ident.VersionOf(1))
 	if got := s.DefaultsFor(end.Add(-time.Second), "dealer", "stock").ReadWait; got != time.Second {
 		t.Errorf("before the end of the exception: read-wait is %v, want 1s", got)
 	}
--- a/internal/rule/conf/home_test.go
+++ b/internal/rule/conf/home_test.go
@@ -21,7 +21,7 @@
 		config.Customers["house"] = Customer{Regions: c.customer}
 		config.Keys["k"] = Key{Customer: "house", Hash: HashKey("secret")}
 		config.Routes["r"] = Route{Service: "s", Regions: c.route}
-		s := NewSnapshot(config, 1)
+		s := NewSnapshot(config, ident.VersionOf(1))
 		a, ok := s.Authenticate("house", ident.ServiceID("r"), HashKey("secret"))
 		again, valid := s.Revalidate(Access{Customer: "house", Key: "k", Hash: HashKey("secret"), Route: "r"})
 		if !ok || !valid {
--- a/internal/rule/group/attempt.go
+++ b/internal/rule/group/attempt.go
@@ -109,7 +109,7 @@
 	} else {
 		m.claimed.Claim, m.claimed.Members, m.claimed.Former = e.Record.Claim, e.Record.Members, e.Record.Former
 		m.claimed.Fence, m.claimed.Ordering = e.Record.Fence, e.Record.Ordering
-		m.learnRecord(now, m.claimed, max(m.recordVersion, e.Version))
+		m.learnRecord(now, m.claimed, ident.Latest(m.recordVersion, e.Version))
 		m.claimSeenAt = now
 	}
 	if m.releasing {
--- a/internal/rule/group/attempt_test.go
+++ b/internal/rule/group/attempt_test.go
@@ -241,7 +241,7 @@
 					continue
 				}
 				r, _ = change.Evaluate(r, v)
-				v++
+				v = v.Next()
 				h.step(Recorded{Record: r, Version: v})
 				if len(change.Forgotten) > 0 {
 					return
@@ -258,15 +258,15 @@
 	for _, said := range []bool{true, false} {
 		h := newHarness(t)
 		r := Record{Members: []Member{{Server: "p"}, {Server: "a"}, {Server: "b"}}}
-		h.step(Recorded{Record: r, Version: 1})
+		h.step(Recorded{Record: r, Version: ident.VersionOf(1)})
 		// The others have been members for long enough, so that the former one need not be waited for beyond RecordLifetime.
 		h.advance(SharedRecordLifetime, func() {
 			h.poll("p", Primary, 7)
 			h.poll("a", Replica, 7)
 			h.poll("b", Replica, 7)
 		})
-		r.Former = []FormerMember{{Member: Member{Server: "c"}, Since: 1}}
-		h.step(Recorded{Record: r, Version: 2})
+		r.Former = []FormerMember{{Member: Member{Server: "c"}, Since: ident.VersionOf(1)}}
+		h.step(Recorded{Record: r, Version: ident.VersionOf(2)})
 		h.m.SetDraining(map[ident.ServerID]bool{"p": said})
 		h.m.SetServers([]ident.ServerID{"a", "b"})
 		const wait = lostPrimaryPatience - time.Second
--- a/internal/rule/group/claims_test.go
+++ b/internal/rule/group/claims_test.go
@@ -313,7 +313,7 @@
 func TestGroupWithoutListedPrimaryGetsOne(t *testing.T) {
 	h := &harness{t: t, now: time.Unix(1000, 0)}
 	h.m = New(Config{Servers: []ident.ServerID{"a", "b"}, Claimant: "me", Timing: synchTiming, Fenced: true})
-	h.step(Recorded{Record: Record{Members: threeMembers()}, Version: 1})
+	h.step(Recorded{Record: Record{Members: threeMembers()}, Version: ident.VersionOf(1)})
 	replicas := func() { h.poll("a", Replica, 7); h.poll("b", Replica, 9) }
 	actions := h.advance(missingPrimaryDelay-100*time.Millisecond, replicas)
 	if claim, early := find[Claim](actions); early {
@@ -323,8 +323,8 @@
 	if !ok || len(change.Retired) != 1 || change.Retired[0].Server != "p" || len(change.Added)+len(change.Removed) > 0 {
 		t.Fatalf("got change %+v, want p retired", change)
 	}
-	r, _ := change.Evaluate(Record{Members: threeMembers()}, 0)
-	h.step(Recorded{Record: r, Version: 2})
+	r, _ := change.Evaluate(Record{Members: threeMembers()}, ident.Version{})
+	h.step(Recorded{Record: r, Version: ident.VersionOf(2)})
 	claim, ok := find[Claim](h.advance(time.Second, replicas))
 	if !ok || claim.Record.ReplacedTerm != 1 {
 		t.Fatalf("got claim %+v, want one on term 1", claim)
@@ -340,10 +340,10 @@
 		h := newHarness(t)
 		h.m.conf.Holder = "me"
 		claim := h.claim()
-		if _, granted := claim.Evaluate(ordering, 0, true); granted {
+		if _, granted := claim.Evaluate(ordering, ident.Version{}, true); granted {
 			t.Fatal("the claim is granted while another holder orders")
 		}
-		h.step(Claimed{Term: claim.Record.Term, Record: ordering, Version: 1})
+		h.step(Claimed{Term: claim.Record.Term, Record: ordering, Version: ident.VersionOf(1)})
 		return h
 	}
 	t.Run("until it is settled", func(t *testing.T) {
@@ -355,12 +355,12 @@
 		if !changed {
 			t.Fatal("the holder's word that its orders are settled is not written")
 		}
-		h.step(Recorded{Record: settled, Version: 2})
+		h.step(Recorded{Record: settled, Version: ident.VersionOf(2)})
 		again, ok := find[Claim](h.advance(time.Second, h.reportPrimaryDown))
 		if !ok {
 			t.Fatal("no claim once the orders are settled")
 		}
-		if r, granted := again.Evaluate(settled, 0, true); !granted || r.Fence <= ordering.Fence || r.Ordering {
+		if r, granted := again.Evaluate(settled, ident.Version{}, true); !granted || r.Fence <= ordering.Fence || r.Ordering {
 			t.Fatalf("granted: %t, record %+v; want a fence above %d", granted, r, ordering.Fence)
 		}
 	})
@@ -373,12 +373,12 @@
 		if !ok {
 			t.Fatal("no claim although no order can be under way any more")
 		}
-		if _, granted := again.Evaluate(ordering, 0, true); !granted {
+		if _, granted := again.Evaluate(ordering, ident.Version{}, true); !granted {
 			t.Fatal("the claim is not granted")
 		}
 		ordering := ordering
 		ordering.Claim++
-		if _, granted := again.Evaluate(ordering, 0, true); granted {
+		if _, granted := again.Evaluate(ordering, ident.Version{}, true); granted {
 			t.Fatal("the claim is granted although the other holder orders again")
 		}
 	})
--- a/internal/rule/group/copy.go
+++ b/internal/rule/group/copy.go
@@ -32,7 +32,7 @@
 
 // Merge returns the copy to keep of two. A later version was read after an earlier one, whenever its read was begun.
 func (c RecordCopy) Merge(other RecordCopy) RecordCopy {
-	if c.IsKnown() && other.Version < c.Version {
+	if c.IsKnown() && other.Version.Before(c.Version) {
 		return c
 	}
 	if other.Asked.Before(c.Asked) {
--- a/internal/rule/group/event.go
+++ b/internal/rule/group/event.go
@@ -33,6 +33,8 @@
 	// number of the claim with which it took the place of another holder.
 	Holder ident.InstanceID `json:"holder,omitempty"`
 	Fence  uint64           `json:"fence,omitempty"`
+	// Epoch is the epoch of the platform's store at the last claim; records of earlier releases have none.
+	Epoch ident.Epoch `json:"epoch,omitempty"`
 	// Ordering is set before Holder sends an order, until each order that it has sent is known to be settled.
 	Ordering bool `json:"ordering,omitempty"`
 }
--- a/internal/rule/group/lease.go
+++ b/internal/rule/group/lease.go
@@ -118,7 +118,7 @@
 
 // Record applies the group's record, read between asked and answered.
 func (l *TermLease) Record(r Record, v ident.Version, asked, answered time.Time) {
-	if l.recordKnown && v < l.version {
+	if l.recordKnown && v.Before(l.version) {
 		return
 	}
 	if asked.Before(l.recordAsked) {
--- a/internal/rule/group/lease_test.go
+++ b/internal/rule/group/lease_test.go
@@ -48,7 +48,7 @@
 	if !granted {
 		h.t.Fatal("the claim is refused")
 	}
-	actions := h.step(Claimed{Term: claim.Record.Term, Granted: true, Record: r, Version: v + 1})
+	actions := h.step(Claimed{Term: claim.Record.Term, Granted: true, Record: r, Version: v.Next()})
 	for _, s := range statuses {
 		s.Sealed = claim.Record.Term
 		actions = h.step(Sealed{Term: claim.Record.Term, OK: true, Status: s})
@@ -76,7 +76,7 @@
 	kept, v := Record{Members: threeMembers()}, ident.NewVersion(1, 1)
 	h.step(Recorded{Record: kept, Version: v})
 	h.m.SetServers([]ident.ServerID{"p", "a"})
-	for end := h.now.Add(20 * time.Second); len(kept.sealedByClaims()) > 2; v++ {
+	for end := h.now.Add(20 * time.Second); len(kept.sealedByClaims()) > 2; v = v.Next() {
 		change, ok := find[ChangeMembers](h.advance(100*time.Millisecond, func() {
 			h.poll("p", Primary, 7)
 			h.poll("a", Replica, 7)
@@ -85,7 +85,7 @@
 		}))
 		if ok {
 			kept, _ = change.Evaluate(kept, v)
-			h.step(Recorded{Record: kept, Version: v + 1})
+			h.step(Recorded{Record: kept, Version: v.Next()})
 		}
 		if h.now.After(end) {
 			t.Fatal("b is still a member after 20 s")
@@ -118,7 +118,7 @@
 			h.step(Recorded{Record: kept, Version: v})
 			claim := h.claim()
 			r, _ := claim.Evaluate(kept, v, true)
-			h.step(Claimed{Term: claim.Record.Term, Granted: true, Record: r, Version: v + 1})
+			h.step(Claimed{Term: claim.Record.Term, Granted: true, Record: r, Version: v.Next()})
 			h.sealed(claim.Record.Term, "b")
 			if change != nil {
 				change(h.m)
@@ -157,7 +157,7 @@
 	w.now = h.now
 	w.poll(Status{Server: "p", Role: Primary, Term: 2, LogTerm: 1, Received: 7})
 	w.now = order.NotBefore
-	w.record(second, v+1)
+	w.record(second, v.Next())
 	w.checkEnded(t, order)
 }
 
--- a/internal/rule/group/lists_peers_test.go
+++ b/internal/rule/group/lists_peers_test.go
@@ -93,12 +93,12 @@
 // against a copy that answers an instance which doesn't count its age.
 func TestLaterVersionCountsAsReadLater(t *testing.T) {
 	read := func(v ident.Version, at int) RecordCopy { return RecordCopy{Version: v, Asked: scriptTime(at)} }
-	known := read(5, 1000)
+	known := read(ident.VersionOf(5), 1000)
 	for _, c := range []struct{ other, want RecordCopy }{
-		{read(4, 2000), known},
-		{read(5, 900), known},
-		{read(5, 1100), read(5, 1100)},
-		{read(6, 900), read(6, 1000)},
+		{read(ident.VersionOf(4), 2000), known},
+		{read(ident.VersionOf(5), 900), known},
+		{read(ident.VersionOf(5), 1100), read(ident.VersionOf(5), 1100)},
+		{read(ident.VersionOf(6), 900), read(ident.VersionOf(6), 1000)},
 	} {
 		if got := known.Merge(c.other); got.Version != c.want.Version || !got.Asked.Equal(c.want.Asked) {
 			t.Errorf("version %d of %v merges to %d of %v, want %d of %v", c.other.Version, c.other.Asked, got.Version, got.Asked, c.want.Version, c.want.Asked)
--- a/internal/rule/group/member.go
+++ b/internal/rule/group/member.go
@@ -45,7 +45,7 @@
 
 // learnRecord applies the platform's record, unless a later version is known.
 func (m *Machine) learnRecord(now time.Time, r Record, v ident.Version) {
-	if v < m.recordVersion {
+	if v.Before(m.recordVersion) {
 		return
 	}
 	if r.Claim != m.record.Claim {
@@ -54,7 +54,7 @@
 	if r.Ordering && (!m.record.Ordering || r.Claim != m.record.Claim) {
 		m.orderingSeenAt = now
 	}
-	if m.recordVersion != 0 && v.Epoch() > m.recordVersion.Epoch() {
+	if !m.recordVersion.IsZero() && v.Epoch() > m.recordVersion.Epoch() {
 		m.restoredAt = now
 	}
 	m.record, m.recordVersion = r, v
--- a/internal/rule/group/orders_model_test.go
+++ b/internal/rule/group/orders_model_test.go
@@ -99,7 +99,7 @@
 	if m.disabled == "orders-not-heeded" {
 		kept.Ordering = false
 	}
-	r, granted := c.Evaluate(kept, 0, true)
+	r, granted := c.Evaluate(kept, ident.Version{}, true)
 	h.learn(m.now, m.record)
 	if !granted {
 		return
--- a/internal/rule/group/script_test.go
+++ b/internal/rule/group/script_test.go
@@ -145,7 +145,7 @@
 func (l scriptLine) record() Record {
 	var former []FormerMember
 	for _, s := range parseMembers(l.options["former"]) {
-		former = append(former, FormerMember{Member: s, Since: ident.Version(l.number64("since", 1))})
+		former = append(former, FormerMember{Member: s, Since: ident.VersionOf(uint64(l.number64("since", 1)))})
 	}
 	return Record{
 		Former:  former,
@@ -180,7 +180,7 @@
 				return ""
 			case "record":
 				now = l.number64("answered", l.at()+2)
-				lease.Record(l.record(), ident.Version(l.number64("version", 1)), scriptTime(l.at()), scriptTime(now))
+				lease.Record(l.record(), ident.VersionOf(uint64(l.number64("version", 1))), scriptTime(l.at()), scriptTime(now))
 			case "poll":
 				now = l.number64("answered", l.at()+2)
 				lease.Observe(Poll{Status: l.status(), Asked: scriptTime(l.at()), Answered: scriptTime(now), Conn: uint64(l.number64("conn", 1))})
@@ -241,7 +241,7 @@
 			case "epoch":
 				m.SetEpoch(0, scriptTime(l.at()))
 			case "record":
-				actions = m.Step(scriptTime(l.at()), Recorded{Record: l.record(), Version: ident.Version(l.number64("version", 1))})
+				actions = m.Step(scriptTime(l.at()), Recorded{Record: l.record(), Version: ident.VersionOf(uint64(l.number64("version", 1)))})
 			case "poll":
 				actions = m.Step(scriptTime(l.at()), Polled{Status: l.status()})
 			case "silent":
@@ -290,10 +290,10 @@
 		Added: parseMembers(l.options["add"]), Retired: parseMembers(l.options["retire"]), Removed: parseMembers(l.options["remove"]),
 	}
 	for _, s := range parseMembers(l.options["forget"]) {
-		c.Forgotten = append(c.Forgotten, FormerMember{Member: s, Since: 1})
+		c.Forgotten = append(c.Forgotten, FormerMember{Member: s, Since: ident.VersionOf(1)})
 	}
 	kept := l.record()
-	r, changed := c.Evaluate(kept, ident.Version(l.number64("version", 0)))
+	r, changed := c.Evaluate(kept, ident.VersionOf(uint64(l.number64("version", 0))))
 	text := formatMembers(r.Members)
 	for _, f := range r.Former {
 		text += fmt.Sprintf(", former %s since %s", formatMembers([]Member{f.Member}), f.Since)
--- a/internal/rule/group/synch.go
+++ b/internal/rule/group/synch.go
@@ -277,11 +277,11 @@
 	if kept.Ordering && kept.Holder != r.Holder && kept.Claim != c.Outwaited {
 		return r, false
 	}
-	r.Claim, r.Members, r.Former = max(kept.Claim, uint64(version))+1, kept.Members, kept.Former
+	r.Claim, r.Epoch, r.Members, r.Former = kept.nextClaim(version), version.Epoch(), kept.Members, kept.Former
 	r.Fence = r.Claim
 	if kept.Holder == r.Holder && kept.Fence != 0 {
 		r.Ordering = kept.Ordering
-		if ident.Version(kept.Fence).Epoch() == version.Epoch() {
+		if kept.claimEpoch() == version.Epoch() {
 			r.Fence = kept.Fence
 		}
 	}
@@ -291,6 +291,29 @@
 	return r, true
 }
 
+// lostClaims is more claims than can be made in the time that a restore of the store takes back.
+const lostClaims = 1 << 20
+
+// nextClaim returns the number of the next claim, which is above all that have been given, even if a restore
+// of the store has lost some of them.
+func (r Record) nextClaim(version ident.Version) uint64 {
+	if floor := version.Floor(); floor > r.Claim {
+		return floor + 1
+	}
+	if r.Claim != 0 && r.claimEpoch() < version.Epoch() {
+		return r.Claim + lostClaims
+	}
+	return r.Claim + 1
+}
+
+// claimEpoch returns the epoch of the platform's store at the last claim.
+func (r Record) claimEpoch() ident.Epoch {
+	if r.Epoch != 0 {
+		return r.Epoch
+	}
+	return ident.VersionOf(r.Fence).Epoch()
+}
+
 // StartOrdering returns the record to write before the first order of a claim; false if another claim has
 // been made since.
 func (r Record) StartOrdering(claim uint64) (Record, bool) {
--- a/internal/rule/group/synch_model_test.go
+++ b/internal/rule/group/synch_model_test.go
@@ -248,7 +248,7 @@
 	revision, epoch, kept := m.revision, m.epoch, m.record
 	version := ident.NewVersion(epoch, revision)
 	if m.disabled == "claims-after-restore-numbered-by-record" {
-		version = 0
+		version = ident.Version{}
 	}
 	r, granted := c.Evaluate(kept, version, true)
 	if epoch != c.Epoch {
--- a/pkg/objs/object.go
+++ b/pkg/objs/object.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"strconv"
 
 	"geraniumseam.dev/pkg/ident"
 )
@@ -57,10 +56,10 @@
 	Spec     json.RawMessage `json:"spec"`
 }
 
-// Version returns the object's resource version, or 0 if it has none.
+// Version returns the object's resource version, the zero one if it has none.
 func (o Object) Version() ident.Version {
-	number, _ := strconv.ParseUint(o.Metadata.ResourceVersion, 10, 64)
-	return ident.Version(number)
+	version, _ := ident.ParseResourceVersion(o.Metadata.ResourceVersion)
+	return version
 }
 
 // Operation returns the name of the operation that last wrote the object.
@@ -79,8 +78,8 @@
 
 // Version returns the version at which the list was read.
 func (l List) Version() ident.Version {
-	number, _ := strconv.ParseUint(l.Metadata.ResourceVersion, 10, 64)
-	return ident.Version(number)
+	version, _ := ident.ParseResourceVersion(l.Metadata.ResourceVersion)
+	return version
 }
 
 // EventType is the type of a watch event.
--- a/stand/platf/server.go
+++ b/stand/platf/server.go
@@ -86,7 +86,7 @@
 
 // RemoveInstance removes an instance from the list, after the list's lag.
 func (s *Platform) RemoveInstance(id ident.InstanceID) {
-	s.afterListLag(func() { s.store.remove(objs.Instances, string(id), 0) })
+	s.afterListLag(func() { s.store.remove(objs.Instances, string(id), ident.Version{}) })
 }
 
 // Restore takes the objects back to what they were some time ago, as a restore from a copy does.
@@ -173,8 +173,8 @@
 }
 
 func (s *Platform) remove(w http.ResponseWriter, r *http.Request, kind objs.Kind, name string) {
-	version, _ := strconv.ParseUint(r.URL.Query().Get("resourceVersion"), 10, 64)
-	current, result := s.store.remove(kind, name, ident.Version(version))
+	version, _ := ident.ParseResourceVersion(r.URL.Query().Get("resourceVersion"))
+	current, result := s.store.remove(kind, name, version)
 	s.respond(w, current, result)
 }
 
@@ -202,14 +202,13 @@
 // bookmark with the last version. It answers 410 if the history no longer has the version.
 func (s *Platform) watch(w http.ResponseWriter, r *http.Request, kind objs.Kind) {
 	query := r.URL.Query()
-	number, _ := strconv.ParseUint(query.Get("resourceVersion"), 10, 64)
+	after, _ := ident.ParseResourceVersion(query.Get("resourceVersion"))
 	seconds, err := strconv.ParseFloat(query.Get("timeoutSeconds"), 64)
 	if err != nil {
 		seconds = 30
 	}
 	timeout := time.NewTimer(time.Duration(seconds * float64(time.Second)))
 	defer timeout.Stop()
-	after := ident.Version(number)
 	for {
 		events, version, changed, complete := s.store.since(kind, after)
 		if !complete {
--- a/stand/platf/store.go
+++ b/stand/platf/store.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -117,11 +116,11 @@
 		return current, conflict
 	}
 	kind := objs.Modified
-	if current.Version() == 0 {
+	if current.Version().IsZero() {
 		kind = objs.Added
 	}
 	s.remember(k)
-	s.version++
+	s.version = s.version.Next()
 	o.Metadata.ResourceVersion = formatVersion(s.version)
 	s.objects[k] = o
 	s.record(objs.Event{Type: kind, Object: o})
@@ -137,12 +136,12 @@
 	if !ok {
 		return current, missing
 	}
-	if version != 0 && current.Version() != version {
+	if !version.IsZero() && current.Version() != version {
 		return current, conflict
 	}
 	s.remember(k)
 	delete(s.objects, k)
-	s.version++
+	s.version = s.version.Next()
 	current.Metadata.ResourceVersion = formatVersion(s.version)
 	s.record(objs.Event{Type: objs.Deleted, Object: current})
 	return current, stored
@@ -172,15 +171,15 @@
 func (s *store) since(kind objs.Kind, after ident.Version) ([]objs.Event, ident.Version, <-chan struct{}, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if after != 0 && after.Epoch() != s.version.Epoch() {
+	if !after.IsZero() && after.Epoch() != s.version.Epoch() {
 		return nil, s.version, s.changed, false
 	}
-	if len(s.history) > 0 && s.history[0].Object.Version() > after+1 && len(s.history) >= historyLength {
+	if len(s.history) > 0 && after.Next().Before(s.history[0].Object.Version()) && len(s.history) >= historyLength {
 		return nil, s.version, s.changed, false
 	}
 	var found []objs.Event
 	for _, e := range s.history {
-		if e.Object.Kind == kind && e.Object.Version() > after {
+		if e.Object.Kind == kind && after.Before(e.Object.Version()) {
 			found = append(found, e)
 		}
 	}
@@ -210,4 +209,4 @@
 	time.AfterFunc(lag, change)
 }
 
-func formatVersion(v ident.Version) string { return strconv.FormatUint(uint64(v), 10) }
+func formatVersion(v ident.Version) string { return v.ResourceVersion() }
