--- a/internal/peer/frames_test.go
+++ b/internal/peer/frames_test.go
@@ -37,6 +37,12 @@
 
 // dialRaw opens a link to an instance under a name.
 func dialRaw(t testing.TB, to *testInstance, name ident.InstanceID) *rawPeer {
+	t.Helper()
+	return dialRawAs(t, to, name, maxProtocol)
+}
+
+// dialRawAs is dialRaw for a peer that supports protocol versions up to the given one.
+func dialRawAs(t testing.TB, to *testInstance, name ident.InstanceID, protocol int) *rawPeer {
 	t.Helper()
 	header := http.Header{}
 	header.Set(secretHeader, "secret")
@@ -47,7 +53,7 @@
 	}
 	p := &rawPeer{t: t, socket: socket}
 	t.Cleanup(func() { _ = socket.CloseNow() })
-	p.greet(name)
+	p.greet(name, protocol)
 	return p
 }
 
@@ -61,7 +67,7 @@
 			return
 		}
 		p := &rawPeer{t: t, socket: socket}
-		p.greet("b")
+		p.greet("b", maxProtocol)
 		accepted <- p
 	}))
 	t.Cleanup(server.Close)
@@ -76,8 +82,8 @@
 	return p
 }
 
-func (p *rawPeer) greet(name ident.InstanceID) {
-	p.send(p.frame(kindHello, 0, Hello{MinProtocol: minProtocol, MaxProtocol: maxProtocol, Instance: name}))
+func (p *rawPeer) greet(name ident.InstanceID, protocol int) {
+	p.send(p.frame(kindHello, 0, Hello{MinProtocol: minProtocol, MaxProtocol: protocol, Instance: name}))
 	if f := p.next(); f.Kind != kindHello {
 		p.t.Errorf("first frame is of kind %d, want a hello", f.Kind)
 	}
@@ -447,3 +453,53 @@
 		t.Errorf("the request beside: %s by %s, want done", r.Outcome, r.Reason)
 	}
 }
+
+// TestEarlierReleasesReadConfigurationVersions guards against links that end while a fleet is replaced one by one, since an earlier
+// release can't read a version of the configuration that doesn't fit in one number: it gets what it takes the version for itself.
+func TestEarlierReleasesReadConfigurationVersions(t *testing.T) {
+	const number = 1796620681483656192
+	large, small := ident.NewVersion(1<<24+1, number), ident.NewVersion(1, 12)
+	for _, test := range []struct {
+		protocol int
+		version  ident.Version
+		// cut is the version in one number, 0 if it is exact.
+		cut uint64
+	}{{1, large, 1<<40 | number}, {1, small, 1<<40 | 12}, {maxProtocol, large, 0}} {
+		a := newTestInstance(t, "a", nil)
+		p := dialRawAs(t, a, "b", test.protocol)
+		waitFor(t, func() bool { return a.hub.Connected("b") })
+		go func() { _, _ = a.hub.Query(t.Context(), "b", ConfigRequest{Have: test.version}) }()
+		request := p.next()
+		for name, body := range map[string][]byte{
+			"request":   request.Body,
+			"heartbeat": bodyFor(t, Heartbeat{Version: test.version}, test.protocol),
+			"response":  bodyFor(t, ConfigResponse{Version: test.version}, test.protocol),
+		} {
+			var earlier struct {
+				Version uint64 `cbor:"1,keyasint"`
+			}
+			var exact struct {
+				Version ident.Version `cbor:"1,keyasint"`
+			}
+			if test.cut != 0 {
+				if err := decMode.Unmarshal(body, &earlier); err != nil || earlier.Version != test.cut {
+					t.Errorf("%s of protocol %d: read as %d, %v; want %d", name, test.protocol, earlier.Version, err, test.cut)
+				}
+				continue
+			}
+			if err := decMode.Unmarshal(body, &exact); err != nil || exact.Version != test.version {
+				t.Errorf("%s of protocol %d: read as %v, %v; want %v", name, test.protocol, exact.Version, err, test.version)
+			}
+		}
+	}
+}
+
+// bodyFor returns a message as it is sent to a peer of the given protocol version.
+func bodyFor(t *testing.T, m Message, protocol int) []byte {
+	t.Helper()
+	body, err := encMode.Marshal(forProtocol(m, protocol))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return body
+}
--- a/internal/peer/hub.go
+++ b/internal/peer/hub.go
@@ -197,56 +197,58 @@
 	if err != nil {
 		return
 	}
-	if err := h.handshake(r.Context(), socket, peer); err != nil {
+	protocol, err := h.handshake(r.Context(), socket, peer)
+	if err != nil {
 		_ = socket.Close(websocket.StatusPolicyViolation, "")
 		return
 	}
-	h.register(peer, socket)
+	h.register(peer, socket, protocol)
 }
 
-// handshake exchanges Hello messages and checks the peer's name and protocol versions.
-func (h *Hub) handshake(ctx context.Context, socket *websocket.Conn, peer ident.InstanceID) error {
+// handshake exchanges Hello messages and checks the peer's name and protocol versions. It returns the version that both
+// ends support.
+func (h *Hub) handshake(ctx context.Context, socket *websocket.Conn, peer ident.InstanceID) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, h.conf.Timeout)
 	defer cancel()
 	hello, err := encodeFrame(kindHello, 0, Hello{MinProtocol: minProtocol, MaxProtocol: maxProtocol, Instance: h.conf.Self, Center: h.conf.Center})
 	if err != nil {
-		return err
+		return 0, err
 	}
 	if err := socket.Write(ctx, websocket.MessageBinary, hello); err != nil {
-		return &Error{Cause: Unreachable, Peer: peer, Detail: err.Error()}
+		return 0, &Error{Cause: Unreachable, Peer: peer, Detail: err.Error()}
 	}
 	_, data, err := socket.Read(ctx)
 	if err != nil {
-		return &Error{Cause: Unreachable, Peer: peer, Detail: err.Error()}
+		return 0, &Error{Cause: Unreachable, Peer: peer, Detail: err.Error()}
 	}
 	return checkHello(data, peer)
 }
 
-func checkHello(data []byte, peer ident.InstanceID) error {
+func checkHello(data []byte, peer ident.InstanceID) (int, error) {
 	var f frame
 	if err := decMode.Unmarshal(data, &f); err != nil || f.Kind != kindHello {
-		return &Error{Cause: BadMessage, Peer: peer}
+		return 0, &Error{Cause: BadMessage, Peer: peer}
 	}
 	m, err := decode(f.Kind, f.Body)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	hello := m.(Hello)
 	if hello.Instance != peer {
-		return &Error{Cause: WrongPeer, Peer: peer, Detail: string(hello.Instance)}
+		return 0, &Error{Cause: WrongPeer, Peer: peer, Detail: string(hello.Instance)}
 	}
 	if hello.MaxProtocol < minProtocol || hello.MinProtocol > maxProtocol {
-		return &Error{Cause: WrongVersion, Peer: peer}
+		return 0, &Error{Cause: WrongVersion, Peer: peer}
 	}
-	return nil
+	return min(hello.MaxProtocol, maxProtocol), nil
 }
 
 // register adds a link, which is used for sending from now on. If both ends dialled at the
 // same time, there are two links; both are served until they end.
-func (h *Hub) register(peer ident.InstanceID, socket *websocket.Conn) *link {
+func (h *Hub) register(peer ident.InstanceID, socket *websocket.Conn, protocol int) *link {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	l := newLink(h, peer, socket)
+	l := newLink(h, peer, socket, protocol)
 	h.allLinks[l] = true
 	if h.closed {
 		l.close(Closed)
@@ -361,11 +363,12 @@
 		}
 		return &Error{Cause: cause, Peer: id, Detail: err.Error()}
 	}
-	if err := h.handshake(ctx, socket, id); err != nil {
+	protocol, err := h.handshake(ctx, socket, id)
+	if err != nil {
 		_ = socket.CloseNow()
 		return errors.Trace(err)
 	}
-	h.register(id, socket)
+	h.register(id, socket, protocol)
 	return nil
 }
 
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -31,8 +31,10 @@
 
 // link is one WebSocket connection to another instance.
 type link struct {
-	hub       *Hub
-	peer      ident.InstanceID
+	hub  *Hub
+	peer ident.InstanceID
+	// protocol is the protocol version that both ends support.
+	protocol  int
 	socket    *websocket.Conn
 	sendQueue chan []byte
 	// opened counts the streams that this end has opened.
@@ -66,10 +68,10 @@
 	retired bool
 }
 
-func newLink(h *Hub, peer ident.InstanceID, socket *websocket.Conn) *link {
+func newLink(h *Hub, peer ident.InstanceID, socket *websocket.Conn, protocol int) *link {
 	socket.SetReadLimit(h.conf.MessageLimit)
 	l := &link{
-		hub: h, peer: peer, socket: socket, sendQueue: make(chan []byte, sendQueueSize), wake: make(chan struct{}, 1),
+		hub: h, peer: peer, protocol: protocol, socket: socket, sendQueue: make(chan []byte, sendQueueSize), wake: make(chan struct{}, 1),
 		streams: map[uint64]*stream{}, serving: map[uint64]context.CancelFunc{},
 	}
 	l.lastHeard.Store(clock.Now().UnixNano())
@@ -88,7 +90,7 @@
 // send queues a frame for writing. It waits for space in the queue, until the link ends or
 // ctx is done.
 func (l *link) send(ctx context.Context, k kind, stream uint64, body any) error {
-	data, err := encodeFrame(k, stream, body)
+	data, err := encodeFrame(k, stream, forProtocol(body, l.protocol))
 	if err != nil {
 		return err
 	}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -19,9 +19,32 @@
 // overlap.
 const (
 	minProtocol = 1
-	maxProtocol = 1
+	maxProtocol = exactVersions
+	// exactVersions is the first version in which the configuration's version may be beyond what fits in one number.
+	exactVersions = 2
 )
 
+// forProtocol returns the message as a peer of the given protocol version reads it. Earlier releases cut the number of
+// a configuration, and would end the link over one that is not cut.
+func forProtocol(m any, protocol int) any {
+	if protocol >= exactVersions {
+		return m
+	}
+	switch m := m.(type) {
+	case Heartbeat:
+		m.Version = m.Version.Cut()
+		return m
+	case ConfigRequest:
+		m.Have = m.Have.Cut()
+		return m
+	case ConfigResponse:
+		m.Version = m.Version.Cut()
+		return m
+	default:
+		return m
+	}
+}
+
 // Message is a message between instances.
 type Message interface{ isMessage() }
 
--- a/pkg/ident/version.go
+++ b/pkg/ident/version.go
@@ -46,6 +46,12 @@
 	return uint64(v.epoch)<<revisionBits | uint64(v.revision), fits
 }
 
+// Cut returns what releases that hold versions in one number take the version for.
+func (v Version) Cut() Version {
+	number, _ := v.number()
+	return VersionOf(number)
+}
+
 // claims is how many claims can be numbered above the highest Floor.
 const claims = 1 << 32
 
