--- a/internal/rule/conf/check.go
+++ b/internal/rule/conf/check.go
@@ -116,7 +116,8 @@
 	section := "group " + string(id)
 	k.name("group", string(id))
 	k.want(len(g.Servers) > 0 || g.Listed, section, "servers", "at least one NAME@CENTER/ADDRESS")
-	// An owner polls over one connection and serves requests over another, but manages with one.
+	// An owner needs one connection for polls and another one for requests. Where another authority allows only one, its
+	// servers refuse what is too much.
 	minConnections := 2
 	if k.accepted {
 		minConnections = 1
