--- a/internal/confs/cache.go
+++ b/internal/confs/cache.go
@@ -69,22 +69,16 @@
 		return false
 	}
 	config, err := b.Config()
-	var mistakes, omitted []conf.Mistake
-	switch {
-	case err != nil:
-	case b.Head.Accepted:
+	var omitted []conf.Mistake
+	if err == nil && b.Head.Accepted {
 		omitted = append(slices.Clone(b.Head.Omitted), conf.Omit(&config)...)
-	default:
-		mistakes = conf.Check(&config)
-	}
-	if err != nil || len(mistakes) > 0 {
-		if err == nil {
-			c.rejected = b.Version
+	} else if err == nil {
+		if mistakes := conf.Check(&config); len(mistakes) > 0 {
+			c.rejected, err = b.Version, &InvalidError{Mistakes: mistakes}
 		}
+	}
+	if err != nil {
 		c.mu.Unlock()
-		if len(mistakes) > 0 {
-			err = &InvalidError{Mistakes: mistakes}
-		}
 		c.logRejection(b, err, source)
 		return false
 	}
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -13,8 +13,8 @@
 	"geraniumseam.dev/pkg/ident"
 )
 
-// How promotion orders of different holders are kept apart where nothing else checks their fencing
-// tokens. The group's record says that orders of its holder may be under way; nobody else claims then.
+// How promotion orders of different holders are kept apart where nothing else checks the number
+// of their claim. The group's record says that orders of its holder may be under way; nobody else claims then.
 //
 //	claim ──▶ seal ──▶ startOrdering ──▶ order ──answered──▶ settleOrders ──▶ others may claim
 //	                                       └──no answer──▶ others wait for group.OrderSettleTime
--- a/internal/proto/conn.go
+++ b/internal/proto/conn.go
@@ -35,7 +35,7 @@
 	// ChecksFloor reports whether servers check Request.RequiredFloor.
 	ChecksFloor() bool
 	// Fenced reports whether servers count terms themselves and know no claimants, so that orders to lead need the
-	// fencing token of a recorded claim.
+	// number of a recorded claim.
 	Fenced() bool
 	// Promote makes a sealed server the primary of the term.
 	Promote(ctx context.Context, c Conn, t Target, o PromotionOrder) (Promotion, error)
--- a/internal/rule/conf/check.go
+++ b/internal/rule/conf/check.go
@@ -46,31 +46,41 @@
 func Check(c *Config) []Mistake {
 	k := &checker{conf: c}
 	k.defaults()
-	for id, g := range c.Groups {
-		k.group(id, g)
-	}
-	for id, s := range c.Services {
-		k.service(id, s)
-	}
-	for id, r := range c.Routes {
-		k.route(id, r)
-	}
-	for id, customer := range c.Customers {
-		k.customer(id, customer)
-	}
-	for id, key := range c.Keys {
-		k.key(id, key)
-	}
-	for name, e := range c.Exceptions {
-		k.exception(name, e)
-	}
-	for id, center := range c.Centers {
-		k.center(id, center)
-	}
+	k.entries()
 	k.servers()
 	return k.sorted()
 }
 
+// Omit removes the entries that can't be served from a configuration that another authority has accepted, which is
+// in force apart from them. It returns what is wrong with them, sorted by its text.
+func Omit(c *Config) []Mistake {
+	k := &checker{conf: c, accepted: true}
+	k.entries()
+	return k.sorted()
+}
+
+// entries checks every entry, after those that it may name: an entry that names one that is removed goes with it.
+func (k *checker) entries() {
+	checkEach(k, k.conf.Centers, k.center)
+	checkEach(k, k.conf.Groups, k.group)
+	checkEach(k, k.conf.Services, k.service)
+	checkEach(k, k.conf.Customers, k.customer)
+	checkEach(k, k.conf.Routes, k.route)
+	checkEach(k, k.conf.Keys, k.key)
+	checkEach(k, k.conf.Exceptions, k.exception)
+}
+
+// checkEach checks the entries of a section, and removes those with a mistake from an accepted configuration.
+func checkEach[K ~string, V any](k *checker, section map[K]V, check func(K, V)) {
+	for id, entry := range section {
+		before := len(k.mistakes)
+		check(id, entry)
+		if k.accepted && len(k.mistakes) > before {
+			delete(section, id)
+		}
+	}
+}
+
 func (k *checker) sorted() []Mistake {
 	slices.SortFunc(k.mistakes, func(a, b Mistake) int { return strings.Compare(a.Error(), b.Error()) })
 	return k.mistakes
--- a/internal/rule/group/machine.go
+++ b/internal/rule/group/machine.go
@@ -17,7 +17,7 @@
 	// Rank orders the instances that watch the group: rank 0 acts first. SetRank changes it.
 	Rank int
 	// Fenced is set if the servers count terms themselves and know no claimants, so that a promotion needs a
-	// recorded claim, whose fencing token its orders carry.
+	// recorded claim, whose number its orders carry.
 	Fenced bool
 }
 
--- a/internal/rule/group/numbers_test.go
+++ b/internal/rule/group/numbers_test.go
@@ -7,7 +7,7 @@
 	"geraniumseam.dev/pkg/ident"
 )
 
-// TestClaimNumbersRiseWhateverTheStoreCounts guards against a fencing token that is not above an earlier one: revisions of the
+// TestClaimNumbersRiseWhateverTheStoreCounts guards against a claim whose number is not above an earlier one: revisions of the
 // store from 2^40 on counted as later epochs, and epochs from 2^24 on were cut off. A restore of the store loses up to 1,000 claims.
 func TestClaimNumbersRiseWhateverTheStoreCounts(t *testing.T) {
 	const lost = 1000
--- a/stand/platf/server.go
+++ b/stand/platf/server.go
@@ -226,7 +226,7 @@
 				return
 			}
 		case <-timeout.C:
-			bookmark := objs.Object{Kind: kind, Metadata: objs.Metadata{ResourceVersion: formatVersion(after)}}
+			bookmark := objs.Object{Kind: kind, Metadata: objs.Metadata{ResourceVersion: after.ResourceVersion()}}
 			s.send(w, []objs.Event{{Type: objs.Bookmark, Object: bookmark}})
 			return
 		case <-r.Context().Done():
--- a/stand/platf/store.go
+++ b/stand/platf/store.go
@@ -92,7 +92,7 @@
 func (s *store) list(kind objs.Kind) objs.List {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	all := objs.List{Metadata: objs.ListMetadata{ResourceVersion: formatVersion(s.version)}}
+	all := objs.List{Metadata: objs.ListMetadata{ResourceVersion: s.version.ResourceVersion()}}
 	for k, o := range s.objects {
 		if k.kind == kind {
 			all.Items = append(all.Items, o)
@@ -121,7 +121,7 @@
 	}
 	s.remember(k)
 	s.version = s.version.Next()
-	o.Metadata.ResourceVersion = formatVersion(s.version)
+	o.Metadata.ResourceVersion = s.version.ResourceVersion()
 	s.objects[k] = o
 	s.record(objs.Event{Type: kind, Object: o})
 	return o, stored
@@ -142,7 +142,7 @@
 	s.remember(k)
 	delete(s.objects, k)
 	s.version = s.version.Next()
-	current.Metadata.ResourceVersion = formatVersion(s.version)
+	current.Metadata.ResourceVersion = s.version.ResourceVersion()
 	s.record(objs.Event{Type: objs.Deleted, Object: current})
 	return current, stored
 }
@@ -208,5 +208,3 @@
 	}
 	time.AfterFunc(lag, change)
 }
-
-func formatVersion(v ident.Version) string { return v.ResourceVersion() }
